--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test setup lint
+
+setup: $(VENV)/installed
+
+$(VENV)/installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: setup
+	$(BIN)/python -m chicoryhold.trial.demo
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+test: setup
+	$(BIN)/python -m chicoryhold.trial.run_tests
--- /dev/null
+++ b/src/chicoryhold/__init__.py
@@ -0,0 +1,1 @@
+"""Traffic steering across failure domains."""
--- /dev/null
+++ b/src/chicoryhold/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP side that callers talk to."""
--- /dev/null
+++ b/src/chicoryhold/callers/app.py
@@ -0,0 +1,160 @@
+"""The WSGI application that callers and targets talk to."""
+
+from __future__ import annotations
+
+import hmac
+import http
+import json
+import threading
+from collections.abc import Callable, Iterable, Mapping
+
+import attrs
+import msgspec
+from result import Err, Ok
+
+from chicoryhold.callers.refusals import Ran, Refusal
+from chicoryhold.callers.request import read_request
+from chicoryhold.callers.service import CallerService, Outcome
+from chicoryhold.errors import RequestRefused
+from chicoryhold.hosts.messages import Announcement
+from chicoryhold.steering.admission_client import AdmissionClient
+from chicoryhold.steering.lookup import Lookup
+
+LOOKUP_PATH = "/v1/entry-hosts"
+ANNOUNCEMENT_PATH = "/v1/announcements"
+_DROPPED_FROM_ANSWERS = frozenset(
+    {
+        "connection", "keep-alive", "transfer-encoding", "content-length", "date",
+        "server", "upgrade", "trailer", "chicoryhold-request-id",
+    }
+)  # fmt: skip
+
+Observe = Callable[[str, str], None]
+
+
+@attrs.frozen(kw_only=True)
+class _Reply:
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class CallerApp:
+    """Look-ups, announcements, and requests to services.
+
+    ``observe(organisation, result)`` is called for each request to a service.
+    """
+
+    def __init__(
+        self, *, service: CallerService, lookup: Lookup, admission: AdmissionClient,
+        announcement_token: str, observe: Observe, leaving: Callable[[], bool],
+    ) -> None:  # fmt: skip
+        self._service = service
+        self._lookup = lookup
+        self._admission = admission
+        self._token = announcement_token
+        self._observe = observe
+        self._leaving = leaving
+        self._in_flight = 0
+        self._lock = threading.Lock()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are being answered."""
+        return self._in_flight
+
+    def __call__(
+        self, environ: Mapping[str, object], start_response: Callable
+    ) -> Iterable[bytes]:
+        with self._lock:
+            self._in_flight += 1
+        try:
+            reply = self._reply(environ)
+        finally:
+            with self._lock:
+                self._in_flight -= 1
+        headers = [*reply.headers, ("Content-Length", str(len(reply.body)))]
+        if self._leaving():
+            # The caller's next request opens a connection to a host that stays.
+            headers.append(("Connection", "close"))
+        start_response(f"{reply.status} {_phrase(reply.status)}", headers)
+        return [reply.body]
+
+    def _reply(self, environ: Mapping[str, object]) -> _Reply:
+        path = environ["PATH_INFO"]
+        if path == LOOKUP_PATH:
+            return self._look_up(environ)
+        if path == ANNOUNCEMENT_PATH:
+            return self._announce(environ)
+        return self._serve(environ)
+
+    def _look_up(self, environ: Mapping[str, object]) -> _Reply:
+        answer = self._lookup.answer(str(environ.get("REMOTE_ADDR", "")))
+        return _json_reply(200, msgspec.json.encode(answer))
+
+    def _announce(self, environ: Mapping[str, object]) -> _Reply:
+        token = str(environ.get("HTTP_AUTHORIZATION", "")).removeprefix("Bearer ")
+        if not hmac.compare_digest(token.encode(), self._token.encode()):
+            return _error_reply(401, "send the announcement token as Bearer")
+        body = environ["wsgi.input"].read()
+        try:
+            word = msgspec.json.decode(body, type=Announcement)
+        except msgspec.DecodeError as error:
+            return _error_reply(400, f"not an announcement: {error}")
+        reply = self._admission.announce(word)
+        if reply is None:
+            return _error_reply(503, "no coordinator: announce again in a second")
+        return _json_reply(200, msgspec.json.encode(reply))
+
+    def _serve(self, environ: Mapping[str, object]) -> _Reply:
+        try:
+            outcome = self._service.serve(read_request(environ))
+        except RequestRefused as error:
+            outcome = Err(error.refusal)
+        return self._outcome_reply(outcome)
+
+    def _outcome_reply(self, outcome: Outcome) -> _Reply:
+        match outcome:
+            case Ok(answer):
+                self._observe("answered", str(answer.status // 100))
+                headers = tuple(
+                    (name, value)
+                    for name, value in answer.headers
+                    if name.lower() not in _DROPPED_FROM_ANSWERS
+                )
+                return _Reply(status=answer.status, headers=headers, body=answer.body)
+            case Err(refusal):
+                self._observe("refused", refusal.kind.label)
+                return _refusal_reply(refusal)
+
+
+def _refusal_reply(refusal: Refusal) -> _Reply:
+    fields = {
+        "refused": refusal.kind.label,
+        "ran": refusal.ran.value,
+        "message": refusal.message,
+    }
+    headers = [("Chicoryhold-Ran", "no" if refusal.ran is Ran.NOT_RUN else "unknown")]
+    if refusal.retry_after > 0:
+        fields["retry_after"] = round(refusal.retry_after, 3)
+        headers.append(("Retry-After", str(max(1, round(refusal.retry_after)))))
+    body = json.dumps(fields).encode()
+    return _json_reply(refusal.kind.status, body, tuple(headers))
+
+
+def _error_reply(status: int, message: str) -> _Reply:
+    return _json_reply(status, json.dumps({"message": message}).encode())
+
+
+def _json_reply(
+    status: int, body: bytes, headers: tuple[tuple[str, str], ...] = ()
+) -> _Reply:
+    content_type = ("Content-Type", "application/json")
+    return _Reply(status=status, headers=(content_type, *headers), body=body + b"\n")
+
+
+def _phrase(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Status"
--- /dev/null
+++ b/src/chicoryhold/callers/authentication.py
@@ -0,0 +1,57 @@
+"""Whose request it is, checked for each request against what is known now."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from chicoryhold.callers.refusals import Ran, Refusal, RefusalKind
+from chicoryhold.clock import Clock
+from chicoryhold.control.follower import Follower
+from chicoryhold.hosts.domain_view import DomainView
+from chicoryhold.keys import digest_of
+
+LAG_BEHIND_DOMAIN = 3.0
+
+
+class Authenticator:
+    """Finds the organisation of a key, or refuses while its word is too old."""
+
+    def __init__(self, *, follower: Follower, view: DomainView, clock: Clock) -> None:
+        self._follower = follower
+        self._view = view
+        self._clock = clock
+
+    def authenticate(self, key: str | None) -> Result[str, Refusal]:
+        """Return the organisation that ``key`` belongs to."""
+        if key is None:
+            message = "send the organisation's key in the header Chicoryhold-Key"
+            return Err(_refusal(RefusalKind.KEY_MISSING, message))
+        if not self._view.hears_majority:
+            message = "this host is cut off from its domain: ask another entry host"
+            return Err(_refusal(RefusalKind.NOT_READY, message))
+        behind = self._view.control_confirmed_at - self._follower.confirmed_at
+        if behind > LAG_BEHIND_DOMAIN:
+            message = "this host's configuration is old: ask another entry host"
+            return Err(_refusal(RefusalKind.NOT_READY, message))
+        return self._check(key)
+
+    def _check(self, key: str) -> Result[str, Refusal]:
+        state = self._follower.state
+        record = state.key_by_digest(digest_of(key))
+        # Unknown and withdrawn keys get the same answer: a caller that guesses must
+        # not learn that a key once existed.
+        if record is None or record.withdrawn:
+            message = "the key is not valid: ask your operator for a new one"
+            return Err(_refusal(RefusalKind.KEY_REJECTED, message))
+        limits = state.table.limits(record.organisation)
+        if self._follower.age > limits.cut_off_key_seconds:
+            message = (
+                "this failure domain is cut off from the control replicas for longer "
+                "than cut_off_key_seconds allows: ask another entry host"
+            )
+            return Err(_refusal(RefusalKind.NOT_READY, message))
+        return Ok(record.organisation)
+
+
+def _refusal(kind: RefusalKind, message: str) -> Refusal:
+    return Refusal(kind=kind, ran=Ran.NOT_RUN, message=message)
--- /dev/null
+++ b/src/chicoryhold/callers/forwarding.py
@@ -0,0 +1,145 @@
+"""Runs a request at targets: slot, exchange, and retries where they are safe."""
+
+from __future__ import annotations
+
+import attrs
+from result import Err, Ok, Result
+
+from chicoryhold.callers.refusals import Ran, Refusal, RefusalKind
+from chicoryhold.clock import Clock
+from chicoryhold.errors import AnswerMismatch, ConnectFailed, ExchangeFailed
+from chicoryhold.hosts.messages import Admit, Admitted, NotAdmitted
+from chicoryhold.steering.admission_client import AdmissionClient
+from chicoryhold.steering.retry_budget import RetryBudget
+from chicoryhold.targets.connections import (
+    OutgoingRequest,
+    TargetAnswer,
+    TargetConnections,
+)
+
+MOST_TRIES = 3
+RAN_HEADER = "Chicoryhold-Ran"
+SHED_STATUS = 503
+
+_ADMISSION_KINDS = {kind.label: kind for kind in RefusalKind}
+
+
+@attrs.frozen(kw_only=True)
+class Job:
+    """A request that may go to a target now. ``deadline`` is on the own clock."""
+
+    organisation: str
+    service: str
+    request: OutgoingRequest
+    deadline: float
+
+
+@attrs.define(kw_only=True)
+class _Progress:
+    tries: int = 0
+    avoid: tuple[str, ...] = ()
+
+
+class Forwarder:
+    """Sends jobs to targets. Safe to use from many threads."""
+
+    def __init__(
+        self, *, admission: AdmissionClient, connections: TargetConnections,
+        clock: Clock,
+    ) -> None:  # fmt: skip
+        self._admission = admission
+        self._connections = connections
+        self._clock = clock
+        self._budget = RetryBudget()
+
+    def run(self, job: Job) -> Result[TargetAnswer, Refusal]:
+        """Return a whole answer, or why there is none and whether the job ran.
+
+        A job that may run once is tried again only if nothing of it was sent or the
+        target itself said that it did not run.
+        """
+        self._budget.earn()
+        progress = _Progress()
+        while True:
+            outcome = self._try(job, progress)
+            if outcome.is_ok() or not self._may_retry(job, progress, outcome):
+                return outcome
+
+    def _try(self, job: Job, progress: _Progress) -> Result[TargetAnswer, Refusal]:
+        admit = Admit(
+            organisation=job.organisation,
+            service=job.service,
+            patience=0.0,
+            avoid=progress.avoid,
+            has_token=progress.tries > 0,
+        )
+        answer = self._admission.admit(admit, deadline=job.deadline)
+        if isinstance(answer, NotAdmitted):
+            # Nothing more to try with: the coordinator has waited already.
+            progress.tries = MOST_TRIES
+            return Err(_refused_admission(answer))
+        progress.tries += 1
+        progress.avoid += (answer.address,)
+        return self._exchange(job, answer, progress)
+
+    def _exchange(
+        self, job: Job, slot: Admitted, progress: _Progress
+    ) -> Result[TargetAnswer, Refusal]:
+        started = self._clock.now()
+        latency: float | None = None
+        ok = False
+        try:
+            deadline = self._try_deadline(job, progress)
+            answer = self._connections.exchange(
+                slot.address, job.request, deadline=deadline
+            )
+            latency = self._clock.now() - started
+            ok = answer.status < 500
+        except ConnectFailed as error:
+            latency = self._clock.now() - started
+            return Err(_failure(RefusalKind.NO_TARGET, Ran.NOT_RUN, error))
+        except AnswerMismatch as error:
+            latency = self._clock.now() - started
+            return Err(_failure(RefusalKind.ANSWER_BROKEN, Ran.UNKNOWN, error))
+        except ExchangeFailed as error:
+            latency = self._clock.now() - started
+            return Err(_failure(RefusalKind.TIMED_OUT, Ran.UNKNOWN, error))
+        finally:
+            self._admission.release(slot.grant, ok=ok, latency=latency)
+        return _checked_for_shedding(answer)
+
+    def _try_deadline(self, job: Job, progress: _Progress) -> float:
+        """Leave half of the time for another try, if one is allowed."""
+        if job.request.once or progress.tries >= MOST_TRIES:
+            return job.deadline
+        now = self._clock.now()
+        return now + (job.deadline - now) / 2
+
+    def _may_retry(self, job: Job, progress: _Progress, outcome: Err[Refusal]) -> bool:
+        if progress.tries >= MOST_TRIES or self._clock.now() >= job.deadline:
+            return False
+        not_run = outcome.err_value.ran is Ran.NOT_RUN
+        if job.request.once and not not_run:
+            return False
+        return self._budget.spend()
+
+
+def _checked_for_shedding(answer: TargetAnswer) -> Result[TargetAnswer, Refusal]:
+    """Turn a target's own word that it did not run the request into a refusal."""
+    said = {name.lower(): value for name, value in answer.headers}
+    if answer.status != SHED_STATUS or said.get(RAN_HEADER.lower()) != "no":
+        return Ok(answer)
+    message = "the target is overloaded: send the request again later"
+    return Err(Refusal(kind=RefusalKind.OVERLOADED, ran=Ran.NOT_RUN, message=message))
+
+
+def _failure(kind: RefusalKind, ran: Ran, error: Exception) -> Refusal:
+    return Refusal(kind=kind, ran=ran, message=str(error))
+
+
+def _refused_admission(answer: NotAdmitted) -> Refusal:
+    kind = _ADMISSION_KINDS.get(answer.reason, RefusalKind.NOT_READY)
+    message = f"{answer.reason}: send the request again after retry_after seconds"
+    return Refusal(
+        kind=kind, ran=Ran.NOT_RUN, message=message, retry_after=answer.retry_after
+    )
--- /dev/null
+++ b/src/chicoryhold/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of requests that may not be repeated."""
--- /dev/null
+++ b/src/chicoryhold/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: leader election, replication, membership."""
--- /dev/null
+++ b/src/chicoryhold/consensus/effects.py
@@ -0,0 +1,51 @@
+"""What a replica asks its driver to do, in order."""
+
+from __future__ import annotations
+
+import attrs
+
+from chicoryhold.consensus.messages import Entry, Snapshot, Vote
+
+
+@attrs.frozen(kw_only=True)
+class SaveVote:
+    """Sync the vote to disk before any later effect."""
+
+    vote: Vote
+
+
+@attrs.frozen(kw_only=True)
+class SaveEntries:
+    """Sync the entries to disk before any later effect."""
+
+    entries: tuple[Entry, ...]
+
+
+@attrs.frozen(kw_only=True)
+class SaveSnapshot:
+    """Sync a received snapshot to disk and load it into the state machine."""
+
+    snapshot: Snapshot
+
+
+@attrs.frozen(kw_only=True)
+class Send:
+    """Send a message to a replica. Losing it is allowed."""
+
+    to: str
+    message: object
+
+
+@attrs.frozen(kw_only=True)
+class Apply:
+    """Apply a committed entry to the state machine."""
+
+    entry: Entry
+
+
+@attrs.frozen(kw_only=True)
+class LeadershipLost:
+    """Tell clients that the outcome of their open proposals is unknown."""
+
+
+Effect = SaveVote | SaveEntries | SaveSnapshot | Send | Apply | LeadershipLost
--- /dev/null
+++ b/src/chicoryhold/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control replica process: storage, replication and distribution."""
--- /dev/null
+++ b/src/chicoryhold/control/follower.py
@@ -0,0 +1,99 @@
+"""The copy of the control state on an entry host, and how fresh it is."""
+
+from __future__ import annotations
+
+import enum
+
+from chicoryhold.clock import Clock
+from chicoryhold.control.feed import ChangeFeed
+from chicoryhold.control.messages import ChangeBatch, ImagePiece
+from chicoryhold.state.control_state import ControlState
+
+
+class BatchResult(enum.Enum):
+    """What became of a batch."""
+
+    APPLIED = "applied"
+    BEHIND = "the source is behind this copy"
+    MISMATCH = "the source has another history"
+
+
+class Follower:
+    """Applies batches and images in order; the revision never goes down.
+
+    ``confirmed_at`` is a time on the own clock at which this copy was proved to be
+    the newest accepted state. It is derived from when a fetch was sent, never from
+    when its answer arrived, so that a delayed answer can't look fresh.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._state = ControlState(remembered_requests=0)
+        self._feed = ChangeFeed(state=self._state)
+        self._confirmed_at = float("-inf")
+        self._image = bytearray()
+        self._image_revision = 0
+
+    @property
+    def state(self) -> ControlState:
+        return self._state
+
+    @property
+    def feed(self) -> ChangeFeed:
+        return self._feed
+
+    @property
+    def confirmed_at(self) -> float:
+        return self._confirmed_at
+
+    @property
+    def age(self) -> float:
+        """Seconds since this copy was proved to be the newest."""
+        return self._clock.now() - self._confirmed_at
+
+    @property
+    def image_offset(self) -> int:
+        """How many bytes of an image have arrived."""
+        return len(self._image)
+
+    @property
+    def image_revision(self) -> int:
+        return self._image_revision
+
+    def on_batch(self, batch: ChangeBatch, *, sent_at: float) -> BatchResult:
+        """Apply the answer to a fetch that was sent at ``sent_at``."""
+        if batch.revision < self._state.revision:
+            return BatchResult.BEHIND
+        for change in batch.changes:
+            self._state.apply(change)
+            self._feed.record(change)
+        if self._state.revision < batch.revision:
+            return BatchResult.APPLIED
+        if self._state.digest != batch.digest:
+            return BatchResult.MISMATCH
+        self._confirm(sent_at - batch.confirmed_age)
+        return BatchResult.APPLIED
+
+    def on_piece(self, piece: ImagePiece) -> bool:
+        """Add a piece of an image; returns whether the image is now loaded."""
+        if piece.offset == 0:
+            self._image = bytearray()
+            self._image_revision = piece.revision
+        if piece.offset != len(self._image) or piece.revision != self._image_revision:
+            return False
+        self._image += piece.data
+        if len(self._image) < piece.total:
+            return False
+        return self._load_image()
+
+    def _load_image(self) -> bool:
+        data = bytes(self._image)
+        self._image = bytearray()
+        if self._image_revision < self._state.revision:
+            return False
+        self._state.load(data)
+        self._feed.clear()
+        return True
+
+    def _confirm(self, at: float) -> None:
+        self._confirmed_at = max(self._confirmed_at, at)
--- /dev/null
+++ b/src/chicoryhold/errors.py
@@ -0,0 +1,75 @@
+"""Every error kind of chicoryhold. Each message says what to do next."""
+
+from __future__ import annotations
+
+
+class ChicoryholdError(Exception):
+    """Base of all errors raised on purpose by this package."""
+
+
+class SettingsError(ChicoryholdError):
+    """Raised when a settings file can't be read or holds a wrong key or value."""
+
+
+class AddressInUse(ChicoryholdError):
+    """Raised when a listening address is taken by another process."""
+
+
+class CorruptLog(ChicoryholdError):
+    """Raised when a record that was synced can't be read back.
+
+    A torn record at the very end of a file is cut silently instead, because an
+    unsynced record was never acknowledged.
+    """
+
+
+class UnknownMessage(ChicoryholdError):
+    """Raised when a peer sends a message kind that this version doesn't know."""
+
+
+class PeerTimeout(ChicoryholdError):
+    """Raised when a peer doesn't answer within the time limit of the call."""
+
+
+class UnknownPeer(ChicoryholdError):
+    """Raised when a message is addressed to a peer that has no key or address."""
+
+
+class NotLeader(ChicoryholdError):
+    """Raised when a control replica that isn't the leader is asked for a change."""
+
+    def __init__(self, *, leader: str | None) -> None:
+        self.leader = leader
+        hint = f"ask {leader!r}" if leader else "retry until one is elected"
+        super().__init__(f"this replica is not the leader: {hint}")
+
+
+class ResultUnknown(ChicoryholdError):
+    """Raised when a change was sent but no replica confirmed what became of it."""
+
+
+class OperatorRequestFailed(ChicoryholdError):
+    """Raised when the administration API refuses an operator's request."""
+
+
+class RequestRefused(ChicoryholdError):
+    """Raised while a caller's request is handled and must be answered by a refusal.
+
+    ``refusal`` is the typed answer, see :mod:`chicoryhold.callers.refusals`.
+    """
+
+    def __init__(self, *, refusal: object) -> None:
+        self.refusal = refusal
+        super().__init__(str(refusal))
+
+
+class ConnectFailed(ChicoryholdError):
+    """Raised when no connection to a target could be opened: no byte was sent."""
+
+
+class ExchangeFailed(ChicoryholdError):
+    """Raised when an exchange with a target broke after its first byte was sent."""
+
+
+class AnswerMismatch(ExchangeFailed):
+    """Raised when a target's answer is cut, too long, or for another request."""
--- /dev/null
+++ b/src/chicoryhold/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's own processes."""
--- /dev/null
+++ b/src/chicoryhold/hosts/actors.py
@@ -0,0 +1,75 @@
+"""Actors that own the decision classes, and what feeds them."""
+
+from __future__ import annotations
+
+import os
+import threading
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future
+from contextlib import contextmanager
+
+import attrs
+import pykka
+from loguru import logger
+
+CRASH_EXIT_CODE = 70
+
+
+@attrs.frozen(kw_only=True)
+class Tick:
+    """Time has passed."""
+
+
+@attrs.frozen(kw_only=True)
+class Asked:
+    """A message from another process, to be answered through ``reply``."""
+
+    sender: str
+    message: object
+    reply: Future
+
+
+class OwningActor(pykka.ThreadingActor):
+    """An actor whose failure ends the process.
+
+    A process that lost one of its parts would go on accepting work that it can't
+    finish, so it ends at once and is started anew by its supervisor.
+    """
+
+    use_daemon_thread = True
+
+    def on_failure(self, exception_type, exception_value, traceback) -> None:
+        logger.opt(exception=exception_value).critical(
+            "actor: {} failed. The process ends.", type(self).__name__
+        )
+        os._exit(CRASH_EXIT_CODE)
+
+
+def forward_to(actor: pykka.ActorRef) -> Callable[[str, object], Future]:
+    """Return a bus handler that lets ``actor`` answer."""
+
+    def handler(sender: str, message: object) -> Future:
+        reply: Future = Future()
+        actor.tell(Asked(sender=sender, message=message, reply=reply))
+        return reply
+
+    return handler
+
+
+@contextmanager
+def running_actor(actor: pykka.ActorRef, *, interval: float) -> Iterator[None]:
+    """Send ``actor`` a tick every ``interval`` seconds, and stop it at the end."""
+    stopping = threading.Event()
+
+    def run() -> None:
+        while not stopping.wait(interval):
+            actor.tell(Tick())
+
+    thread = threading.Thread(target=run, name="ticker", daemon=True)
+    thread.start()
+    try:
+        yield
+    finally:
+        stopping.set()
+        thread.join()
+        actor.stop()
--- /dev/null
+++ b/src/chicoryhold/hosts/domain_replica_actor.py
@@ -0,0 +1,80 @@
+"""The actor of a domain replica: votes on claims and on the coordinator's lease."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from chicoryhold.claims.replica import ClaimReplica
+from chicoryhold.clock import Clock
+from chicoryhold.hosts.actors import Asked, OwningActor
+from chicoryhold.hosts.domain_view import REPLICA_SILENT_AFTER
+from chicoryhold.hosts.messages import (
+    AbandonClaim,
+    FinishClaim,
+    Hello,
+    HelloReply,
+    LeaseRequest,
+    RecordClaim,
+)
+from chicoryhold.steering.lease import LeaseVoter
+
+
+@attrs.frozen(kw_only=True)
+class _Member:
+    hello: Hello
+    at: float
+
+
+class DomainReplicaActor(OwningActor):
+    """Owns one claim replica and one lease vote. Runs on a domain's first hosts."""
+
+    def __init__(
+        self, *, claims: ClaimReplica, lease: LeaseVoter, clock: Clock,
+        control_age: Callable[[], float],
+    ) -> None:  # fmt: skip
+        super().__init__()
+        self._claims = claims
+        self._lease = lease
+        self._clock = clock
+        self._control_age = control_age
+        self._members: dict[str, _Member] = {}
+
+    def on_receive(self, message: object) -> None:
+        if not isinstance(message, Asked):
+            return
+        match message.message:
+            case RecordClaim() as request:
+                message.reply.set_result(self._claims.record(request))
+            case FinishClaim() as request:
+                self._claims.finish(request)
+            case AbandonClaim() as request:
+                self._claims.abandon(request)
+            case LeaseRequest() as request:
+                self._on_lease(message, request)
+            case Hello() as hello:
+                message.reply.set_result(self._on_hello(message.sender, hello))
+
+    def _on_lease(self, asked: Asked, request: LeaseRequest) -> None:
+        if asked.sender == request.candidate:
+            asked.reply.set_result(self._lease.on_request(request))
+
+    def _on_hello(self, sender: str, hello: Hello) -> HelloReply:
+        now = self._clock.now()
+        self._members[sender] = _Member(hello=hello, at=now)
+        oldest = now - REPLICA_SILENT_AFTER
+        hosts = tuple(
+            sorted(
+                name
+                for name, member in self._members.items()
+                if member.at > oldest and not member.hello.leaving
+            )
+        )
+        return HelloReply(
+            control_age=self._control_age(),
+            generation=self._claims.generation,
+            coordinator=self._lease.coordinator,
+            epoch=self._lease.epoch,
+            hosts=hosts,
+        )
--- /dev/null
+++ b/src/chicoryhold/hosts/presence_actor.py
@@ -0,0 +1,68 @@
+"""The actor that sends an entry host's heartbeats to its domain replicas."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import Future
+
+import attrs
+
+from chicoryhold.clock import Clock
+from chicoryhold.hosts.actors import OwningActor, Tick
+from chicoryhold.hosts.bus import Bus
+from chicoryhold.hosts.domain_view import HELLO_INTERVAL, DomainView
+from chicoryhold.hosts.messages import HeldSlots, Hello, HelloReply
+
+
+@attrs.frozen(kw_only=True)
+class _Replied:
+    replica: str
+    reply: HelloReply
+    sent_at: float
+
+
+class PresenceActor(OwningActor):
+    """Owns the domain view. ``leaving`` and ``held`` are asked at each heartbeat."""
+
+    def __init__(
+        self, *, view: DomainView, bus: Bus, clock: Clock,
+        leaving: Callable[[], bool], held: Callable[[], tuple[HeldSlots, ...]],
+    ) -> None:  # fmt: skip
+        super().__init__()
+        self._view = view
+        self._bus = bus
+        self._clock = clock
+        self._leaving = leaving
+        self._held = held
+        self._due = 0.0
+        self._asked: list[Future] = []
+
+    def on_receive(self, message: object) -> None:
+        match message:
+            case Tick():
+                self._tick()
+            case _Replied():
+                self._view.on_reply(
+                    message.replica, message.reply, sent_at=message.sent_at
+                )
+
+    def _tick(self) -> None:
+        now = self._clock.now()
+        if now < self._due:
+            return
+        self._due = now + HELLO_INTERVAL
+        for future in self._asked:
+            self._bus.forget(future)
+        hello = Hello(host=self._bus.name, leaving=self._leaving(), held=self._held())
+        self._asked = [self._ask(replica, hello) for replica in self._view.replicas]
+
+    def _ask(self, replica: str, hello: Hello) -> Future:
+        sent_at = self._clock.now()
+        future = self._bus.ask(replica, hello)
+
+        def deliver(done: Future) -> None:
+            replied = _Replied(replica=replica, reply=done.result(), sent_at=sent_at)
+            self.actor_ref.tell(replied)
+
+        future.add_done_callback(deliver)
+        return future
--- /dev/null
+++ b/src/chicoryhold/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rates and bursts of organisations, divided over failure domains."""
--- /dev/null
+++ b/src/chicoryhold/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API and its client."""
--- /dev/null
+++ b/src/chicoryhold/operators/api.py
@@ -0,0 +1,260 @@
+"""The administration API: HTTP and JSON over a control replica."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import json
+from collections.abc import Callable, Mapping
+from concurrent.futures import Future, TimeoutError as FutureTimeout
+
+import attrs
+import pykka
+from result import Err, Ok, Result
+from werkzeug.exceptions import HTTPException
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+from chicoryhold.codec import encode
+from chicoryhold.control.replica_actor import ControlView, Propose, Read
+from chicoryhold.errors import NotLeader, ResultUnknown
+from chicoryhold.settings import OperatorSettings
+from chicoryhold.state.changes import (
+    Body,
+    Change,
+    CreateOrganisation,
+    EndShift,
+    EndStop,
+    GiveKey,
+    PlanStop,
+    PutTable,
+    StartShift,
+    WithdrawKey,
+    outcome_fields,
+)
+from chicoryhold.state.control_state import text_difference
+from chicoryhold.state.table import check_table
+
+ANSWER_TIMEOUT = 5.0
+REQUEST_ID_HEADER = "Chicoryhold-Request-Id"
+BASED_ON_HEADER = "Chicoryhold-Based-On"
+
+_ROUTES = Map(
+    [
+        Rule("/v1/organisations", endpoint="list_organisations", methods=["GET"]),
+        Rule("/v1/organisations/<name>", endpoint="create_organisation",
+             methods=["PUT"]),
+        Rule("/v1/organisations/<name>/keys/<key_id>", endpoint="give_key",
+             methods=["PUT"]),
+        Rule("/v1/keys", endpoint="list_keys", methods=["GET"]),
+        Rule("/v1/keys/<key_id>", endpoint="withdraw_key", methods=["DELETE"]),
+        Rule("/v1/table", endpoint="get_table", methods=["GET"]),
+        Rule("/v1/table", endpoint="put_table", methods=["PUT"]),
+        Rule("/v1/table/check", endpoint="check_table", methods=["POST"]),
+        Rule("/v1/table/diff", endpoint="diff_table", methods=["POST"]),
+        Rule("/v1/shifts", endpoint="list_shifts", methods=["GET"]),
+        Rule("/v1/shifts/<name>", endpoint="start_shift", methods=["PUT"]),
+        Rule("/v1/shifts/<name>", endpoint="end_shift", methods=["DELETE"]),
+        Rule("/v1/stops", endpoint="list_stops", methods=["GET"]),
+        Rule("/v1/stops/<host>", endpoint="plan_stop", methods=["PUT"]),
+        Rule("/v1/stops/<host>", endpoint="end_stop", methods=["DELETE"]),
+        Rule("/v1/in-force", endpoint="in_force", methods=["GET"]),
+        Rule("/v1/replicas", endpoint="replicas", methods=["GET"]),
+    ]
+)  # fmt: skip
+
+
+@attrs.frozen(kw_only=True)
+class Problem:
+    """An answer that isn't a success. ``message`` names the remedy."""
+
+    status: int
+    error: str
+    message: str
+
+
+Answer = Result[Mapping[str, object], Problem]
+
+
+class AdministrationApi:
+    """A WSGI application. Each request is authenticated by an operator's token."""
+
+    def __init__(
+        self, *, replica: pykka.ActorRef, operators: tuple[OperatorSettings, ...]
+    ) -> None:
+        self._replica = replica
+        self._operators = operators
+
+    def __call__(self, environ: dict, start_response: Callable) -> object:
+        response = self._respond(Request(environ))
+        return response(environ, start_response)
+
+    def _respond(self, request: Request) -> Response:
+        operator = self._operator(request)
+        if operator is None:
+            message = "send Authorization: Bearer with an operator's token"
+            problem = Problem(status=401, error="not_an_operator", message=message)
+            return _json_response(Err(problem))
+        try:
+            adapter = _ROUTES.bind_to_environ(request.environ)
+            endpoint, arguments = adapter.match()
+        except HTTPException as error:
+            message = f"{request.method} {request.path}: see the operators' page"
+            problem = Problem(status=error.code, error="no_route", message=message)
+            return _json_response(Err(problem))
+        handler = getattr(self, f"_{endpoint}")
+        try:
+            return _json_response(handler(request, operator, **arguments))
+        except (KeyError, TypeError, ValueError) as error:
+            message = f"the request's body or headers are wrong: {error!r}"
+            problem = Problem(status=400, error="bad_request", message=message)
+            return _json_response(Err(problem))
+
+    def _operator(self, request: Request) -> str | None:
+        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+        digest = hashlib.sha256(token.strip().encode()).hexdigest()
+        for operator in self._operators:
+            same = hmac.compare_digest(digest, operator.token_sha256)
+            if scheme.lower() == "bearer" and same:
+                return operator.name
+        return None
+
+    # Reading
+
+    def _list_organisations(self, request: Request, operator: str) -> Answer:
+        return self._read(lambda v: {"organisations": sorted(v.state.organisations)})
+
+    def _list_keys(self, request: Request, operator: str) -> Answer:
+        return self._read(
+            lambda view: {
+                "keys": [
+                    {
+                        "key_id": key.key_id,
+                        "organisation": key.organisation,
+                        "withdrawn": key.withdrawn,
+                    }
+                    for key in view.state.keys
+                ]
+            }
+        )
+
+    def _get_table(self, request: Request, operator: str) -> Answer:
+        return self._read(
+            lambda view: {
+                "table": view.state.table_text,
+                "revision": view.state.revision,
+            }
+        )
+
+    def _check_table(self, request: Request, operator: str) -> Answer:
+        faults = check_table(request.get_data(as_text=True))
+        return Ok({"faults": [str(fault) for fault in faults]})
+
+    def _diff_table(self, request: Request, operator: str) -> Answer:
+        text = request.get_data(as_text=True)
+        return self._read(
+            lambda view: {"difference": text_difference(view.state.table_text, text)}
+        )
+
+    def _list_shifts(self, request: Request, operator: str) -> Answer:
+        return self._read(
+            lambda view: {"shifts": [attrs.asdict(s) for s in view.state.shifts]}
+        )
+
+    def _list_stops(self, request: Request, operator: str) -> Answer:
+        return self._read(lambda view: {"stops": sorted(view.state.stops)})
+
+    def _in_force(self, request: Request, operator: str) -> Answer:
+        return self._read(
+            lambda view: {
+                "revision": view.state.revision,
+                "domains": [attrs.asdict(row) for row in view.in_force.domains()],
+            }
+        )
+
+    def _replicas(self, request: Request, operator: str) -> Answer:
+        return self._read(lambda view: {"leader": attrs.asdict(view.status)})
+
+    def _read(self, select: Callable[[ControlView], Mapping[str, object]]) -> Answer:
+        reply: Future = Future()
+        self._replica.tell(Read(reply=reply))
+        return self._wait(reply).map(select)
+
+    # Changing
+
+    def _create_organisation(
+        self, request: Request, operator: str, name: str
+    ) -> Answer:
+        return self._change(request, operator, CreateOrganisation(name=name))
+
+    def _give_key(
+        self, request: Request, operator: str, name: str, key_id: str
+    ) -> Answer:
+        digest = str(request.get_json()["digest"])
+        if len(digest) != 64:
+            raise ValueError(f"digest {digest!r} is not a SHA-256 in hexadecimal")
+        body = GiveKey(organisation=name, key_id=key_id, digest=digest)
+        return self._change(request, operator, body)
+
+    def _withdraw_key(self, request: Request, operator: str, key_id: str) -> Answer:
+        return self._change(request, operator, WithdrawKey(key_id=key_id))
+
+    def _put_table(self, request: Request, operator: str) -> Answer:
+        body = PutTable(text=request.get_data(as_text=True))
+        return self._change(request, operator, body)
+
+    def _start_shift(self, request: Request, operator: str, name: str) -> Answer:
+        fields = request.get_json()
+        body = StartShift(
+            name=name,
+            service=str(fields["service"]),
+            source=str(fields["source"]),
+            destination=str(fields["destination"]),
+            share=float(fields["share"]),
+            cap=float(fields["cap"]),
+        )
+        return self._change(request, operator, body)
+
+    def _end_shift(self, request: Request, operator: str, name: str) -> Answer:
+        return self._change(request, operator, EndShift(name=name))
+
+    def _plan_stop(self, request: Request, operator: str, host: str) -> Answer:
+        return self._change(request, operator, PlanStop(host=host))
+
+    def _end_stop(self, request: Request, operator: str, host: str) -> Answer:
+        return self._change(request, operator, EndStop(host=host))
+
+    def _change(self, request: Request, operator: str, body: Body) -> Answer:
+        based_on = request.headers.get(BASED_ON_HEADER)
+        change = Change(
+            request_id=request.headers[REQUEST_ID_HEADER],
+            operator=operator,
+            body=encode(body),
+            based_on=int(based_on) if based_on is not None else None,
+        )
+        reply: Future = Future()
+        self._replica.tell(Propose(change=change, reply=reply))
+        return self._wait(reply).map(outcome_fields)
+
+    def _wait(self, reply: Future) -> Result[object, Problem]:
+        try:
+            return Ok(reply.result(ANSWER_TIMEOUT))
+        except NotLeader as error:
+            return Err(Problem(status=503, error="not_leader", message=str(error)))
+        except (ResultUnknown, FutureTimeout):
+            message = "no majority confirmed it yet: resend with the same request id"
+            return Err(Problem(status=504, error="unknown", message=message))
+
+
+def _json_response(answer: Answer) -> Response:
+    match answer:
+        case Ok(fields):
+            refused = fields.get("accepted") is False
+            return _response(fields, 409 if refused else 200)
+        case Err(problem):
+            return _response(attrs.asdict(problem), problem.status)
+
+
+def _response(fields: Mapping[str, object], status: int) -> Response:
+    text = json.dumps(fields, indent=2) + "\n"
+    return Response(text, status=status, content_type="application/json")
--- /dev/null
+++ b/src/chicoryhold/programs/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each console script."""
--- /dev/null
+++ b/src/chicoryhold/programs/control.py
@@ -0,0 +1,182 @@
+"""``chicoryhold-control``: one replica of the control state, on a host with a disk."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+from absl import flags
+from loguru import logger
+from opentelemetry.metrics import Observation
+
+from chicoryhold.clock import BootClock
+from chicoryhold.consensus.messages import Members
+from chicoryhold.consensus.replica import Replica, Timing
+from chicoryhold.control.messages import (
+    FetchChanges,
+    FetchImage,
+    JoinRequest,
+    ReplicaMessage,
+    ReplicaStatusRequest,
+)
+from chicoryhold.control.replica_actor import ReplicaActor
+from chicoryhold.control.storage import Storage, open_storage, read_identity
+from chicoryhold.errors import PeerTimeout, SettingsError
+from chicoryhold.hosts.actors import forward_to, running_actor
+from chicoryhold.hosts.bus import Bus, running_bus
+from chicoryhold.hosts.curve import load_key_pair, load_public_keys
+from chicoryhold.logs import set_up_logs
+from chicoryhold.metrics import create_meter, serve_http, serve_metrics
+from chicoryhold.operators.api import AdministrationApi
+from chicoryhold.programs.running import run_program, stop_signals
+from chicoryhold.settings import ControlSettings, load_settings
+from chicoryhold.state.control_state import ControlState
+
+USAGE = """Runs one control replica.
+
+usage: %s --settings=FILE [--found]
+
+Start it with --found once on each of the first replicas of a new installation. A
+replica whose data folder was lost starts without it and rejoins by itself.
+"""
+TICK = 0.02
+API_THREADS = 8
+FOUND_CHECK_TIMEOUT = 0.5
+
+_SETTINGS = flags.DEFINE_string("settings", None, "The TOML settings file.")
+_FOUND = flags.DEFINE_bool("found", False, "Create a new installation.")
+
+
+def run() -> None:
+    """Console script."""
+    run_program(_main, usage=USAGE)
+
+
+def _main(arguments: list[str]) -> None:
+    if not _SETTINGS.value:
+        raise SettingsError("--settings is missing: name the TOML settings file")
+    settings = load_settings(Path(_SETTINGS.value), ControlSettings)
+    set_up_logs(process=settings.name, level=settings.log.level)
+    with stop_signals() as stopping, _running(settings):
+        stopping.wait()
+        logger.info("control: stopping.")
+
+
+@contextmanager
+def _running(settings: ControlSettings) -> Iterator[None]:
+    with ExitStack() as stack:
+        storage = stack.enter_context(open_storage(settings.data_folder))
+        bus = stack.enter_context(running_bus(_create_bus(settings)))
+        identity = _identity(settings, bus)
+        replica, state = _load(settings, storage, identity)
+        actor = ReplicaActor.start(
+            replica=replica,
+            storage=storage,
+            state=state,
+            bus=bus,
+            clock=BootClock(),
+            snapshot_every=settings.snapshot_every,
+        )
+        stack.enter_context(running_actor(actor, interval=TICK))
+        _handle_messages(bus, actor)
+        _create_metrics(settings, replica, state)
+        api = AdministrationApi(replica=actor, operators=settings.operators)
+        stack.enter_context(serve_http(api, settings.api_address, threads=API_THREADS))
+        stack.enter_context(
+            serve_metrics(settings.metrics_address, lambda: _not_ready(replica))
+        )
+        logger.info("control: replica {} is up.", identity)
+        yield
+
+
+def _create_bus(settings: ControlSettings) -> Bus:
+    folder = settings.transport.key_folder
+    return Bus(
+        name=settings.name,
+        address=settings.transport.address,
+        keys=load_key_pair(folder, settings.name),
+        authorized=load_public_keys(folder),
+        peers=settings.replicas,
+    )
+
+
+def _identity(settings: ControlSettings, bus: Bus) -> str:
+    folder = settings.data_folder
+    if _FOUND.value and not (folder / "identity").exists():
+        _refuse_to_found_twice(settings, bus)
+    return read_identity(folder, name=settings.name, found=_FOUND.value)
+
+
+def _refuse_to_found_twice(settings: ControlSettings, bus: Bus) -> None:
+    """A founder's identity must never be created again after its disk was lost."""
+    for peer in settings.replicas:
+        if peer == settings.name:
+            continue
+        try:
+            status = bus.call(peer, ReplicaStatusRequest(), timeout=FOUND_CHECK_TIMEOUT)
+        except PeerTimeout:
+            continue
+        if status.revision > 0:
+            raise SettingsError(
+                f"{peer} already holds an installation: start without --found"
+            )
+
+
+def _load(
+    settings: ControlSettings, storage: Storage, identity: str
+) -> tuple[Replica, ControlState]:
+    log = storage.load_log(_founders(settings, identity))
+    state = ControlState()
+    state.load(log.snapshot.data)
+    replica = Replica(
+        identity=identity,
+        log=log,
+        vote=storage.load_vote(),
+        clock=BootClock(),
+        random=random.Random(identity),
+        timing=Timing(heartbeat=settings.heartbeat, election=settings.election_timeout),
+    )
+    return replica, state
+
+
+def _founders(settings: ControlSettings, identity: str) -> Members:
+    if not identity.endswith(".founder"):
+        return Members(voters=())
+    return Members(voters=tuple(f"{name}.founder" for name in settings.replicas))
+
+
+def _handle_messages(bus: Bus, actor: object) -> None:
+    for kind in (
+        ReplicaMessage,
+        JoinRequest,
+        FetchChanges,
+        FetchImage,
+        ReplicaStatusRequest,
+    ):
+        bus.handle(kind, forward_to(actor))
+
+
+def _create_metrics(
+    settings: ControlSettings, replica: Replica, state: ControlState
+) -> None:
+    meter = create_meter(settings.name)
+    meter.create_observable_gauge(
+        "chicoryhold_control_revision",
+        callbacks=[lambda _: [_observe(state.revision)]],
+        description="Newest accepted revision known here",
+    )
+    meter.create_observable_gauge(
+        "chicoryhold_control_term",
+        callbacks=[lambda _: [_observe(replica.term)]],
+        description="Election term",
+    )
+
+
+def _observe(value: float) -> Observation:
+    return Observation(value)
+
+
+def _not_ready(replica: Replica) -> str:
+    return "" if replica.leader else "no leader is known: check the other replicas"
--- /dev/null
+++ b/src/chicoryhold/programs/entry.py
@@ -0,0 +1,320 @@
+"""``chicoryhold-entry``: one entry host."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Iterator
+from concurrent.futures import Future
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from random import Random
+
+import attrs
+import pykka
+from absl import flags
+from loguru import logger
+
+from chicoryhold.callers.app import CallerApp
+from chicoryhold.callers.authentication import Authenticator
+from chicoryhold.callers.forwarding import Forwarder
+from chicoryhold.callers.service import CallerService
+from chicoryhold.claims.client import REPLICAS_PER_DOMAIN, ClaimClient
+from chicoryhold.claims.replica import ClaimReplica
+from chicoryhold.clock import BootClock
+from chicoryhold.control.follower import Follower
+from chicoryhold.control.follower_actor import FollowerActor, choose_sources
+from chicoryhold.control.messages import FetchChanges, FetchImage
+from chicoryhold.errors import SettingsError
+from chicoryhold.hosts.actors import Asked, forward_to, running_actor
+from chicoryhold.hosts.bus import Bus, Handler, running_bus
+from chicoryhold.hosts.curve import load_key_pair, load_public_keys
+from chicoryhold.hosts.domain_replica_actor import DomainReplicaActor
+from chicoryhold.hosts.domain_view import DomainView
+from chicoryhold.hosts.messages import (
+    AbandonClaim,
+    Admit,
+    Announcement,
+    BorrowRequest,
+    FinishClaim,
+    Hello,
+    LeaseRequest,
+    RecordClaim,
+    Release,
+)
+from chicoryhold.hosts.presence_actor import PresenceActor
+from chicoryhold.limits.domain_limits import DomainLimits
+from chicoryhold.logs import set_up_logs
+from chicoryhold.metrics import create_meter, serve_http, serve_metrics
+from chicoryhold.programs.running import run_program, stop_signals
+from chicoryhold.settings import EntrySettings, load_settings
+from chicoryhold.steering.admission_client import AdmissionClient
+from chicoryhold.steering.coordinator import Coordinator
+from chicoryhold.steering.coordinator_actor import CoordinatorActor
+from chicoryhold.steering.lease import LeaseCandidate, LeaseVoter
+from chicoryhold.steering.lookup import Lookup
+from chicoryhold.steering.targets import TargetRegistry
+from chicoryhold.targets.connections import TargetConnections
+
+USAGE = """Runs one entry host.
+
+usage: %s --settings=FILE
+
+SIGTERM drains: callers are sent to other hosts, and the process ends once the last
+request is answered.
+"""
+FOLLOWER_TICK = 0.05
+PRESENCE_TICK = 0.05
+COORDINATOR_TICK = 0.02
+GENERATION_BYTES = 6
+DRAIN_QUIET_SECONDS = 1.0
+DRAIN_LONGEST_SECONDS = 60.0
+
+_SETTINGS = flags.DEFINE_string("settings", None, "The TOML settings file.")
+
+
+def run() -> None:
+    """Console script."""
+    run_program(_main, usage=USAGE)
+
+
+def _main(arguments: list[str]) -> None:
+    if not _SETTINGS.value:
+        raise SettingsError("--settings is missing: name the TOML settings file")
+    settings = load_settings(Path(_SETTINGS.value), EntrySettings)
+    _check(settings)
+    set_up_logs(process=settings.name, level=settings.log.level)
+    with stop_signals() as stopping, _running(settings, stopping.is_set) as app:
+        stopping.wait()
+        logger.info("entry: draining.")
+        _drain(app)
+        logger.info("entry: stopping.")
+
+
+def _check(settings: EntrySettings) -> None:
+    domain = settings.domains.get(settings.domain)
+    if domain is None or settings.name not in domain.hosts:
+        raise SettingsError(
+            f"{_SETTINGS.value}: domains.{settings.domain}.hosts doesn't name "
+            f"{settings.name!r}: add it"
+        )
+
+
+def _drain(app: CallerApp) -> None:
+    """Wait until no request was in flight for a while."""
+    give_up = time.monotonic() + DRAIN_LONGEST_SECONDS
+    quiet_since = time.monotonic()
+    while time.monotonic() < give_up:
+        if app.in_flight:
+            quiet_since = time.monotonic()
+        if time.monotonic() - quiet_since > DRAIN_QUIET_SECONDS:
+            return
+        time.sleep(0.02)
+
+
+@attrs.frozen(kw_only=True)
+class _Parts:
+    """What the pieces of one entry host share."""
+
+    settings: EntrySettings
+    bus: Bus
+    clock: BootClock
+    follower: Follower
+    view: DomainView
+    hosts: dict[str, tuple[str, ...]]
+
+    @property
+    def domain_hosts(self) -> tuple[str, ...]:
+        return self.hosts[self.settings.domain]
+
+
+@contextmanager
+def _running(settings: EntrySettings, stopping) -> Iterator[CallerApp]:
+    with ExitStack() as stack:
+        bus = stack.enter_context(running_bus(_create_bus(settings)))
+        parts = _create_parts(settings, bus)
+        admission = AdmissionClient(bus=bus, view=parts.view, clock=parts.clock)
+        _start_follower(stack, parts)
+        _start_domain_replica(stack, parts)
+
+        def leaving() -> bool:
+            planned = settings.name in parts.follower.state.stops
+            return planned or stopping()
+
+        presence = PresenceActor.start(
+            view=parts.view,
+            bus=bus,
+            clock=parts.clock,
+            leaving=leaving,
+            held=admission.held,
+        )
+        stack.enter_context(running_actor(presence, interval=PRESENCE_TICK))
+        app = _create_app(parts, admission, leaving)
+        stack.enter_context(
+            serve_http(app, settings.callers_address, threads=settings.caller_threads)
+        )
+        stack.enter_context(
+            serve_metrics(settings.metrics_address, lambda: _not_ready(parts))
+        )
+        logger.info("entry: host {} of {} is up.", settings.name, settings.domain)
+        yield app
+
+
+def _create_bus(settings: EntrySettings) -> Bus:
+    folder = settings.transport.key_folder
+    peers = dict(settings.replicas)
+    for domain in settings.domains.values():
+        peers.update(domain.hosts)
+    return Bus(
+        name=settings.name,
+        address=settings.transport.address,
+        keys=load_key_pair(folder, settings.name),
+        authorized=load_public_keys(folder),
+        peers=peers,
+    )
+
+
+def _create_parts(settings: EntrySettings, bus: Bus) -> _Parts:
+    clock = BootClock()
+    hosts = {name: tuple(domain.hosts) for name, domain in settings.domains.items()}
+    replicas = hosts[settings.domain][:REPLICAS_PER_DOMAIN]
+    return _Parts(
+        settings=settings,
+        bus=bus,
+        clock=clock,
+        follower=Follower(clock=clock),
+        view=DomainView(replicas=replicas, clock=clock),
+        hosts=hosts,
+    )
+
+
+def _start_follower(stack: ExitStack, parts: _Parts) -> None:
+    sources = choose_sources(
+        parts.settings.name,
+        domain_hosts=parts.domain_hosts,
+        replicas=tuple(parts.settings.replicas),
+    )
+    actor = FollowerActor.start(
+        follower=parts.follower,
+        sources=sources,
+        bus=parts.bus,
+        clock=parts.clock,
+        domain=parts.settings.domain,
+    )
+    for kind in (FetchChanges, FetchImage):
+        parts.bus.handle(kind, forward_to(actor))
+    stack.enter_context(running_actor(actor, interval=FOLLOWER_TICK))
+
+
+def _start_domain_replica(stack: ExitStack, parts: _Parts) -> None:
+    if parts.settings.name not in parts.view.replicas:
+        return
+    replica = DomainReplicaActor.start(
+        claims=ClaimReplica(
+            clock=parts.clock, new_name=lambda: secrets.token_hex(GENERATION_BYTES)
+        ),
+        lease=LeaseVoter(clock=parts.clock),
+        clock=parts.clock,
+        control_age=lambda: min(parts.follower.age, 1e9),
+    )
+    coordinator = _create_coordinator_actor(parts)
+    for kind in (RecordClaim, FinishClaim, AbandonClaim, LeaseRequest):
+        parts.bus.handle(kind, forward_to(replica))
+    for kind in (Admit, Release, Announcement, BorrowRequest):
+        parts.bus.handle(kind, forward_to(coordinator))
+    parts.bus.handle(Hello, _hello_handler(replica, coordinator))
+    stack.enter_context(running_actor(replica, interval=FOLLOWER_TICK))
+    stack.enter_context(running_actor(coordinator, interval=COORDINATOR_TICK))
+
+
+def _hello_handler(replica: pykka.ActorRef, coordinator: pykka.ActorRef) -> Handler:
+    answer = forward_to(replica)
+
+    def handler(sender: str, hello: Hello) -> Future:
+        coordinator.tell(Asked(sender=sender, message=hello, reply=Future()))
+        return answer(sender, hello)
+
+    return handler
+
+
+def _create_coordinator_actor(parts: _Parts) -> pykka.ActorRef:
+    name = parts.settings.name
+    return CoordinatorActor.start(
+        candidate=LeaseCandidate(
+            name=name, voters=parts.view.replicas, clock=parts.clock
+        ),
+        view=parts.view,
+        bus=parts.bus,
+        clock=parts.clock,
+        random=Random(name),
+        create=lambda epoch: _create_coordinator(parts, epoch),
+        domain_hosts={
+            domain: hosts[:REPLICAS_PER_DOMAIN] for domain, hosts in parts.hosts.items()
+        },
+    )
+
+
+def _create_coordinator(parts: _Parts, epoch: int) -> Coordinator:
+    state = parts.follower.state
+    limits = DomainLimits(
+        domain=parts.settings.domain,
+        domains=tuple(parts.settings.domains),
+        limits_of=lambda organisation: state.table.limits(organisation),
+        clock=parts.clock,
+    )
+    return Coordinator(
+        domain=parts.settings.domain,
+        epoch=epoch,
+        limits=limits,
+        targets=TargetRegistry(clock=parts.clock),
+        weight_of=lambda organisation: state.table.limits(organisation).weight,
+        clock=parts.clock,
+    )
+
+
+def _create_app(parts: _Parts, admission: AdmissionClient, leaving) -> CallerApp:
+    authenticator = Authenticator(
+        follower=parts.follower, view=parts.view, clock=parts.clock
+    )
+    forwarder = Forwarder(
+        admission=admission,
+        connections=TargetConnections(clock=parts.clock),
+        clock=parts.clock,
+    )
+    service = CallerService(
+        follower=parts.follower,
+        authenticator=authenticator,
+        claims=ClaimClient(bus=parts.bus, clock=parts.clock, domains=parts.hosts),
+        forwarder=forwarder,
+        clock=parts.clock,
+    )
+    lookup = Lookup(
+        domain=parts.settings.domain,
+        domains=parts.settings.domains,
+        view=parts.view,
+        follower=parts.follower,
+    )
+    meter = create_meter(parts.settings.name)
+    requests = meter.create_counter(
+        "chicoryhold_requests", description="Requests to services by result"
+    )
+    return CallerApp(
+        service=service,
+        lookup=lookup,
+        admission=admission,
+        announcement_token=parts.settings.announcement_token,
+        observe=lambda result, detail: requests.add(
+            1, {"result": result, "detail": detail}
+        ),
+        leaving=leaving,
+    )
+
+
+def _not_ready(parts: _Parts) -> str:
+    if parts.follower.state.revision == 0:
+        return "no configuration yet: check the link to the control replicas"
+    if not parts.view.hears_majority:
+        return "the domain's replicas are silent: check the links in the domain"
+    if not parts.view.coordinator:
+        return "the domain has no coordinator yet"
+    return ""
--- /dev/null
+++ b/src/chicoryhold/state/__init__.py
@@ -0,0 +1,1 @@
+"""The control state, the changes that modify it, and the table."""
--- /dev/null
+++ b/src/chicoryhold/state/control_state.py
@@ -0,0 +1,281 @@
+"""The control state: a deterministic function of the accepted changes.
+
+Control replicas and entry hosts run the same code over the same changes, so a chain
+of digests shows whether two of them hold the same state.
+"""
+
+from __future__ import annotations
+
+import difflib
+import hashlib
+
+import attrs
+
+from chicoryhold.codec import decode, encode, message
+from chicoryhold.state.changes import (
+    Change,
+    CreateOrganisation,
+    EndShift,
+    EndStop,
+    GiveKey,
+    Outcome,
+    PlanStop,
+    PutTable,
+    StartShift,
+    WithdrawKey,
+)
+from chicoryhold.state.table import Table, check_table, parse_table
+
+REMEMBERED_REQUESTS = 100_000
+EMPTY_TABLE = "scope,name,field,value,unit\n"
+
+
+@message
+class KeyRecord:
+    """A key of an organisation; ``withdrawn`` never becomes false again."""
+
+    key_id: str
+    organisation: str
+    withdrawn: bool = False
+
+
+@message
+class RequestRecord:
+    """What became of a request id. ``digest`` tells a resend from a reuse."""
+
+    digest: bytes
+    outcome: Outcome
+
+
+@message
+class StateImage:
+    """The whole control state, as kept in a snapshot."""
+
+    revision: int
+    digest: bytes
+    table: str
+    table_revision: int
+    organisations: tuple[str, ...]
+    keys: dict[str, KeyRecord]
+    shifts: dict[str, StartShift]
+    stops: tuple[str, ...]
+    requests: dict[str, RequestRecord]
+
+
+@attrs.frozen(kw_only=True)
+class _Refusal(Exception):
+    reason: str
+    difference: str = ""
+
+
+class ControlState:
+    """Applies changes one by one. The revision grows by one per accepted change."""
+
+    def __init__(self, *, remembered_requests: int = REMEMBERED_REQUESTS) -> None:
+        self._remembered_requests = remembered_requests
+        self._revision = 0
+        self._digest = b""
+        self._table_text = EMPTY_TABLE
+        self._table = Table()
+        self._table_revision = 0
+        self._organisations: set[str] = set()
+        self._keys: dict[str, KeyRecord] = {}
+        self._shifts: dict[str, StartShift] = {}
+        self._stops: set[str] = set()
+        self._requests: dict[str, RequestRecord] = {}
+
+    @property
+    def revision(self) -> int:
+        return self._revision
+
+    @property
+    def digest(self) -> bytes:
+        """A hash over all accepted changes in order."""
+        return self._digest
+
+    @property
+    def table(self) -> Table:
+        return self._table
+
+    @property
+    def table_text(self) -> str:
+        return self._table_text
+
+    @property
+    def table_revision(self) -> int:
+        """The revision that last changed the table."""
+        return self._table_revision
+
+    @property
+    def organisations(self) -> frozenset[str]:
+        return frozenset(self._organisations)
+
+    @property
+    def keys(self) -> tuple[KeyRecord, ...]:
+        return tuple(self._keys.values())
+
+    @property
+    def shifts(self) -> tuple[StartShift, ...]:
+        return tuple(self._shifts.values())
+
+    @property
+    def stops(self) -> frozenset[str]:
+        """Entry hosts with a planned stop."""
+        return frozenset(self._stops)
+
+    def key_by_digest(self, digest: str) -> KeyRecord | None:
+        """Return the key whose hexadecimal SHA-256 is ``digest``, even if withdrawn."""
+        return self._keys.get(digest)
+
+    def apply(self, change: Change) -> Outcome:
+        """Apply ``change``, or return the outcome of its first application."""
+        body_digest = hashlib.sha256(change.body).digest()
+        known = self._requests.get(change.request_id)
+        if known is not None:
+            return self._repeat(known, body_digest)
+        try:
+            self._apply_body(decode(change.body), change.based_on)
+            self._advance(change)
+            outcome = Outcome(accepted=True, revision=self._revision)
+        except _Refusal as refusal:
+            outcome = Outcome(
+                accepted=False,
+                revision=self._revision,
+                reason=refusal.reason,
+                difference=refusal.difference,
+            )
+        self._remember(change.request_id, body_digest, outcome)
+        return outcome
+
+    def image(self, *, with_requests: bool = True) -> bytes:
+        """Return the state as bytes for a snapshot.
+
+        Entry hosts never see a resent change, so their copy omits the request ids.
+        """
+        return encode(
+            StateImage(
+                revision=self._revision,
+                digest=self._digest,
+                table=self._table_text,
+                table_revision=self._table_revision,
+                organisations=tuple(sorted(self._organisations)),
+                keys=self._keys,
+                shifts=self._shifts,
+                stops=tuple(sorted(self._stops)),
+                requests=self._requests if with_requests else {},
+            )
+        )
+
+    def load(self, data: bytes) -> None:
+        """Replace the state by the one in ``data``, from :meth:`image`."""
+        if not data:
+            self.__init__(remembered_requests=self._remembered_requests)
+            return
+        image: StateImage = decode(data)
+        self._revision = image.revision
+        self._digest = image.digest
+        self._table_text = image.table
+        self._table = parse_table(image.table)
+        self._table_revision = image.table_revision
+        self._organisations = set(image.organisations)
+        self._keys = dict(image.keys)
+        self._shifts = dict(image.shifts)
+        self._stops = set(image.stops)
+        self._requests = dict(image.requests)
+
+    def _repeat(self, known: RequestRecord, body_digest: bytes) -> Outcome:
+        if known.digest == body_digest:
+            return known.outcome
+        return Outcome(
+            accepted=False,
+            revision=self._revision,
+            reason="this request id was used for another change: use a new one",
+        )
+
+    def _advance(self, change: Change) -> None:
+        self._revision += 1
+        self._digest = hashlib.sha256(self._digest + encode(change)).digest()
+
+    def _remember(self, request_id: str, digest: bytes, outcome: Outcome) -> None:
+        self._requests[request_id] = RequestRecord(digest=digest, outcome=outcome)
+        if len(self._requests) > self._remembered_requests:
+            del self._requests[next(iter(self._requests))]
+
+    def _apply_body(self, body: object, based_on: int | None) -> None:
+        match body:
+            case CreateOrganisation():
+                self._create_organisation(body)
+            case GiveKey():
+                self._give_key(body)
+            case WithdrawKey():
+                self._withdraw_key(body)
+            case PutTable():
+                self._put_table(body, based_on)
+            case StartShift():
+                self._start_shift(body)
+            case EndShift():
+                self._end_shift(body)
+            case PlanStop():
+                self._stops.add(body.host)
+            case EndStop():
+                self._stops.discard(body.host)
+            case _:
+                raise _Refusal(reason=f"{type(body).__name__} is not a change")
+
+    def _create_organisation(self, body: CreateOrganisation) -> None:
+        if body.name in self._organisations:
+            raise _Refusal(reason=f"organisation {body.name!r} exists already")
+        self._organisations.add(body.name)
+
+    def _give_key(self, body: GiveKey) -> None:
+        if body.organisation not in self._organisations:
+            raise _Refusal(
+                reason=f"organisation {body.organisation!r} doesn't exist: create it"
+            )
+        if body.digest in self._keys:
+            raise _Refusal(reason="this key was given before: give a new one")
+        self._keys[body.digest] = KeyRecord(
+            key_id=body.key_id, organisation=body.organisation
+        )
+
+    def _withdraw_key(self, body: WithdrawKey) -> None:
+        for digest, record in self._keys.items():
+            if record.key_id == body.key_id:
+                self._keys[digest] = attrs.evolve(record, withdrawn=True)
+                return
+        raise _Refusal(reason=f"key {body.key_id!r} doesn't exist: list the keys")
+
+    def _put_table(self, body: PutTable, based_on: int | None) -> None:
+        if based_on is None or not self._table_revision <= based_on <= self._revision:
+            raise _Refusal(
+                reason=(
+                    f"the table was changed in revision {self._table_revision}, after "
+                    f"revision {based_on}: get it again and repeat your edit"
+                ),
+                difference=text_difference(self._table_text, body.text),
+            )
+        faults = check_table(body.text)
+        if faults:
+            raise _Refusal(reason="; ".join(str(fault) for fault in faults))
+        self._table_text = body.text
+        self._table = parse_table(body.text)
+        self._table_revision = self._revision + 1
+
+    def _start_shift(self, body: StartShift) -> None:
+        if not 0 <= body.share <= 1 or body.cap <= 0:
+            raise _Refusal(
+                reason="a shift needs a share from 0 to 1 and a cap above 0 requests/s"
+            )
+        self._shifts[body.name] = body
+
+    def _end_shift(self, body: EndShift) -> None:
+        if self._shifts.pop(body.name, None) is None:
+            raise _Refusal(reason=f"shift {body.name!r} doesn't exist: list the shifts")
+
+
+def text_difference(old: str, new: str) -> str:
+    """Return a unified diff of two tables."""
+    lines = difflib.unified_diff(
+        old.splitlines(), new.splitlines(), "current", "proposed", lineterm="", n=0
+    )
+    return "\n".join(lines)
--- /dev/null
+++ b/src/chicoryhold/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of entry host and target, slots and fair queueing."""
--- /dev/null
+++ b/src/chicoryhold/steering/client_blocks.py
@@ -0,0 +1,74 @@
+"""Client address blocks in packed sorted arrays, searched by longest prefix."""
+
+from __future__ import annotations
+
+import bisect
+import ipaddress
+from array import array
+from collections.abc import Iterable
+
+import attrs
+
+NO_PLACE = 0xFFFF
+
+
+@attrs.frozen(kw_only=True)
+class Block:
+    """Clients in ``network`` belong to the place with number ``place``."""
+
+    network: ipaddress.IPv4Network
+    place: int
+
+
+class ClientBlocks:
+    """Maps IPv4 addresses to places by longest prefix.
+
+    Nested blocks are flattened into ranges that don't overlap, six bytes each, so
+    that one binary search finds the longest prefix.
+    """
+
+    def __init__(self, blocks: Iterable[Block]) -> None:
+        self._starts = array("I")
+        self._places = array("H")
+        self._flatten(blocks)
+
+    def __len__(self) -> int:
+        return len(self._starts)
+
+    def place_of(self, address: int) -> int | None:
+        """Return the place of an address given as a number, if any block has it."""
+        position = bisect.bisect_right(self._starts, address) - 1
+        if position < 0:
+            return None
+        place = self._places[position]
+        return None if place == NO_PLACE else place
+
+    def _flatten(self, blocks: Iterable[Block]) -> None:
+        ordered = sorted(
+            blocks, key=lambda b: (int(b.network.network_address), b.network.prefixlen)
+        )
+        open_blocks: list[tuple[int, int]] = []
+        for block in ordered:
+            first = int(block.network.network_address)
+            self._close_before(open_blocks, first)
+            self._add(first, block.place)
+            last = int(block.network.broadcast_address)
+            open_blocks.append((last, block.place))
+        self._close_before(open_blocks, 2**32)
+
+    def _close_before(self, open_blocks: list[tuple[int, int]], first: int) -> None:
+        """End every open block whose last address is below ``first``."""
+        while open_blocks and open_blocks[-1][0] < first:
+            last, _ = open_blocks.pop()
+            outer = open_blocks[-1][1] if open_blocks else NO_PLACE
+            if last + 1 < 2**32:
+                self._add(last + 1, outer)
+
+    def _add(self, start: int, place: int) -> None:
+        if self._starts and self._starts[-1] == start:
+            self._places[-1] = place
+            return
+        if self._places and self._places[-1] == place:
+            return
+        self._starts.append(start)
+        self._places.append(place)
--- /dev/null
+++ b/src/chicoryhold/steering/coordinator_actor.py
@@ -0,0 +1,251 @@
+"""The actor that competes for a domain's lease and coordinates while it holds it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from random import Random
+
+import attrs
+from loguru import logger
+
+from chicoryhold.clock import Clock
+from chicoryhold.hosts.actors import Asked, OwningActor, Tick
+from chicoryhold.hosts.bus import Bus
+from chicoryhold.hosts.domain_view import DomainView
+from chicoryhold.hosts.messages import (
+    Admit,
+    Announcement,
+    BorrowReply,
+    BorrowRequest,
+    Hello,
+    LeaseReply,
+    LeaseRequest,
+    NotCoordinator,
+    Release,
+)
+from chicoryhold.limits.budget import LOAN_SECONDS, RECLAIM_MARGIN_SECONDS
+from chicoryhold.steering.coordinator import (
+    AnswerBorrower,
+    AnswerRequest,
+    AskOthers,
+    Coordinator,
+    Effect,
+    SaveLedger,
+)
+from chicoryhold.steering.lease import RENEW_INTERVAL, LeaseCandidate
+
+CAMPAIGN_PAUSE = 0.3
+
+CreateCoordinator = Callable[[int], Coordinator]
+
+
+@attrs.frozen(kw_only=True)
+class _LeaseReplied:
+    voter: str
+    reply: LeaseReply
+    request: LeaseRequest
+
+
+@attrs.frozen(kw_only=True)
+class _BorrowReplied:
+    epoch: int
+    number: int
+    domain: str
+    reply: object
+
+
+class CoordinatorActor(OwningActor):
+    """Runs on each domain replica's host; at most one of them coordinates.
+
+    The lease is checked before every message, so an actor that was frozen past its
+    lease answers nothing from what it knew before.
+    """
+
+    def __init__(
+        self, *, candidate: LeaseCandidate, view: DomainView, bus: Bus, clock: Clock,
+        random: Random, create: CreateCoordinator,
+        domain_hosts: dict[str, tuple[str, ...]],
+    ) -> None:  # fmt: skip
+        super().__init__()
+        self._candidate = candidate
+        self._view = view
+        self._bus = bus
+        self._clock = clock
+        self._random = random
+        self._create = create
+        self._domain_hosts = domain_hosts
+        self._coordinator: Coordinator | None = None
+        self._hellos: dict[str, Hello] = {}
+        self._lease_due = clock.now() + random.uniform(0, CAMPAIGN_PAUSE)
+        self._ready_at = float("-inf")
+        self._tickets: dict[int, Future] = {}
+        self._next_ticket = 0
+        self._asked: list[Future] = []
+        self._known_coordinators: dict[str, str] = {}
+
+    def on_receive(self, message: object) -> None:
+        self._check_lease()
+        match message:
+            case Tick():
+                self._tick()
+            case _LeaseReplied():
+                self._on_lease_reply(message)
+            case _BorrowReplied():
+                self._on_borrow_reply(message)
+            case Asked(message=Hello() as hello):
+                self._on_hello(hello)
+            case Asked():
+                self._on_asked(message)
+        self._run_effects()
+
+    def _tick(self) -> None:
+        now = self._clock.now()
+        if now >= self._lease_due:
+            self._extend_or_campaign(now)
+        if self._coordinator:
+            self._coordinator.tick()
+
+    def _on_hello(self, hello: Hello) -> None:
+        self._hellos[hello.host] = hello
+        if self._coordinator:
+            self._coordinator.hello(hello)
+
+    def _on_asked(self, asked: Asked) -> None:
+        coordinator = self._coordinator
+        if coordinator is None or self._clock.now() < self._ready_at:
+            known = "" if coordinator else self._view.coordinator
+            asked.reply.set_result(NotCoordinator(coordinator=known))
+            return
+        match asked.message:
+            case Admit() as request:
+                coordinator.admit(self._ticket(asked), request)
+            case Release() as release:
+                coordinator.release(release)
+            case Announcement() as word:
+                asked.reply.set_result(coordinator.announce(word))
+            case BorrowRequest() as request:
+                coordinator.lend(self._ticket(asked), request)
+
+    def _ticket(self, asked: Asked) -> int:
+        self._next_ticket += 1
+        self._tickets[self._next_ticket] = asked.reply
+        return self._next_ticket
+
+    # Lease
+
+    def _check_lease(self) -> None:
+        if self._coordinator and not self._candidate.valid:
+            logger.warning("coordinator: the lease has ended.")
+            self._coordinator = None
+            self._refuse_open_tickets()
+
+    def _refuse_open_tickets(self) -> None:
+        for reply in self._tickets.values():
+            reply.set_result(NotCoordinator(coordinator=""))
+        self._tickets.clear()
+
+    def _extend_or_campaign(self, now: float) -> None:
+        if self._coordinator:
+            self._lease_due = now + RENEW_INTERVAL
+            self._ask_voters(self._candidate.start_round(self._coordinator.ledger()))
+            return
+        self._lease_due = now + CAMPAIGN_PAUSE * (1 + self._random.random())
+        if not self._view.coordinator:
+            self._ask_voters(self._candidate.start_round(None))
+
+    def _ask_voters(self, request: LeaseRequest) -> None:
+        for future in self._asked:
+            self._bus.forget(future)
+        self._asked = [self._ask_voter(voter, request) for voter in self._view.replicas]
+
+    def _ask_voter(self, voter: str, request: LeaseRequest) -> Future:
+        future = self._bus.ask(voter, request)
+
+        def deliver(done: Future) -> None:
+            reply = done.result()
+            self.actor_ref.tell(
+                _LeaseReplied(voter=voter, reply=reply, request=request)
+            )
+
+        future.add_done_callback(deliver)
+        return future
+
+    def _on_lease_reply(self, message: _LeaseReplied) -> None:
+        won = self._candidate.on_reply(message.voter, message.reply, message.request)
+        if not won:
+            return
+        if self._coordinator is None:
+            self._start_coordinating()
+        else:
+            self._coordinator.on_saved(self._candidate.saved_version)
+
+    def _start_coordinating(self) -> None:
+        self._coordinator = self._create(self._candidate.epoch)
+        now = self._clock.now()
+        reclaim = LOAN_SECONDS + RECLAIM_MARGIN_SECONDS
+        # A ledger kept by a majority is on one of these votes unless a voter lost
+        # its memory since; then every loan that it may have known must run out.
+        trusted = self._candidate.votes_up_for(reclaim)
+        missing = len(self._view.replicas) - self._candidate.majority + 1 > trusted
+        self._ready_at = now + reclaim if missing else now
+        self._coordinator.limits.restore(self._candidate.newest_ledger())
+        for hello in self._hellos.values():
+            self._coordinator.hello(hello)
+        logger.info("coordinator: epoch {} begins.", self._candidate.epoch)
+
+    # Effects
+
+    def _run_effects(self) -> None:
+        while self._coordinator and (effects := self._coordinator.take()):
+            for effect in effects:
+                self._run_effect(effect)
+
+    def _run_effect(self, effect: Effect) -> None:
+        match effect:
+            case AnswerRequest(ticket=ticket, answer=answer):
+                self._answer(ticket, answer)
+            case AnswerBorrower(ticket=ticket, answer=answer):
+                self._answer(ticket, answer)
+            case SaveLedger(ledger=ledger):
+                self._ask_voters(self._candidate.start_round(ledger))
+            case AskOthers():
+                self._ask_others(effect)
+
+    def _answer(self, ticket: int, answer: object) -> None:
+        reply = self._tickets.pop(ticket, None)
+        if reply is not None:
+            reply.set_result(answer)
+
+    def _ask_others(self, effect: AskOthers) -> None:
+        for domain in self._coordinator.limits.other_domains:
+            self._ask_domain(domain, effect)
+
+    def _ask_domain(self, domain: str, effect: AskOthers) -> None:
+        host = self._known_coordinators.get(domain) or self._domain_hosts[domain][0]
+        epoch = self._candidate.epoch
+        future = self._bus.ask(host, effect.request)
+
+        def deliver(done: Future) -> None:
+            replied = _BorrowReplied(
+                epoch=epoch, number=effect.number, domain=domain, reply=done.result()
+            )
+            self.actor_ref.tell(replied)
+
+        future.add_done_callback(deliver)
+
+    def _on_borrow_reply(self, message: _BorrowReplied) -> None:
+        if self._coordinator is None or message.epoch != self._candidate.epoch:
+            return
+        reply = message.reply
+        if not isinstance(reply, BorrowReply):
+            self._try_next_host(message.domain, reply.coordinator)
+            reply = None
+        self._coordinator.on_borrow_reply(message.number, message.domain, reply)
+
+    def _try_next_host(self, domain: str, coordinator: str) -> None:
+        hosts = self._domain_hosts[domain]
+        asked = self._known_coordinators.get(domain) or hosts[0]
+        following = hosts[(hosts.index(asked) + 1) % len(hosts)]
+        known = coordinator if coordinator in hosts else following
+        self._known_coordinators[domain] = known
--- /dev/null
+++ b/src/chicoryhold/steering/lookup.py
@@ -0,0 +1,105 @@
+"""The look-up: which entry hosts a caller should use, best first."""
+
+from __future__ import annotations
+
+import ipaddress
+
+import attrs
+
+from chicoryhold.claims.keys import idempotency_prefix
+from chicoryhold.control.follower import Follower
+from chicoryhold.hosts.domain_view import DomainView
+from chicoryhold.settings import DomainSettings
+from chicoryhold.state.table import Table
+from chicoryhold.steering.client_blocks import Block, ClientBlocks
+
+LIFETIME_SECONDS = 30
+HOSTS_IN_ANSWER = 6
+
+
+@attrs.frozen(kw_only=True)
+class EntryHost:
+    """An entry host in an answer. Weights compare hosts of equal rank."""
+
+    name: str
+    address: str
+    domain: str
+    weight: int
+
+
+@attrs.frozen(kw_only=True)
+class LookupAnswer:
+    """``idempotency_prefix`` starts the caller's idempotency keys."""
+
+    entry_hosts: tuple[EntryHost, ...]
+    lifetime_seconds: int
+    idempotency_prefix: str
+
+
+class Lookup:
+    """Ranks hosts: the caller's domain, then its region, then all others."""
+
+    def __init__(
+        self, *, domain: str, domains: dict[str, DomainSettings], view: DomainView,
+        follower: Follower,
+    ) -> None:  # fmt: skip
+        self._domain = domain
+        self._domains = domains
+        self._view = view
+        self._follower = follower
+        self._names = sorted(domains)
+        self._table: Table | None = None
+        self._blocks = ClientBlocks(())
+
+    def answer(self, client: str) -> LookupAnswer:
+        """Return the ranked entry hosts for the address ``client``."""
+        home = self._domain_of(client)
+        hosts = [
+            host
+            for domain in self._ranked_domains(home)
+            for host in self._hosts_in(domain)
+        ]
+        return LookupAnswer(
+            entry_hosts=tuple(hosts[:HOSTS_IN_ANSWER]),
+            lifetime_seconds=LIFETIME_SECONDS,
+            idempotency_prefix=idempotency_prefix(self._domain, self._view.generations),
+        )
+
+    def _domain_of(self, client: str) -> str:
+        table = self._follower.state.table
+        if table is not self._table:
+            self._blocks = self._load_blocks(table)
+            self._table = table
+        try:
+            address = int(ipaddress.IPv4Address(client))
+        except ValueError:
+            return self._domain
+        place = self._blocks.place_of(address)
+        return self._domain if place is None else self._names[place]
+
+    def _load_blocks(self, table: Table) -> ClientBlocks:
+        return ClientBlocks(
+            Block(
+                network=ipaddress.IPv4Network(network),
+                place=self._names.index(domain),
+            )
+            for network, domain in table.blocks
+            if domain in self._domains and ":" not in network
+        )
+
+    def _ranked_domains(self, home: str) -> list[str]:
+        region = self._domains[home].region
+
+        def rank(name: str) -> tuple[bool, bool, str]:
+            return (name != home, self._domains[name].region != region, name)
+
+        return sorted(self._domains, key=rank)
+
+    def _hosts_in(self, domain: str) -> list[EntryHost]:
+        stopping = self._follower.state.stops
+        alive = self._view.hosts if domain == self._domain else None
+        return [
+            EntryHost(name=name, address=address, domain=domain, weight=100)
+            for name, address in self._domains[domain].callers.items()
+            if name not in stopping and (not alive or name in alive)
+        ]
--- /dev/null
+++ b/src/chicoryhold/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP side towards targets: connections, forwarding, announcements."""
--- /dev/null
+++ b/src/chicoryhold/targets/connections.py
@@ -0,0 +1,235 @@
+"""Connections to targets, kept for reuse only while they can be trusted."""
+
+from __future__ import annotations
+
+import http.client
+import threading
+from collections.abc import Mapping
+
+import attrs
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.util import wait_for_read
+
+from chicoryhold.clock import Clock
+from chicoryhold.errors import AnswerMismatch, ConnectFailed, ExchangeFailed
+
+IDLE_SECONDS = 5.0
+IDLE_SECONDS_ONCE = 0.5
+CONNECT_TIMEOUT = 1.0
+IDLE_PER_TARGET = 64
+READ_BYTES = 65_536
+LARGEST_ANSWER = 16 * 1024 * 1024
+REQUEST_ID_HEADER = "Chicoryhold-Request-Id"
+
+
+@attrs.frozen(kw_only=True)
+class OutgoingRequest:
+    """What is sent to a target. ``once`` means that it must not run twice."""
+
+    request_id: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    once: bool
+
+
+@attrs.frozen(kw_only=True)
+class TargetAnswer:
+    """A whole answer that belongs to the request it was given for."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class _CheckedResponse(http.client.HTTPResponse):
+    """Notices bytes that follow the end of the answer.
+
+    The standard class reads through a buffer that it drops at the end of the body,
+    so surplus bytes would be lost there and never seen on the socket.
+    """
+
+    def __init__(self, sock, *args, **kwargs) -> None:
+        super().__init__(sock, *args, **kwargs)
+        self._socket = sock
+        self.surplus = False
+
+    def _close_conn(self) -> None:
+        self._socket.settimeout(0)
+        try:
+            self.surplus = bool(self.fp.peek(1))
+        except OSError:
+            self.surplus = False
+        super()._close_conn()
+
+
+class _CheckedConnection(HTTPConnection):
+    response_class = _CheckedResponse
+
+
+@attrs.frozen(kw_only=True)
+class _Idle:
+    connection: _CheckedConnection
+    since: float
+
+
+class TargetConnections:
+    """Sends requests to targets, each answer checked to be whole and its own."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._idle: dict[str, list[_Idle]] = {}
+        self._lock = threading.Lock()
+
+    def exchange(
+        self, address: str, request: OutgoingRequest, *, deadline: float
+    ) -> TargetAnswer:
+        """Return the answer of the target at ``address``, by ``deadline``.
+
+        Raises ``ConnectFailed`` if no byte was sent, and ``ExchangeFailed`` if the
+        target may or may not have run the request.
+        """
+        connection = self._take(address, once=request.once)
+        if connection is None:
+            connection = self._connect(address, deadline)
+        try:
+            answer = self._send(connection, request, deadline)
+        except AnswerMismatch:
+            connection.close()
+            raise
+        except (OSError, urllib3.exceptions.HTTPError, http.client.HTTPException) as e:
+            connection.close()
+            # One silent connection means that the path may have dropped them all.
+            self.retire(address)
+            raise ExchangeFailed(
+                f"target {address} broke off: {e}; look at its log and at the link"
+            ) from e
+        self._keep(address, connection)
+        return answer
+
+    def retire(self, address: str) -> None:
+        """Close every idle connection to ``address``."""
+        with self._lock:
+            idle = self._idle.pop(address, [])
+        for entry in idle:
+            entry.connection.close()
+
+    def _take(self, address: str, *, once: bool) -> _CheckedConnection | None:
+        limit = IDLE_SECONDS_ONCE if once else IDLE_SECONDS
+        oldest = self._clock.now() - limit
+        while True:
+            with self._lock:
+                idle = self._idle.get(address)
+                entry = idle.pop() if idle else None
+            if entry is None:
+                return None
+            if entry.since >= oldest and _is_quiet(entry.connection):
+                return entry.connection
+            entry.connection.close()
+
+    def _keep(self, address: str, connection: _CheckedConnection) -> None:
+        if connection.sock is None:
+            return
+        entry = _Idle(connection=connection, since=self._clock.now())
+        with self._lock:
+            idle = self._idle.setdefault(address, [])
+            if len(idle) < IDLE_PER_TARGET:
+                idle.append(entry)
+                return
+        connection.close()
+
+    def _connect(self, address: str, deadline: float) -> _CheckedConnection:
+        host, _, port = address.rpartition(":")
+        remaining = max(0.001, deadline - self._clock.now())
+        timeout = min(CONNECT_TIMEOUT, remaining)
+        connection = _CheckedConnection(host, int(port), timeout=timeout)
+        try:
+            connection.connect()
+        except (OSError, urllib3.exceptions.HTTPError) as error:
+            connection.close()
+            self.retire(address)
+            raise ConnectFailed(
+                f"target {address} can't be reached: {error}; check its process"
+            ) from error
+        return connection
+
+    def _send(
+        self, connection: _CheckedConnection, request: OutgoingRequest, deadline: float
+    ) -> TargetAnswer:
+        self._set_timeout(connection, deadline)
+        connection.request(
+            request.method,
+            request.path,
+            body=request.body or None,
+            headers={**request.headers, REQUEST_ID_HEADER: request.request_id},
+            preload_content=False,
+            decode_content=False,
+        )
+        response = connection.getresponse()
+        body = self._read_body(connection, response, deadline)
+        self._check(connection, request, response)
+        return TargetAnswer(
+            status=response.status,
+            headers=tuple(response.headers.items()),
+            body=body,
+        )
+
+    def _read_body(
+        self,
+        connection: _CheckedConnection,
+        response: urllib3.HTTPResponse,
+        deadline: float,
+    ) -> bytes:
+        pieces = []
+        size = 0
+        while True:
+            self._set_timeout(connection, deadline)
+            piece = response.read(READ_BYTES, decode_content=False)
+            if not piece:
+                return b"".join(pieces)
+            pieces.append(piece)
+            size += len(piece)
+            if size > LARGEST_ANSWER:
+                raise AnswerMismatch(
+                    f"the answer is longer than {LARGEST_ANSWER} bytes: send less"
+                )
+
+    def _set_timeout(self, connection: _CheckedConnection, deadline: float) -> None:
+        remaining = deadline - self._clock.now()
+        if remaining <= 0:
+            raise TimeoutError("the deadline has passed")
+        if connection.sock is not None:
+            connection.sock.settimeout(remaining)
+
+    def _check(
+        self,
+        connection: _CheckedConnection,
+        request: OutgoingRequest,
+        response: urllib3.HTTPResponse,
+    ) -> None:
+        raw = response._original_response
+        chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+        empty = response.status in (204, 304) or request.method == "HEAD"
+        if not (chunked or empty or "Content-Length" in response.headers):
+            raise AnswerMismatch(
+                "the answer has no length, so it can't be known to be whole: make the "
+                "target send Content-Length or chunks"
+            )
+        if raw.surplus:
+            raise AnswerMismatch(
+                "the answer goes on after its end: fix its Content-Length"
+            )
+        echoed = response.headers.get(REQUEST_ID_HEADER)
+        if echoed != request.request_id:
+            raise AnswerMismatch(
+                f"the answer is for request {echoed!r}, not {request.request_id!r}: "
+                f"make the target return {REQUEST_ID_HEADER}"
+            )
+
+
+def _is_quiet(connection: _CheckedConnection) -> bool:
+    """Whether an idle connection is open and has nothing to read."""
+    sock = connection.sock
+    return sock is not None and not wait_for_read(sock, timeout=0)
--- /dev/null
+++ b/src/chicoryhold/trial/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and small fleets on loopback, for the demo, the tests and trials."""
--- /dev/null
+++ b/src/chicoryhold/trial/demo.py
@@ -0,0 +1,153 @@
+"""The demo: a whole installation on loopback, used once, and ended."""
+
+from __future__ import annotations
+
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+
+from chicoryhold.errors import ChicoryholdError
+from chicoryhold.trial.caller import Caller
+from chicoryhold.trial.fleet import Fleet, running_fleet, wait_until
+
+DOMAINS = {"north-a": 2, "south-a": 2}
+SERVICES = ("menus", "slots", "payments")
+REQUESTS = 60
+TABLE = """scope,name,field,value,unit
+route,/menus,service,menus,
+route,/menus,access,open,
+route,/slots,service,slots,
+route,/payments,service,payments,
+route,/payments,repeatable,no,
+service,menus,deadline,4,s
+service,slots,deadline,4,s
+service,payments,deadline,4,s
+organisation,clinic,rate,200,requests/s
+organisation,clinic,burst,200,requests
+"""
+START_SECONDS = 20.0
+IN_FORCE_SECONDS = 8.0
+WITHDRAWN_SECONDS = 5.0
+
+
+class _Steps:
+    """Prints each step with its result and remembers whether all went well."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self.failed = 0
+
+    def show(self, what: str, ok: bool, detail: object = "") -> None:
+        self._count += 1
+        self.failed += not ok
+        mark = "ok  " if ok else "FAIL"
+        print(f"{self._count:2d} {mark} {what} {detail}".rstrip(), flush=True)
+
+
+def main() -> int:
+    """Run the demo and return the exit code."""
+    steps = _Steps()
+    with tempfile.TemporaryDirectory(prefix="chicoryhold-demo-") as folder:
+        with running_fleet(Path(folder), DOMAINS) as fleet:
+            _run(fleet, steps)
+    steps.show("ended everything that was started", True)
+    return 1 if steps.failed else 0
+
+
+def _run(fleet: Fleet, steps: _Steps) -> None:
+    for domain in DOMAINS:
+        for service in SERVICES:
+            fleet.add_target(domain=domain, service=service)
+    steps.show("started 3 control replicas, 4 entry hosts, 6 targets", True)
+    key_id, key = _set_up(fleet, steps)
+    known = fleet["north-a-1"].addresses["callers"]
+    caller = Caller(known_host=known, key=key)
+    _wait_for_targets(caller)
+    found = caller.look_up()
+    hosts = [host["address"] for host in found["entry_hosts"]]
+    steps.show("asked which entry hosts to use:", len(hosts) == 4, " ".join(hosts))
+    open_reply = Caller(known_host=hosts[0]).send("GET", "/menus/today")
+    steps.show("open route without a key:", open_reply.status == 200, open_reply.status)
+    wrong = Caller(known_host=hosts[0], key=f"chk_00000000_{'x' * 32}")
+    reply = wrong.send("GET", "/slots/1")
+    refused = reply.refused == "key_rejected" and reply.ran == "not_run"
+    steps.show("wrong key refused, not run:", refused, reply.refused)
+    _send_many(caller, hosts, steps)
+    _pay(caller, hosts, found["idempotency_prefix"], steps)
+    _withdraw(fleet, caller, hosts[0], key_id, steps)
+
+
+def _set_up(fleet: Fleet, steps: _Steps) -> tuple[str, str]:
+    fleet.operate("organisation", "create", "clinic")
+    steps.show("created organisation clinic", True)
+    key = fleet.operate("key", "give", "clinic")
+    steps.show("gave a key:", True, key["key_id"])
+    table = fleet.folder / "table.csv"
+    table.write_text(TABLE)
+    based_on = fleet.operate("table", "get")["revision"]
+    put = fleet.operate("table", "put", table, f"--based_on={based_on}")
+    steps.show("put the table, revision", put["accepted"], put["revision"])
+    fleet.operate("wait", put["revision"], f"--timeout={IN_FORCE_SECONDS}")
+    steps.show(f"in force in all domains within {IN_FORCE_SECONDS:g} s", True)
+    for member in fleet.members.values():
+        if "callers" in member.addresses:
+            fleet.wait_ready(member)
+    return key["key_id"], key["key"]
+
+
+def _wait_for_targets(caller: Caller) -> None:
+    def all_answer() -> bool:
+        hosts = [host["address"] for host in caller.look_up()["entry_hosts"]]
+        return all(
+            caller.send("GET", f"/{service}/0", host=host).status == 200
+            for service in SERVICES
+            for host in hosts
+        )
+
+    wait_until(all_answer, what="first answers", timeout=START_SECONDS)
+
+
+def _send_many(caller: Caller, hosts: list[str], steps: _Steps) -> None:
+    answered = _count(
+        lambda n: caller.send("GET", f"/slots/{n}", host=hosts[n % len(hosts)])
+    )
+    steps.show(f"answered {answered} of {REQUESTS}", answered == REQUESTS)
+
+
+def _count(send: Callable[[int], object]) -> int:
+    return sum(send(number).status == 200 for number in range(REQUESTS))
+
+
+def _pay(caller: Caller, hosts: list[str], prefix: str, steps: _Steps) -> None:
+    headers = {"Idempotency-Key": f"{prefix}invoice-17"}
+    replies = [
+        caller.send("POST", "/payments/17", host=host, body=b"ron 40", headers=headers)
+        for host in hosts
+    ]
+    numbers = {reply.fields.get("number") for reply in replies}
+    same = len(numbers) == 1 and all(reply.status == 200 for reply in replies)
+    steps.show("payment sent to 4 hosts ran once, answered alike", same)
+
+
+def _withdraw(
+    fleet: Fleet, caller: Caller, host: str, key_id: str, steps: _Steps
+) -> None:
+    before = caller.send("GET", "/slots/1", host=host).status
+    fleet.operate("key", "withdraw", key_id)
+    reply = wait_until(
+        lambda: _refusal(caller, host), what="refusal", timeout=WITHDRAWN_SECONDS
+    )
+    ok = before == 200 and reply.refused == "key_rejected"
+    steps.show("withdrawn key refused on the same connection:", ok, reply.refused)
+
+
+def _refusal(caller: Caller, host: str) -> object:
+    reply = caller.send("GET", "/slots/1", host=host)
+    return reply if reply.refused else None
+
+
+if __name__ == "__main__":
+    try:
+        raise SystemExit(main())
+    except ChicoryholdError as error:
+        raise SystemExit(f"demo: {error}") from error
