--- a/Makefile
+++ b/Makefile
@@ -20,4 +20,4 @@
 	$(BIN)/ruff check .
 
 test: setup
-	$(BIN)/python -m chicoryhold.trial.run_tests
+	$(BIN)/python tests/run_all.py
--- /dev/null
+++ b/features/steps/processes.py
@@ -0,0 +1,233 @@
+"""Steps that kill, freeze and restart processes, and of operators."""
+
+from __future__ import annotations
+
+import json
+import shutil
+import threading
+import time
+
+from behave import given, then, when
+
+from chicoryhold.trial.fleet import wait_until
+
+
+@when('"{name:Quoted}" is killed')
+def step_kill(context, name):
+    context.fleet[name].kill()
+
+
+@when('"{name:Quoted}" is killed and started again')
+def step_restart(context, name):
+    context.fleet[name].kill()
+    context.fleet[name].start()
+    context.fleet.wait_ready(context.fleet[name])
+
+
+@when('"{name:Quoted}" is frozen')
+def step_freeze(context, name):
+    context.fleet[name].freeze()
+
+
+@when('"{name:Quoted}" is woken')
+def step_wake(context, name):
+    context.fleet[name].wake()
+
+
+@when("{seconds:g} s pass")
+def step_pass(context, seconds):
+    time.sleep(seconds)
+
+
+@when("every control replica is frozen")
+def step_freeze_control(context):
+    for name in control_names(context):
+        context.fleet[name].freeze()
+
+
+@when("every control replica is woken")
+def step_wake_control(context):
+    for name in control_names(context):
+        context.fleet[name].wake()
+
+
+def control_names(context):
+    members = context.fleet.members.values()
+    return [member.name for member in members if "api" in member.addresses]
+
+
+def leader(context) -> str:
+    return context.fleet.operate("replicas")["leader"]["leader"]
+
+
+@when("the control leader is killed")
+def step_kill_leader(context):
+    context.killed = leader(context)
+    context.fleet[context.killed].kill()
+
+
+@when("the control leader is frozen")
+def step_freeze_leader(context):
+    context.killed = leader(context)
+    context.fleet[context.killed].freeze()
+
+
+@when("the frozen leader is woken")
+def step_wake_leader(context):
+    context.fleet[context.killed].wake()
+
+
+@when("the killed replica is started again")
+def step_start_killed(context):
+    context.fleet[context.killed].start()
+    context.fleet.wait_ready(context.fleet[context.killed])
+
+
+@when("the killed replica is started again with an empty disk")
+def step_start_wiped(context):
+    shutil.rmtree(context.folder / "data" / context.killed)
+    step_start_killed(context)
+
+    def is_voter() -> bool:
+        members = context.fleet.operate("replicas")["leader"]
+        names = [identity.rpartition(".")[0] for identity in members["voters"]]
+        return len(names) == 3 and context.killed in names
+
+    wait_until(is_voter, what="rejoining as a voter", timeout=20)
+
+
+@given('the coordinator of "{domain:Quoted}" is known')
+def step_coordinator(context, domain):
+    logs = {
+        member.name: member.log.read_text().splitlines()
+        for member in context.fleet.members.values()
+        if member.name.startswith(domain) and "callers" in member.addresses
+    }
+    begun = [
+        (line[:23], name)
+        for name, lines in logs.items()
+        for line in lines
+        if "coordinator: epoch" in line
+    ]
+    context.coordinator = max(begun)[1]
+
+
+@when("{seconds:g} s later the coordinator is killed")
+def step_kill_coordinator_later(context, seconds):
+    coordinator = context.fleet[context.coordinator]
+    timer = threading.Timer(seconds, coordinator.kill)
+    timer.start()
+
+
+@when('an operator withdraws the key of "{name:Quoted}"')
+def step_withdraw(context, name):
+    context.fleet.operate("key", "withdraw", context.key_ids[name])
+
+
+@when('an operator creates organisation "{name:Quoted}"')
+def step_create(context, name):
+    context.outcome = context.fleet.operate("organisation", "create", name)
+
+
+@when('{count:d} changes are made under the name "{name:Quoted}"')
+def step_many_changes(context, count, name):
+    for number in range(count):
+        context.outcome = put_organisation(context, f"{name}-{number}")
+
+
+def put_organisation(context, name: str) -> dict:
+    """Create an organisation over HTTP, at whichever replica takes it."""
+    settings = (context.folder / "chicoryhold.toml").read_text()
+    token = settings.rpartition('token = "')[2].partition('"')[0]
+    pool = context.fleet._pool
+    headers = {"Authorization": f"Bearer {token}", "Chicoryhold-Request-Id": name}
+
+    def try_all():
+        for control in control_names(context):
+            api = context.fleet[control].addresses["api"]
+            answer = pool.request(
+                "PUT", f"http://{api}/v1/organisations/{name}", headers=headers
+            )
+            if answer.status == 200:
+                return json.loads(answer.data)
+        return None
+
+    return wait_until(try_all, what="the change", timeout=20)
+
+
+@then('organisation "{name:Quoted}" exists')
+def step_exists(context, name):
+    names = context.fleet.operate("organisation", "list")["organisations"]
+    assert name in names, names
+
+
+@then('all {count:d} organisations named "{name:Quoted}" exist')
+def step_all_exist(context, count, name):
+    names = context.fleet.operate("organisation", "list")["organisations"]
+    missing = [n for n in range(count) if f"{name}-{n}" not in names]
+    assert not missing, missing
+
+
+@then("the change is in force everywhere within {seconds:g} s")
+def step_in_force(context, seconds):
+    revision = context.outcome["revision"]
+    context.fleet.operate("wait", revision, f"--timeout={seconds}")
+
+
+@when(
+    'two operators change "{first:Quoted}" and "{second:Quoted}" from the same revision'
+)
+def step_race(context, first, second):
+    current = context.fleet.operate("table", "get")
+    context.outcomes = []
+    threads = []
+    for row in (first, second):
+        path = context.folder / f"{context.marker}-{row.split(',')[1]}.csv"
+        path.write_text(current["table"].rstrip("\n") + f"\n{row}\n")
+        arguments = ("table", "put", path, f"--based_on={current['revision']}")
+        threads.append(
+            threading.Thread(
+                target=lambda a=arguments: context.outcomes.append(
+                    context.fleet.operate_raw(*a)
+                )
+            )
+        )
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@then("one is accepted and the other is shown the difference")
+def step_one_accepted(context):
+    accepted = [done for done in context.outcomes if done.returncode == 0]
+    refused = [done for done in context.outcomes if done.returncode]
+    assert len(accepted) == 1 and len(refused) == 1, context.outcomes
+    assert "was changed in revision" in refused[0].stderr, refused[0].stderr
+    assert "+" in refused[0].stderr, refused[0].stderr
+
+
+@when(
+    'an operator creates organisation "{name:Quoted}" with request id '
+    '"{request_id:Quoted}"'
+)
+def step_create_with_id(context, name, request_id):
+    arguments = ("organisation", "create", name, f"--request_id={request_id}")
+    context.outcomes = [*getattr(context, "outcomes", []), arguments]
+    context.outcome = context.fleet.operate(*arguments, check=False)
+    context.answers = [*getattr(context, "answers", []), context.outcome]
+
+
+@then("both outcomes are the same and accepted")
+def step_same_outcomes(context):
+    first, second = context.answers[-2:]
+    assert first == second, (first, second)
+    assert first["accepted"], first
+
+
+@then('host "{host:Quoted}" never goes below the revision')
+def step_never_below(context, host):
+    rows = context.fleet.operate("in-force")
+    revisions = {row["domain"]: row["revision"] for row in rows["domains"]}
+    domain = host.rpartition("-")[0]
+    assert revisions[domain] >= context.outcome["revision"], rows
--- /dev/null
+++ b/features/steps/requests.py
@@ -0,0 +1,474 @@
+"""Steps of callers and of what targets have seen."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import threading
+import time
+from urllib.parse import quote
+
+import urllib3
+from behave import given, then, when
+
+from chicoryhold.trial.caller import Caller, Reply
+from chicoryhold.trial.fleet import wait_until
+
+FIRST_HOST = "north-a-1"
+
+
+def address_of(context, host: str) -> str:
+    return context.fleet[host].addresses["callers"]
+
+
+def targets_of(context):
+    members = context.fleet.members.values()
+    return [member for member in members if "target" in member.addresses]
+
+
+def seen(context) -> list[dict]:
+    """Return every request that ran at a target that is up."""
+    return [
+        request
+        for target in targets_of(context)
+        if target.running
+        for request in context.fleet.seen(target)["requests"]
+    ]
+
+
+def runs_of_marker(context) -> int:
+    return sum(context.marker in request["path"] for request in seen(context))
+
+
+def caller_of(context, organisation: str) -> Caller:
+    key = context.keys.get(organisation)
+    return Caller(known_host=address_of(context, FIRST_HOST), key=key)
+
+
+def send(context, organisation, request, *, host=FIRST_HOST, headers=None, body=None):
+    """Send a request that carries the scenario's marker, on a kept connection."""
+    callers = context.__dict__.setdefault("callers", {})
+    caller = callers.setdefault((context.marker, organisation), None)
+    if caller is None:
+        caller = caller_of(context, organisation)
+        callers[context.marker, organisation] = caller
+    method, path = request.split()
+    joiner = "&" if "?" in path else "?"
+    reply = caller.send(
+        method,
+        f"{path}{joiner}m={context.marker}",
+        host=address_of(context, host),
+        headers=headers,
+        body=body,
+        timeout=15.0,
+    )
+    context.replies.append(reply)
+    return reply
+
+
+@given('organisation "{name:Quoted}" has a key')
+def step_has_key(context, name):
+    if name not in context.organisations:
+        context.fleet.operate("organisation", "create", name)
+        context.organisations.add(name)
+    given_key = context.fleet.operate("key", "give", name)
+    context.keys[name] = given_key["key"]
+    context.key_ids = {**getattr(context, "key_ids", {}), name: given_key["key_id"]}
+    context.fleet.operate("wait", given_key["revision"])
+
+
+@given("a key that was never given")
+def step_unknown_key(context):
+    context.keys["nobody"] = f"chk_00000000_{'x' * 32}"
+
+
+@when('"{name:Quoted}" sends "{request:Quoted}"')
+def step_send(context, name, request):
+    send(context, name, request)
+
+
+@when('"{name:Quoted}" sends "{request:Quoted}" to host "{host:Quoted}"')
+def step_send_to(context, name, request, host):
+    send(context, name, request, host=host)
+
+
+@when(
+    '"{name:Quoted}" sends "{request:Quoted}" to a target that answers "{fault:Quoted}"'
+)
+def step_send_fault(context, name, request, fault):
+    send(context, name, request, headers={"Trial": fault})
+
+
+@when(
+    '"{name:Quoted}" sends "{request:Quoted}" with header "{header:Quoted}: '
+    '{value:Quoted}"'
+)
+def step_send_header(context, name, request, header, value):
+    key = context.keys.get(name, "")
+    # A header given in another case replaces the caller's own one.
+    sender = f"{name} without key" if value == "KEY" else name
+    send(context, sender, request, headers={header: value.replace("KEY", key)})
+
+
+@when('"{name:Quoted}" sends "{request:Quoted}" with its key in the "{place:Quoted}"')
+def step_send_key_place(context, name, request, place):
+    key = context.keys[name]
+    encoded = "".join(f"%{byte:02x}" for byte in key.encode())
+    ways = {
+        "query": {"request": f"{request}?key={key}"},
+        "encoded query": {"request": f"{request}?key={encoded}"},
+        "twice encoded query": {"request": f"{request}?key={quote(encoded)}"},
+        "path": {"request": f"{request}/{key}"},
+        "cookie": {"request": request, "headers": {"Cookie": f"a=b; key={key}"}},
+        "other header": {"request": request, "headers": {"X-Api-Key": key.upper()}},
+        "body": {
+            "request": request.replace("GET", "POST"),
+            "body": f"key={key}".encode(),
+        },
+    }
+    send(context, name, **ways[place])
+
+
+@when('"{name:Quoted}" sends the path "{path:Quoted}" as it is')
+def step_send_raw_path(context, name, path):
+    """Send without the client library, which would resolve the path itself."""
+    connection = http.client.HTTPConnection(address_of(context, FIRST_HOST))
+    connection.request("GET", f"{path}?m={context.marker}")
+    answer = connection.getresponse()
+    fields = json.loads(answer.read())
+    connection.close()
+    reply = Reply(status=answer.status, headers={}, fields=fields, body=b"")
+    context.replies.append(reply)
+
+
+@when('a caller sends the key of "{name:Quoted}" twice')
+def step_two_keys(context, name):
+    host = address_of(context, FIRST_HOST)
+    key = context.keys[name]
+    headers = urllib3.HTTPHeaderDict([("Chicoryhold-Key", key)] * 2)
+    answer = urllib3.request("GET", f"http://{host}/slots/1", headers=headers)
+    context.last_status = answer.status
+
+
+@then("the key sent twice is refused")
+def step_two_keys_refused(context):
+    assert context.last_status == 400, context.last_status
+
+
+@when('"{name:Quoted}" sends "{request:Quoted}" every 0.1 s until refused')
+def step_until_refused(context, name, request):
+    started = time.monotonic()
+    wait_until(lambda: send(context, name, request).refused, what="refusal", timeout=20)
+    context.refused_after = time.monotonic() - started
+
+
+@then("it was refused within {seconds:g} s")
+def step_refused_within(context, seconds):
+    assert context.refused_after <= seconds, context.refused_after
+
+
+@then("the answer is {status:d}")
+def step_status(context, status):
+    reply = context.replies[-1]
+    assert reply.status == status, (reply.status, reply.fields)
+
+
+@then('the target was told organisation "{name:Quoted}"')
+def step_told(context, name):
+    assert context.replies[-1].fields["organisation"] == name
+
+
+@then('it is refused as "{kind:Quoted}" and "{ran:Quoted}"')
+def step_refused(context, kind, ran):
+    reply = context.replies[-1]
+    assert (reply.refused, reply.ran) == (kind, ran), (reply.status, reply.fields)
+
+
+@then("no target saw the request")
+def step_not_seen(context):
+    assert runs_of_marker(context) == 0
+
+
+@then("the request ran once")
+def step_ran_once(context):
+    assert runs_of_marker(context) == 1, runs_of_marker(context)
+
+
+@then("the request ran at most once")
+def step_ran_at_most_once(context):
+    assert runs_of_marker(context) <= 1, runs_of_marker(context)
+
+
+@then("no target has ever seen a key of any organisation")
+def step_no_key_seen(context):
+    secrets = [key.rpartition("_")[2].lower() for key in context.keys.values()]
+    for request in seen(context):
+        text = str(request).lower()
+        assert not any(secret in text for secret in secrets), request
+
+
+@when('"{name:Quoted}" sends "{request:Quoted}" from every host for {seconds:g} s')
+def step_flood(context, name, request, seconds):
+    context.flood_started = time.monotonic()
+    method, path = request.split()
+    threads = [
+        threading.Thread(
+            target=flood, args=(context, name, method, path, host, seconds)
+        )
+        for host in context.fleet.members
+        if "callers" in context.fleet[host].addresses
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    context.flood_seconds = time.monotonic() - context.flood_started
+
+
+def flood(context, name, method, path, host, seconds):
+    caller = caller_of(context, name)
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        reply = caller.send(
+            method,
+            f"{path}?m={context.marker}",
+            host=address_of(context, host),
+        )
+        context.replies.append(reply)
+
+
+@then("at most {burst:d} plus {rate:d} a second ran")
+def step_within_rate(context, burst, rate):
+    allowed = burst + rate * context.flood_seconds
+    ran = runs_of_marker(context)
+    assert ran <= allowed, (ran, allowed)
+
+
+@then("at least {share:d} percent of {rate:d} a second ran")
+def step_uses_rate(context, share, rate):
+    wanted = share / 100 * rate * context.flood_seconds
+    ran = runs_of_marker(context)
+    assert ran >= wanted, (ran, wanted)
+
+
+@then('every refusal was "{kind:Quoted}" and "{ran:Quoted}"')
+def step_every_refusal(context, kind, ran):
+    kinds = {(r.refused, r.ran) for r in context.replies if r.refused}
+    assert kinds <= {(kind, ran)}, kinds
+
+
+@when(
+    '"{name:Quoted}" sends {count:d} requests "{request:Quoted}" evenly in '
+    '{seconds:g} s to "{host:Quoted}"'
+)
+def step_evenly(context, name, count, request, seconds, host):
+    method, path = request.split()
+    caller = caller_of(context, name)
+    started = time.monotonic()
+    for number in range(count):
+        due = started + seconds * number / count
+        time.sleep(max(0.0, due - time.monotonic()))
+        reply = caller.send(
+            method, f"{path}?m={context.marker}", host=address_of(context, host)
+        )
+        context.replies.append(reply)
+
+
+@then("every request was answered")
+def step_all_answered(context):
+    refused = [reply.fields for reply in context.replies if reply.status != 200]
+    assert not refused, refused
+
+
+@when('"{name:Quoted}" pays with key "{text:Quoted}"')
+def step_pay(context, name, text):
+    pay(context, name, text)
+
+
+@when('"{name:Quoted}" pays with key "{text:Quoted}" at host "{host:Quoted}"')
+def step_pay_at(context, name, text, host):
+    pay(context, name, text, host=host)
+
+
+@when(
+    '"{name:Quoted}" pays with key "{text:Quoted}" to a target that answers '
+    '"{fault:Quoted}"'
+)
+def step_pay_fault(context, name, text, fault):
+    pay(context, name, text, fault=fault)
+
+
+@when('"{name:Quoted}" pays {amount:d} with key "{text:Quoted}"')
+def step_pay_amount(context, name, amount, text):
+    pay(context, name, text, amount=amount)
+
+
+@when('"{name:Quoted}" pays with key "{text:Quoted}" at every host at the same moment')
+def step_pay_race(context, name, text):
+    hosts = [
+        h for h in context.fleet.members if "callers" in context.fleet[h].addresses
+    ]
+    prefix(context)
+    threads = [
+        threading.Thread(target=pay, args=(context, name, text), kwargs={"host": host})
+        for host in hosts
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def prefix(context) -> str:
+    """Return the look-up's prefix, asked once a scenario as a caller would."""
+    prefixes = context.__dict__.setdefault("prefixes", {})
+    if context.marker not in prefixes:
+        caller = Caller(known_host=address_of(context, FIRST_HOST))
+        prefixes[context.marker] = caller.look_up()["idempotency_prefix"]
+    return prefixes[context.marker]
+
+
+def pay(context, name, text, *, host=FIRST_HOST, fault="", amount=40):
+    headers = {"Idempotency-Key": f"{prefix(context)}{context.marker}{text}"}
+    if fault:
+        headers["Trial"] = fault
+    caller = caller_of(context, name)
+    reply = caller.send(
+        "POST",
+        f"/payments/1?m={context.marker}",
+        host=address_of(context, host),
+        headers=headers,
+        body=f"ron {amount}".encode(),
+        timeout=15.0,
+    )
+    context.replies.append(reply)
+    return reply
+
+
+@when(
+    '"{name:Quoted}" starts paying with key "{text:Quoted}" at host '
+    '"{host:Quoted}" and waits for "{fault:Quoted}"'
+)
+def step_pay_background(context, name, text, host, fault):
+    def run():
+        try:
+            pay(context, name, text, host=host, fault=fault)
+        except urllib3.exceptions.HTTPError:
+            # The host is killed in this scenario: the answer is lost with it.
+            return
+
+    context.thread = threading.Thread(target=run)
+    context.thread.start()
+    wait_until(lambda: runs_of_marker(context) == 1, what="the payment", timeout=10)
+
+
+@when('"{name:Quoted}" pays with the plain key "{text:Quoted}"')
+def step_pay_plain(context, name, text):
+    caller = caller_of(context, name)
+    reply = caller.send(
+        "POST",
+        f"/payments/1?m={context.marker}",
+        headers={"Idempotency-Key": text},
+        body=b"ron 40",
+    )
+    context.replies.append(reply)
+
+
+@then("both answers are the same")
+def step_same_answers(context):
+    first, second = context.replies[-2:]
+    assert (first.status, first.body) == (second.status, second.body)
+
+
+@then("all answers of 200 are the same")
+def step_all_same(context):
+    bodies = {reply.body for reply in context.replies if reply.status == 200}
+    assert len(bodies) == 1, bodies
+
+
+@when(
+    '"{name:Quoted}" keeps sending "{request:Quoted}" to host "{host:Quoted}" '
+    "until refused"
+)
+def step_until_refused_at(context, name, request, host):
+    started = time.monotonic()
+    wait_until(
+        lambda: send(context, name, request, host=host).refused,
+        what="refusal",
+        timeout=20,
+    )
+    context.refused_after = time.monotonic() - started
+
+
+@when('"{name:Quoted}" keeps sending "{request:Quoted}" until answered')
+def step_until_answered(context, name, request):
+    wait_until(
+        lambda: send(context, name, request).status == 200, what="answer", timeout=20
+    )
+
+
+@when('"{name:Quoted}" sends "{request:Quoted}" to host "{host:Quoted}" as it wakes')
+def step_send_as_it_wakes(context, name, request, host):
+    """Queue requests at the frozen host, so that they are the first that it reads."""
+    context.runs_before = runs_of_marker(context)
+    context.late = []
+    threads = [
+        threading.Thread(
+            target=lambda: context.late.append(
+                caller_of(context, name).send(
+                    "GET",
+                    f"/slots/1?m={context.marker}",
+                    host=address_of(context, host),
+                    timeout=20,
+                )
+            )
+        )
+        for _ in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    context.fleet[host].wake()
+    for thread in threads:
+        thread.join()
+
+
+@then("no answer was 200 and no target saw the later requests")
+def step_no_late_answer(context):
+    statuses = [reply.status for reply in context.late]
+    assert len(statuses) == 8, statuses
+    assert 200 not in statuses, statuses
+    assert runs_of_marker(context) == context.runs_before
+
+
+@when(
+    '"{name:Quoted}" sends "{request:Quoted}" from every host but the coordinator '
+    "for {seconds:g} s"
+)
+def step_flood_others(context, name, request, seconds):
+    context.flood_started = time.monotonic()
+    method, path = request.split()
+    threads = [
+        threading.Thread(
+            target=flood, args=(context, name, method, path, host, seconds)
+        )
+        for host in context.fleet.members
+        if "callers" in context.fleet[host].addresses and host != context.coordinator
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    context.flood_seconds = time.monotonic() - context.flood_started
+
+
+@when('"{name:Quoted}" pays with key "{text:Quoted}" until refused')
+def step_pay_until_refused(context, name, text):
+    wait_until(lambda: pay(context, name, text).refused, what="refusal", timeout=20)
+
+
+@when('every target of "{service:Quoted}" is killed')
+def step_kill_targets(context, service):
+    for target in targets_of(context):
+        if f"-{service}-" in target.name:
+            target.kill()
--- a/src/chicoryhold/callers/forwarding.py
+++ b/src/chicoryhold/callers/forwarding.py
@@ -38,6 +38,8 @@
 class _Progress:
     tries: int = 0
     avoid: tuple[str, ...] = ()
+    failure: Err[Refusal] | None = None
+    is_last: bool = False
 
 
 class Forwarder:
@@ -64,6 +66,7 @@
             outcome = self._try(job, progress)
             if outcome.is_ok() or not self._may_retry(job, progress, outcome):
                 return outcome
+            progress.failure = outcome
 
     def _try(self, job: Job, progress: _Progress) -> Result[TargetAnswer, Refusal]:
         admit = Admit(
@@ -75,9 +78,9 @@
         )
         answer = self._admission.admit(admit, deadline=job.deadline)
         if isinstance(answer, NotAdmitted):
-            # Nothing more to try with: the coordinator has waited already.
-            progress.tries = MOST_TRIES
-            return Err(_refused_admission(answer))
+            progress.is_last = True
+            # Without another target, what the first one did is the better answer.
+            return progress.failure or Err(_refused_admission(answer))
         progress.tries += 1
         progress.avoid += (answer.address,)
         return self._exchange(job, answer, progress)
@@ -116,7 +119,9 @@
         return now + (job.deadline - now) / 2
 
     def _may_retry(self, job: Job, progress: _Progress, outcome: Err[Refusal]) -> bool:
-        if progress.tries >= MOST_TRIES or self._clock.now() >= job.deadline:
+        if progress.is_last or progress.tries >= MOST_TRIES:
+            return False
+        if self._clock.now() >= job.deadline:
             return False
         not_run = outcome.err_value.ran is Ran.NOT_RUN
         if job.request.once and not not_run:
--- a/src/chicoryhold/limits/budget.py
+++ b/src/chicoryhold/limits/budget.py
@@ -152,10 +152,18 @@
         self._lent[borrower] = part
         self._clip()
 
-    def borrow(self, *, lender: str, offer: LoanOffer, until: float, now: float):
-        """Use what ``lender`` lent; ``until`` counts from when it was asked for."""
+    def borrow(
+        self, *, lender: str, offer: LoanOffer, until: float, now: float
+    ) -> None:
+        """Use what ``lender`` lent; ``until`` counts from when it was asked for.
+
+        An answer that a later one has overtaken is dropped with its tokens: the
+        later one gave the capacity already, so tokens still on their way would come
+        on top of a bucket that may be full.
+        """
         self.advance(now)
-        if until <= now:
+        known = self._borrowed.get(lender)
+        if until <= now or (known is not None and until < known.until):
             return
         self._borrowed[lender] = Part(
             capacity=offer.capacity, rate=offer.rate, until=until
@@ -166,7 +174,7 @@
     def _lendable(self) -> float:
         lent = sum(part.capacity for part in self._lent.values())
         own_need = self.demand * RESERVE_SECONDS
-        return self._base_capacity - lent - math.ceil(own_need)
+        return self._base_capacity - lent - round(own_need)
 
     def _sum(self, field: str) -> float:
         borrowed = sum(getattr(part, field) for part in self._borrowed.values())
--- a/src/chicoryhold/steering/admission_client.py
+++ b/src/chicoryhold/steering/admission_client.py
@@ -26,6 +26,7 @@
 RETRY_PAUSE = 0.05
 GRANT_LIFETIME = 1.0
 ANNOUNCE_TIMEOUT = 2.0
+PATIENCE_PART = 0.9
 NO_COORDINATOR = "no_coordinator"
 
 
@@ -54,7 +55,8 @@
             if not asked:
                 time.sleep(RETRY_PAUSE)
                 continue
-            request = attrs.evolve(request, patience=deadline - now)
+            patience = PATIENCE_PART * (deadline - now)
+            request = attrs.evolve(request, patience=patience)
             answer = self._ask(asked, request, deadline)
             if isinstance(answer, Admitted) and self._is_fresh(answer, now):
                 self._hold(answer, asked)
--- a/src/chicoryhold/steering/coordinator.py
+++ b/src/chicoryhold/steering/coordinator.py
@@ -261,7 +261,7 @@
         queue = self._queues.get(service)
         if not queue and self._try_grant(waiting):
             return
-        if not self._targets.serves(service):
+        if not self._targets.serves(service, waiting.request.avoid):
             self._give_up(waiting, NO_TARGET, RETRY_AFTER_NO_TARGET)
             return
         if queue is None:
--- a/src/chicoryhold/steering/targets.py
+++ b/src/chicoryhold/steering/targets.py
@@ -86,11 +86,13 @@
             return None
         return min(free, key=_relative_use)
 
-    def serves(self, service: str) -> bool:
+    def serves(self, service: str, avoid: tuple[str, ...]) -> bool:
         """Return whether any target of the service may get work once it has room."""
         now = self._clock.now()
-        targets = self._services.get(service, ())
-        return any(self._is_member(target, now) for target in targets)
+        return any(
+            self._is_member(target, now) and target.address not in avoid
+            for target in self._services.get(service, ())
+        )
 
     def occupy(self, target: Target) -> None:
         target.in_use += 1
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,135 @@
+"""Small fakes at the interfaces of the decision classes."""
+
+from __future__ import annotations
+
+from random import Random
+
+import attrs
+
+from chicoryhold.consensus.effects import Apply, SaveEntries, SaveSnapshot, Send
+from chicoryhold.consensus.log import Log
+from chicoryhold.consensus.messages import Entry, Members, Snapshot, Vote
+from chicoryhold.consensus.replica import Replica, Role
+from tests.conftest import FakeClock
+
+
+@attrs.define(kw_only=True)
+class Disk:
+    """What a replica has synced."""
+
+    vote: Vote
+    log: Log
+
+    def copy(self) -> Disk:
+        log = Log(snapshot=self.log.snapshot)
+        entries = self.log.slice(self.log.first_index, limit=self.log.last_index)
+        if entries:
+            log.write(entries)
+        return Disk(vote=self.vote, log=log)
+
+
+class Group:
+    """Replicas joined by a network that loses, delays and cuts."""
+
+    def __init__(self, *, seed: int, voters: tuple[str, ...]) -> None:
+        self.random = Random(seed)
+        self.clock = FakeClock()
+        self.disks: dict[str, Disk] = {}
+        self.replicas: dict[str, Replica] = {}
+        self.applied: dict[str, list[Entry]] = {}
+        self.cut: set[str] = set()
+        self.deaf: set[str] = set()
+        self.loss = 0.0
+        self.hold = 0.0
+        self._network: list[Send] = []
+        for name in voters:
+            self.start(name, founders=Members(voters=voters))
+
+    def start(self, name: str, *, founders: Members) -> None:
+        """Start a replica from its disk, or from an empty one."""
+        empty = Snapshot(index=0, term=0, members=founders, data=b"")
+        disk = self.disks.setdefault(name, Disk(vote=Vote(), log=Log(snapshot=empty)))
+        copy = disk.copy()
+        self.replicas[name] = Replica(
+            identity=name,
+            log=copy.log,
+            vote=copy.vote,
+            clock=self.clock,
+            random=Random(self.random.random()),
+        )
+        self.applied[name] = []
+
+    def crash(self, name: str) -> None:
+        """End a replica; its disk keeps what was synced."""
+        self.replicas.pop(name, None)
+
+    def wipe(self, name: str) -> None:
+        """End a replica and lose its disk."""
+        self.crash(name)
+        del self.disks[name]
+
+    def run(self, seconds: float) -> None:
+        """Let time pass in small steps, each with deliveries in random order."""
+        for _ in range(int(seconds / 0.05)):
+            self.clock.advance(0.05)
+            for name in list(self.replicas):
+                self.replicas[name].tick()
+                self.settle(name)
+            self.deliver()
+
+    def deliver(self) -> None:
+        for _ in range(3):
+            sent, self._network = self._network, []
+            self.random.shuffle(sent)
+            for message in sent:
+                if self.random.random() < self.hold:
+                    self._network.append(message)
+                else:
+                    self._deliver_one(message)
+
+    def propose(self, name: str, command: bytes) -> int:
+        index = self.replicas[name].propose(command)
+        self.settle(name)
+        return index
+
+    def settle(self, name: str) -> None:
+        """Run the effects of one replica."""
+        replica = self.replicas[name]
+        while effects := replica.take():
+            for effect in effects:
+                self._run_effect(name, effect)
+
+    def leader(self) -> str | None:
+        """The leader with the highest term, if any."""
+        leaders = [r for r in self.replicas.values() if r.role is Role.LEADER]
+        return max(leaders, key=lambda r: r.term).identity if leaders else None
+
+    def wait_for_leader(self) -> str:
+        for _ in range(400):
+            self.run(0.05)
+            leader = self.leader()
+            if leader and self.replicas[leader].confirmed_at > 0:
+                return leader
+        raise AssertionError("no leader was elected in 20 s of fake time")
+
+    def _run_effect(self, name: str, effect: object) -> None:
+        disk = self.disks[name]
+        match effect:
+            case SaveEntries(entries=entries):
+                disk.log.write(entries)
+            case SaveSnapshot(snapshot=snapshot):
+                disk.log.compact(snapshot)
+            case Send():
+                blocked = name in self.cut or effect.to in self.cut
+                if not blocked and self.random.random() >= self.loss:
+                    self._network.append(effect)
+            case Apply(entry=entry):
+                self.applied[name].append(entry)
+            case _:
+                if hasattr(effect, "vote"):
+                    disk.vote = effect.vote
+
+    def _deliver_one(self, send: Send) -> None:
+        if send.to in self.replicas and send.to not in self.cut | self.deaf:
+            self.replicas[send.to].receive(send.message)
+            self.settle(send.to)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,180 @@
+"""Rates and bursts over failure domains, against a plain check of every window."""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import given, settings, strategies as st
+
+from chicoryhold.hosts.messages import BorrowReply, BorrowRequest, Ledger
+from chicoryhold.limits.budget import Budget, LoanOffer
+from chicoryhold.limits.domain_limits import DomainLimits
+from chicoryhold.limits.shares import share_of
+from chicoryhold.state.table import OrganisationLimits
+from tests.conftest import FakeClock
+
+DOMAINS = ("a1", "a2", "b1", "b2", "c1", "c2")
+
+
+class Fleet:
+    """One coordinator's limits in each domain; messages are lost, late or cut."""
+
+    def __init__(self, *, seed: int, rate: float, burst: int) -> None:
+        self.random = Random(seed)
+        self.clock = FakeClock()
+        self.limits = OrganisationLimits(rate=rate, burst=burst)
+        self.domains = {name: self.create(name) for name in DOMAINS}
+        self.spent: list[float] = []
+        self.asked = 0
+        self.flying: list[tuple[float, str, str, BorrowReply, float]] = []
+
+    def create(self, name: str) -> DomainLimits:
+        return DomainLimits(
+            domain=name,
+            domains=DOMAINS,
+            limits_of=lambda _: self.limits,
+            clock=self.clock,
+        )
+
+    def request(self, domain: str, *, loss: float, delay: float) -> bool:
+        self.asked += 1
+        limits = self.domains[domain]
+        taken = limits.take("org")
+        if not taken and limits.may_borrow("org"):
+            self.borrow(domain, loss=loss, delay=delay)
+            taken = limits.take_again("org")
+        if taken:
+            self.spent.append(self.clock.now())
+        return taken
+
+    def borrow(self, domain: str, *, loss: float, delay: float) -> None:
+        limits = self.domains[domain]
+        request = BorrowRequest(
+            organisation="org", domain=domain, wanted=limits.wanted("org")
+        )
+        sent_at = self.clock.now()
+        for lender in limits.other_domains:
+            if self.random.random() < loss:
+                continue
+            reply = self.domains[lender].lend(request)
+            if self.random.random() >= loss:
+                arrival = sent_at + self.random.random() * delay
+                self.flying.append((arrival, domain, lender, reply, sent_at))
+        self.land()
+        limits.borrow_ended("org", gained=True)
+
+    def land(self) -> None:
+        """Deliver the replies that are due."""
+        now = self.clock.now()
+        due = [entry for entry in self.flying if entry[0] <= now]
+        self.flying = [entry for entry in self.flying if entry[0] > now]
+        for _, domain, lender, reply, sent_at in due:
+            self.domains[domain].borrow(
+                "org", lender=lender, reply=reply, sent_at=sent_at
+            )
+
+    def fail_over(self, domain: str) -> None:
+        """A new coordinator starts from the ledger of the one before."""
+        ledger_loans = self.domains[domain].loans()
+        self.domains[domain] = self.create(domain)
+        self.domains[domain].restore(Ledger(loans=ledger_loans))
+
+    def worst_excess(self) -> float:
+        """Return by how many requests any window was above burst + rate x window."""
+        worst = 0.0
+        for first, start in enumerate(self.spent):
+            for last in range(first, len(self.spent)):
+                window = self.spent[last] - start
+                allowed = self.limits.burst + self.limits.rate * window
+                worst = max(worst, last - first + 1 - allowed)
+        return worst
+
+
+@settings(max_examples=150)
+@given(
+    seed=st.integers(0, 2**32),
+    rate=st.sampled_from([0.5, 5.0, 60.0]),
+    burst=st.sampled_from([1, 2, 3, 10, 45]),
+    loss=st.sampled_from([0.0, 0.3]),
+    delay=st.sampled_from([0.0, 0.06, 3.0]),
+)
+def test_no_window_exceeds_rate_and_burst_over_all_domains(
+    seed, rate, burst, loss, delay
+):
+    fleet = Fleet(seed=seed, rate=rate, burst=burst)
+    home = fleet.random.choice(DOMAINS)
+    for _ in range(300):
+        fleet.clock.advance(fleet.random.expovariate(8 * rate))
+        fleet.land()
+        if fleet.random.random() < 0.02:
+            home = fleet.random.choice(DOMAINS)
+        if fleet.random.random() < 0.01:
+            fleet.fail_over(fleet.random.choice(DOMAINS))
+        if fleet.random.random() < 0.02:
+            fleet.clock.advance(fleet.random.random() * 5)
+        fleet.request(home, loss=loss, delay=delay)
+    assert fleet.worst_excess() <= 1e-6
+
+
+def test_all_demand_in_one_domain_gets_nearly_the_whole_rate():
+    fleet = Fleet(seed=1, rate=60, burst=60)
+    fleet.clock.advance(5)
+    answered = 0
+    for _ in range(2000):
+        fleet.clock.advance(1 / 54)
+        for organisation in fleet.domains["a1"].due_renewals():
+            assert organisation == "org"
+            fleet.borrow("a1", loss=0, delay=0)
+        answered += fleet.request("a1", loss=0, delay=0)
+    assert answered == 2000
+
+
+def test_single_token_of_the_fleet_is_reached_from_every_domain():
+    fleet = Fleet(seed=1, rate=1, burst=1)
+    for domain in DOMAINS * 3:
+        fleet.clock.advance(4)
+        assert fleet.request(domain, loss=0, delay=0)
+
+
+def test_lent_part_is_unusable_until_the_borrower_can_no_longer_spend_it():
+    fleet = Fleet(seed=1, rate=10, burst=6)
+    fleet.clock.advance(5)
+    lender = fleet.domains["b1"]
+    offer = lender.lend(BorrowRequest(organisation="org", domain="a1", wanted=10))
+    assert offer.capacity == 1
+    assert not lender.take("org")
+    fleet.clock.advance(offer.seconds)
+    assert not lender.take("org")
+    fleet.clock.advance(1)
+    assert lender.take("org")
+
+
+def test_shares_of_all_domains_make_the_whole():
+    for burst in (1, 2, 5, 6, 7, 100):
+        limits = OrganisationLimits(rate=12, burst=burst)
+        shares = [
+            share_of(organisation="o", limits=limits, domain=d, domains=DOMAINS)
+            for d in DOMAINS
+        ]
+        assert sum(share.capacity for share in shares) == burst
+        assert abs(sum(share.rate for share in shares) - 12) < 1e-9
+
+
+def test_tokens_of_an_overtaken_answer_are_dropped():
+    clock = FakeClock()
+    budget = Budget(capacity=1, rate=2.5, now=clock.now())
+    later = LoanOffer(capacity=1, rate=2.5, tokens=0)
+    budget.borrow(lender="b1", offer=later, until=clock.now() + 2, now=clock.now())
+    overtaken = LoanOffer(capacity=1, rate=2.5, tokens=1)
+    budget.borrow(lender="b1", offer=overtaken, until=clock.now() + 1, now=clock.now())
+    assert budget.level == 0
+    assert budget.capacity == 2
+
+
+def test_lent_tokens_are_gone_from_the_lender():
+    clock = FakeClock()
+    budget = Budget(capacity=3, rate=1, now=clock.now())
+    clock.advance(1)
+    offer = budget.lend(borrower="b1", wanted=1, now=clock.now())
+    assert offer.tokens == 1
+    assert budget.level == 0
