Give loans back, ask early and wait briefly: wrongful refusals under jumping demand

Traced: a loan moved rate in proportion to capacity, so a lender could fall below its own demand; a loan held rate and tokens for 2 s in a domain that demand had left; tokens were lost at its end; and a request was refused between two rounds of asking although tokens were on their way.

Change: rate and capacity are lent apart, each only above recent demand; loans have a serial and are given back when another domain asks, when large and unneeded, and before they end, with their tokens; requests about loans carry a sequence, and answers from before a give-back are dropped; a domain asks at a request, before tokens run out; a request of an organisation within its rate waits up to 0.25 s for tokens.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -253,9 +253,9 @@
         domains=("d1", "d2"),
         limits_of=lambda _: OrganisationLimits(rate=1e6, burst=1_000_000),
         clock=clock,
+        epoch=1,
     )
     coordinator = Coordinator(
-        domain="d1",
         epoch=1,
         limits=limits,
         targets=TargetRegistry(clock=clock),
@@ -354,8 +354,12 @@
     messages = {
         "hello": Hello(host="north-a-117"),
         "announcement": announcement(1),
-        "borrow request": BorrowRequest(organisation="o", domain="north-a", wanted=3),
-        "borrow reply": BorrowReply(capacity=3, rate=5, tokens=3, seconds=2),
+        "borrow request": BorrowRequest(
+            organisation="o", domain="north-a", sequence=2**40, capacity=3, rate=5
+        ),
+        "borrow reply": BorrowReply(
+            capacity=3, rate=5, tokens=3, seconds=2, serial=str(2**40)
+        ),
         "fetch without reports": FetchChanges(after=10**6),
         "fetch with 63 reports": FetchChanges(after=10**6, reports=reports),
     }
--- a/features/promise_12_configuration.feature
+++ b/features/promise_12_configuration.feature
@@ -45,8 +45,7 @@
   Scenario: Restart after 500 changes, through a snapshot
     When an operator creates organisation "org-before" with request id "snapshot-1"
     And 500 changes are made under the name "bulk"
-    And the control leader is killed
-    And the killed replica is started again
+    And every control replica is killed and started again
     Then all 500 organisations named "bulk" exist
     And the change is in force everywhere within 8 s
     When an operator creates organisation "org-before" with request id "snapshot-1"
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -231,3 +231,13 @@
     revisions = {row["domain"]: row["revision"] for row in rows["domains"]}
     domain = host.rpartition("-")[0]
     assert revisions[domain] >= context.outcome["revision"], rows
+
+
+@when("every control replica is killed and started again")
+def step_restart_control(context):
+    for name in control_names(context):
+        context.fleet[name].kill()
+    for name in control_names(context):
+        context.fleet[name].start()
+    for name in control_names(context):
+        context.fleet.wait_ready(context.fleet[name])
--- /dev/null
+++ b/features/steps/start_up.py
@@ -0,0 +1,129 @@
+"""Steps of settings, errors at the start, and lost processes."""
+
+from __future__ import annotations
+
+import subprocess
+import threading
+import time
+
+import urllib3
+from behave import then, when
+
+from chicoryhold.trial.fleet import wait_until
+from features.support import address_of, caller_of
+
+ENTRY_SETTINGS = """name = 'x'
+domain = 'd'
+callers_address = '127.0.0.1:7100'
+metrics_address = '127.0.0.1:0'
+announcement_token = 't'
+caller_threads = 4
+[transport]
+address = '127.0.0.1:0'
+key_folder = 'keys'
+[replicas]
+control-1 = '127.0.0.1:1'
+[domains.d]
+region = 'r'
+hosts = {x = '127.0.0.1:2'}
+callers = {x = '127.0.0.1:3'}
+[log]
+level = 'INFO'
+"""
+
+
+def start(context, program, text):
+    """Run a program that is expected to end at once."""
+    path = context.folder / f"{context.marker}.toml"
+    path.write_text(text)
+    script = context.fleet["control-1"].command[0].rpartition("/")[0]
+    command = [f"{script}/{program}", f"--settings={path}"]
+    context.ended = subprocess.run(command, capture_output=True, text=True, timeout=30)
+
+
+@when('an entry host is started with "{old:Quoted}" changed to "{new:Quoted}"')
+def step_start_entry(context, old, new):
+    assert old in ENTRY_SETTINGS
+    start(context, "chicoryhold-entry", ENTRY_SETTINGS.replace(old, new))
+
+
+@when('a control replica is started with heartbeat "{value:Quoted}"')
+def step_start_control(context, value):
+    text = (context.folder / "control-1.toml").read_text()
+    start(context, "chicoryhold-control", f'heartbeat = "{value}"\n{text}')
+
+
+@when("a control replica is started on an address that is in use")
+def step_start_in_use(context):
+    text = (context.folder / "control-1.toml").read_text()
+    other = context.folder / "data" / "unused"
+    start(
+        context,
+        "chicoryhold-control",
+        text.replace(str(context.folder / "data" / "control-1"), str(other)),
+    )
+
+
+@then('it ends with one line that has "{key:Quoted}" and "{remedy:Quoted}"')
+def step_one_line(context, key, remedy):
+    lines = context.ended.stderr.splitlines()
+    assert context.ended.returncode != 0
+    assert len(lines) == 1, lines
+    assert key in lines[0] and remedy in lines[0], lines[0]
+
+
+@when('"{name:Quoted}" keeps every other host busy while "{victim:Quoted}" is killed')
+def step_busy_while_killed(context, name, victim):
+    done = threading.Event()
+    hosts = [
+        host
+        for host, member in context.fleet.members.items()
+        if "callers" in member.addresses and host != victim
+    ]
+
+    def run(host):
+        caller = caller_of(context, name)
+        while not done.wait(0.02):
+            caller.send("GET", "/slots/1", host=address_of(context, host))
+
+    threads = [threading.Thread(target=run, args=(host,)) for host in hosts]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    context.fleet[victim].kill()
+    time.sleep(1)
+    done.set()
+    for thread in threads:
+        thread.join()
+
+
+@then('the change is in force everywhere but at "{name:Quoted}"')
+def step_in_force_elsewhere(context, name):
+    revision = context.outcome["revision"]
+
+    def others_have_it() -> bool:
+        rows = context.fleet.operate("in-force")["domains"]
+        return all(row["revision"] >= revision for row in rows) or all(
+            row["revision"] >= revision or row["silent"] == [name] for row in rows
+        )
+
+    wait_until(others_have_it, what="the change in force", timeout=8)
+
+
+@when('"{name:Quoted}" is started')
+def step_start(context, name):
+    context.fleet[name].start()
+
+
+@then('"{name:Quoted}" is answered at "{host:Quoted}" within {seconds:g} s')
+def step_answered_at(context, name, host, seconds):
+    caller = caller_of(context, name)
+
+    def answered() -> bool:
+        try:
+            reply = caller.send("GET", "/slots/1", host=address_of(context, host))
+        except urllib3.exceptions.HTTPError:
+            return False
+        return reply.status == 200
+
+    wait_until(answered, what="an answer", timeout=seconds)
--- a/features/steps/steering.py
+++ b/features/steps/steering.py
@@ -5,9 +5,10 @@
 import threading
 import time
 
+import urllib3
 from behave import given, then, when
 
-from chicoryhold.trial.caller import Caller
+from chicoryhold.trial.caller import Caller, Reply
 from chicoryhold.trial.fleet import wait_until
 from features.support import (
     address_of,
@@ -203,7 +204,9 @@
 
 @given('another target of "{service:Quoted}" in "{domain:Quoted}"')
 def step_another_target(context, service, domain):
-    context.other = context.fleet.add_target(domain=domain, service=service)
+    context.other = context.fleet.add_target(
+        domain=domain, service=service, options=("--linger=20",)
+    )
     context.add_cleanup(remove_target, context)
     context.fleet.wait_target(context.other)
     caller = Caller(known_host=address_of(context, hosts_of(context, domain)[0]))
@@ -272,9 +275,8 @@
 
 
 def count_at_other(context):
-    """Count what ran there; a target that has drained and ended gets nothing."""
-    if not context.other.running:
-        return 0
+    """Count what ran at the other target, which stays up after it has drained."""
+    assert context.other.running
     return len(context.fleet.seen(context.other)["requests"])
 
 
@@ -315,12 +317,16 @@
 )
 def step_in_flight(context, count, name, seconds, host):
     def run(number):
-        reply = caller_of(context, name).send(
-            "GET",
-            f"/slots/1?m={context.marker}",
-            host=address_of(context, host),
-            headers={"Trial": f"slow {seconds}"},
-        )
+        try:
+            reply = caller_of(context, name).send(
+                "GET",
+                f"/slots/1?m={context.marker}",
+                host=address_of(context, host),
+                headers={"Trial": f"slow {seconds}"},
+            )
+        except urllib3.exceptions.HTTPError as error:
+            fields = {"cut off": str(error)}
+            reply = Reply(status=0, headers={}, fields=fields, body=b"")
         context.replies.append(reply)
 
     context.in_flight = in_threads(count, run)
--- a/src/chicoryhold/callers/app.py
+++ b/src/chicoryhold/callers/app.py
@@ -12,15 +12,17 @@
 import msgspec
 from result import Err, Ok
 
-from chicoryhold.callers.refusals import Ran, Refusal
+from chicoryhold.callers.refusals import Ran, Refusal, RefusalKind
 from chicoryhold.callers.request import read_request
 from chicoryhold.callers.service import CallerService, Outcome
 from chicoryhold.errors import RequestRefused
 from chicoryhold.hosts.messages import Announcement
+from chicoryhold.http_server import QUEUED_REQUESTS
 from chicoryhold.steering.admission_client import AdmissionClient
 from chicoryhold.steering.lookup import Lookup
 
 LOOKUP_PATH = "/v1/entry-hosts"
+MOST_QUEUED = 200
 ANNOUNCEMENT_PATH = "/v1/announcements"
 _DROPPED_FROM_ANSWERS = frozenset(
     {
@@ -30,6 +32,15 @@
 )  # fmt: skip
 
 
+# An idempotency key hasn't been looked at yet, so nothing is said of earlier tries.
+_TOO_MANY_WAIT = Refusal(
+    kind=RefusalKind.OVERLOADED,
+    ran=Ran.UNKNOWN,
+    message="too many requests wait at this host: use another entry host",
+    retry_after=1.0,
+)
+
+
 @attrs.frozen(kw_only=True)
 class _Reply:
     status: int
@@ -97,6 +108,9 @@
         return _json_reply(200, msgspec.json.encode(reply))
 
     def _serve(self, environ: Mapping[str, object]) -> _Reply:
+        if environ.get(QUEUED_REQUESTS, 0) > MOST_QUEUED:
+            # Refusing takes microseconds, so the queue is soon short again.
+            return _refusal_reply(_TOO_MANY_WAIT)
         try:
             outcome = self._service.serve(read_request(environ))
         except RequestRefused as error:
--- a/src/chicoryhold/callers/service.py
+++ b/src/chicoryhold/callers/service.py
@@ -64,6 +64,9 @@
 
     def _authorize(self, caller: CallerRequest) -> Result[_Work, Refusal]:
         started = self._clock.now()
+        if self._follower.state.revision == 0:
+            message = "this host has no configuration yet: ask another entry host"
+            return Err(_not_run(RefusalKind.NOT_READY, message))
         route = self._follower.state.table.route_for(caller.path)
         if route is None:
             message = f"no route for {caller.path!r}: look at the table's routes"
--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -22,7 +22,7 @@
 from chicoryhold.hosts.actors import Asked, OwningActor, Tick
 from chicoryhold.hosts.bus import Bus
 
-FETCH_TIMEOUT = 2.0
+FETCH_TIMEOUT = 1.5
 RETRY_PAUSE = 0.1
 STALE_SOURCE_AGE = 3.0
 REPORT_MEMORY = 10.0
@@ -190,5 +190,7 @@
     """
     others = tuple(name for name in domain_hosts if name != host)
     if host in domain_hosts[:relays]:
-        return replicas + others
+        # A neighbour comes second: a host that starts in a domain that is cut off
+        # finds it before it has waited for every control replica.
+        return replicas[:1] + others[:1] + replicas[1:] + others[1:]
     return others[:relays] + replicas + others[relays:]
--- a/src/chicoryhold/hosts/messages.py
+++ b/src/chicoryhold/hosts/messages.py
@@ -134,6 +134,7 @@
 
     organisation: str
     borrower: str
+    serial: str
     capacity: float
     rate: float
     remaining: float
@@ -258,18 +259,40 @@
 
 @message
 class BorrowRequest:
-    """Asks another domain's coordinator for part of an organisation's budget."""
+    """Asks another domain's coordinator for part of an organisation's budget.
+
+    ``sequence`` grows with each message about loans from one domain.
+    """
 
     organisation: str
     domain: str
-    wanted: float
+    sequence: int
+    capacity: float
+    rate: float
 
 
 @message
 class BorrowReply:
-    """What is lent, with tokens that come at once; nothing if ``capacity`` is 0."""
+    """The whole loan from now on, with tokens that come at once.
+
+    Nothing is lent if ``seconds`` is 0.
+    """
 
+    capacity: float = 0.0
+    rate: float = 0.0
+    tokens: float = 0.0
+    seconds: float = 0.0
+    serial: str = ""
+
+
+@message
+class LoanGivenBack:
+    """The borrower has given up this part of the loan ``serial``."""
+
+    organisation: str
+    domain: str
+    sequence: int
+    serial: str
     capacity: float
     rate: float
     tokens: float
-    seconds: float
--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -12,6 +12,12 @@
 
 from chicoryhold.errors import AddressInUse
 
+QUEUED_REQUESTS = "chicoryhold.queued_requests"
+CONNECTION_LIMIT = 1_000
+CONNECTION_IDLE_SECONDS = 30
+LARGEST_HEADERS = 65_536
+LARGEST_BODY = 1_048_576
+
 
 def never() -> bool:
     """Return false: the default for a server that keeps its connections."""
@@ -21,11 +27,19 @@
 def _channel_class(closing: Callable[[], bool]) -> type[HTTPChannel]:
     """Return a channel that closes after each answer while ``closing()`` is true.
 
+    The application finds under ``QUEUED_REQUESTS`` how many requests wait for a
+    thread, which waitress itself doesn't bound.
+
     WSGI forbids an application to send the Connection header, and waitress answers
     500 if it does, so the wish has to come from below the application.
     """
 
     class Task(WSGITask):
+        def get_environment(self) -> dict:
+            environ = super().get_environment()
+            environ[QUEUED_REQUESTS] = len(self.channel.server.task_dispatcher.queue)
+            return environ
+
         def build_response_header(self) -> bytes:
             if closing():
                 self.request.headers["CONNECTION"] = "close"
@@ -54,9 +68,10 @@
             threads=threads,
             ident=None,
             clear_untrusted_proxy_headers=True,
-            channel_timeout=30,
-            max_request_header_size=65_536,
-            max_request_body_size=1_048_576,
+            connection_limit=CONNECTION_LIMIT,
+            channel_timeout=CONNECTION_IDLE_SECONDS,
+            max_request_header_size=LARGEST_HEADERS,
+            max_request_body_size=LARGEST_BODY,
         )
     except OSError as error:
         raise AddressInUse(
--- a/src/chicoryhold/limits/domain_limits.py
+++ b/src/chicoryhold/limits/domain_limits.py
@@ -2,20 +2,26 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Iterable
 
 import attrs
 
 from chicoryhold.clock import Clock
-from chicoryhold.hosts.messages import BorrowReply, BorrowRequest, Ledger, Loan
-from chicoryhold.limits.budget import LOAN_SECONDS, Budget, LoanOffer, Part
+from chicoryhold.hosts.messages import (
+    BorrowReply,
+    BorrowRequest,
+    Ledger,
+    Loan,
+    LoanGivenBack,
+)
+from chicoryhold.limits.budget import LOAN_SECONDS, Budget, LoanOffer, Part, Wanted
 from chicoryhold.limits.shares import share_of
 from chicoryhold.state.table import OrganisationLimits
 
-BORROW_PAUSE_FIRST = 0.05
+BORROW_PAUSE_FIRST = 0.02
 BORROW_PAUSE_LAST = 1.0
-DEMAND_HEADROOM = 1.2
+SEQUENCE_BITS = 32
+LARGE_LOAN_REQUESTS = 8
 
 LimitsOf = Callable[[str], OrganisationLimits]
 
@@ -33,7 +39,7 @@
 
     def __init__(
         self, *, domain: str, domains: tuple[str, ...], limits_of: LimitsOf,
-        clock: Clock,
+        clock: Clock, epoch: int,
     ) -> None:  # fmt: skip
         self._domain = domain
         self._domains = domains
@@ -43,6 +49,9 @@
         self._budgets: dict[str, Budget] = {}
         self._limits: dict[str, OrganisationLimits] = {}
         self._borrowing: dict[str, _Borrowing] = {}
+        # Messages of a later coordinator count as later ones.
+        self._sequence = epoch << SEQUENCE_BITS
+        self._heard: dict[tuple[str, str], int] = {}
 
     @property
     def other_domains(self) -> tuple[str, ...]:
@@ -89,14 +98,18 @@
         seconds = self.budget(organisation).seconds_to_token()
         return min(seconds, BORROW_PAUSE_LAST)
 
-    def wanted(self, organisation: str) -> float:
-        """Return how much more capacity recent demand asks for, in requests."""
+    def create_request(self, organisation: str) -> BorrowRequest:
+        """Return what to ask the other domains for."""
         budget = self.budget(organisation)
+        wanted = budget.wanted()
         limits = self._limits_of(organisation)
-        needed_part = min(1.0, DEMAND_HEADROOM * budget.demand / limits.rate)
-        target = math.ceil(limits.burst * needed_part)
-        room = limits.burst - budget.capacity
-        return min(room, max(1.0, target - budget.capacity))
+        return BorrowRequest(
+            organisation=organisation,
+            domain=self._domain,
+            sequence=self._next_sequence(),
+            capacity=max(0.0, min(wanted.capacity, limits.burst - budget.capacity)),
+            rate=max(0.0, min(wanted.rate, limits.rate - budget.rate)),
+        )
 
     def may_borrow(self, organisation: str) -> bool:
         """Return whether asking the other domains now is worth it."""
@@ -113,39 +126,106 @@
         if not gained:
             state.pause = min(2 * state.pause, BORROW_PAUSE_LAST)
 
-    def due_renewals(self) -> tuple[str, ...]:
-        """Return organisations whose borrowed parts are needed and end soon."""
+    def should_borrow(self, organisation: str) -> bool:
+        """Return whether to ask now, at a request, before a later one has to wait.
+
+        That is when loans are needed and end soon, or tokens run low. Never ask by
+        time alone: a domain that demand has just left would take loans from the one
+        that it has gone to.
+        """
+        budget = self.budget(organisation)
+        if not budget.needs_loans() or not self.may_borrow(organisation):
+            return False
         now = self._clock.now()
-        return tuple(
-            organisation
-            for organisation, budget in self._budgets.items()
-            if self._needs_renewal(organisation, budget, now)
-        )
+        ends = [part.until for part in budget.borrowed.values()]
+        ends_soon = bool(ends) and min(ends) - now < LOAN_SECONDS / 2
+        return ends_soon or budget.is_running_low()
 
     def lend(self, request: BorrowRequest) -> BorrowReply:
         """Return what this domain lends."""
+        if not self._is_next(request.organisation, request.domain, request.sequence):
+            return BorrowReply()
         offer = self.budget(request.organisation).lend(
-            borrower=request.domain, wanted=request.wanted, now=self._clock.now()
+            borrower=request.domain,
+            wanted=Wanted(capacity=request.capacity, rate=request.rate),
+            now=self._clock.now(),
+            serial=str(self._next_sequence()),
         )
         if offer is None:
-            return BorrowReply(capacity=0, rate=0, tokens=0, seconds=0)
-        return BorrowReply(
-            capacity=offer.capacity,
-            rate=offer.rate,
-            tokens=offer.tokens,
-            seconds=LOAN_SECONDS,
-        )
+            return BorrowReply()
+        return BorrowReply(**attrs.asdict(offer))
 
     def borrow(
         self, organisation: str, *, lender: str, reply: BorrowReply, sent_at: float
     ) -> None:
         """Use what ``lender`` answered to a request sent at ``sent_at``."""
-        if reply.capacity <= 0:
+        if reply.seconds <= 0:
             return
-        offer = LoanOffer(capacity=reply.capacity, rate=reply.rate, tokens=reply.tokens)
-        until = sent_at + min(reply.seconds, LOAN_SECONDS)
+        offer = LoanOffer(
+            capacity=reply.capacity,
+            rate=reply.rate,
+            tokens=reply.tokens,
+            seconds=reply.seconds,
+            serial=reply.serial,
+        )
         budget = self.budget(organisation)
-        budget.borrow(lender=lender, offer=offer, until=until, now=self._clock.now())
+        budget.borrow(
+            lender=lender, offer=offer, sent_at=sent_at, now=self._clock.now()
+        )
+
+    def give_back(
+        self, organisation: str, *, unneeded: bool = True
+    ) -> list[tuple[str, LoanGivenBack]]:
+        """Give up loans; returns the messages to tell, by lender.
+
+        Without a domain that asks, only loans about to end are given back: a small
+        organisation would otherwise borrow anew for every request.
+        """
+        now = self._clock.now()
+        given = self.budget(organisation).give_back(now, unneeded=unneeded)
+        return [
+            (
+                part.lender,
+                LoanGivenBack(
+                    organisation=organisation,
+                    domain=self._domain,
+                    sequence=self._next_sequence(),
+                    serial=part.serial,
+                    capacity=part.capacity,
+                    rate=part.rate,
+                    tokens=part.tokens,
+                ),
+            )
+            for part in given
+        ]
+
+    def give_back_ending(self) -> list[tuple[str, LoanGivenBack]]:
+        """Give up loans that are about to end, and large ones that are unneeded."""
+        return [
+            message
+            for organisation, budget in self._budgets.items()
+            if budget.borrowed
+            for message in self.give_back(organisation, unneeded=_is_large(budget))
+        ]
+
+    def take_back(self, word: LoanGivenBack) -> None:
+        """Count what another domain gave back."""
+        if not self._is_next(word.organisation, word.domain, word.sequence):
+            return
+        self.budget(word.organisation).take_back(
+            borrower=word.domain,
+            serial=word.serial,
+            capacity=word.capacity,
+            rate=word.rate,
+            tokens=word.tokens,
+            now=self._clock.now(),
+        )
+
+    def is_above_rate(self, organisation: str) -> bool:
+        """Whether recent demand here alone is above the organisation's whole rate."""
+        limits = self._limits_of(organisation)
+        budget = self.budget(organisation)
+        return budget.demand > max(limits.rate, limits.burst)
 
     def loans(self) -> tuple[Loan, ...]:
         """Return every loan out, for the ledger."""
@@ -154,6 +234,7 @@
             Loan(
                 organisation=organisation,
                 borrower=borrower,
+                serial=part.serial,
                 capacity=part.capacity,
                 rate=part.rate,
                 remaining=part.until - now,
@@ -168,7 +249,10 @@
         now = self._clock.now()
         for loan in ledger.loans:
             part = Part(
-                capacity=loan.capacity, rate=loan.rate, until=now + loan.remaining
+                capacity=loan.capacity,
+                rate=loan.rate,
+                until=now + loan.remaining,
+                serial=loan.serial,
             )
             self.budget(loan.organisation).restore_loan(loan.borrower, part)
 
@@ -179,16 +263,22 @@
             del self._limits[name]
             self._borrowing.pop(name, None)
 
-    def _needs_renewal(self, organisation: str, budget: Budget, now: float) -> bool:
-        budget.advance(now)
-        ends = [part.until for part in budget.borrowed.values()]
-        if not ends or min(ends) - now > LOAN_SECONDS / 2:
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _is_next(self, organisation: str, domain: str, sequence: int) -> bool:
+        """Whether a message about loans is newer than those heard before.
+
+        After a reconnect an old one can arrive late; what it gives back or asks for
+        has been overtaken by then.
+        """
+        if sequence <= self._heard.get((organisation, domain), 0):
             return False
-        limits = self._limits_of(organisation)
-        share = share_of(
-            organisation=organisation,
-            limits=limits,
-            domain=self._domain,
-            domains=self._domains,
-        )
-        return budget.demand > 0.8 * share.rate and self.may_borrow(organisation)
+        self._heard[organisation, domain] = sequence
+        return True
+
+
+def _is_large(budget: Budget) -> bool:
+    capacities = [part.capacity for part in budget.borrowed.values()]
+    return max(capacities) >= LARGE_LOAN_REQUESTS
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -40,6 +40,7 @@
     FinishClaim,
     Hello,
     LeaseRequest,
+    LoanGivenBack,
     RecordClaim,
     Release,
 )
@@ -237,7 +238,7 @@
     coordinator = _create_coordinator_actor(parts)
     for kind in (RecordClaim, FinishClaim, AbandonClaim, LeaseRequest):
         parts.bus.handle(kind, forward_to(replica))
-    for kind in (Admit, Release, Announcement, BorrowRequest):
+    for kind in (Admit, Release, Announcement, BorrowRequest, LoanGivenBack):
         parts.bus.handle(kind, forward_to(coordinator))
     parts.bus.handle(Hello, _hello_handler(replica, coordinator))
     stack.enter_context(running_actor(replica, interval=FOLLOWER_TICK))
@@ -276,9 +277,9 @@
         domains=tuple(parts.settings.domains),
         limits_of=lambda organisation: state.table.limits(organisation),
         clock=parts.clock,
+        epoch=epoch,
     )
     return Coordinator(
-        domain=parts.settings.domain,
         epoch=epoch,
         limits=limits,
         targets=TargetRegistry(clock=parts.clock),
--- a/src/chicoryhold/settings.py
+++ b/src/chicoryhold/settings.py
@@ -176,6 +176,12 @@
         return f"unknown setting {names}{place}: remove it, or use one of {known}"
     if isinstance(error, KeyError):
         return f"{key} is missing: add it"
+    if len(error.args) > 1 and isinstance(error.args[1], attrs.Attribute):
+        message, attribute, *_, value = error.args
+        return f"{_join(key, attribute.name)} = {value!r}: {message}"
+    if isinstance(values, dict):
+        # A whole section is not shown: it may hold secrets.
+        return f"{key}: {error.args[0]}" if key else str(error.args[0])
     return f"{key} = {values!r}: {error.args[0]}"
 
 
--- a/src/chicoryhold/steering/coordinator.py
+++ b/src/chicoryhold/steering/coordinator.py
@@ -19,6 +19,7 @@
     BorrowRequest,
     Hello,
     Ledger,
+    LoanGivenBack,
     NotAdmitted,
     Release,
 )
@@ -30,6 +31,7 @@
 QUEUE_LIMIT = 256
 TOKEN_QUEUE_LIMIT = 64
 BORROW_TIMEOUT = 0.25
+LONGEST_TOKEN_WAIT = 0.25
 GRANT_SECONDS = 60.0
 RETRY_AFTER_FULL = 0.5
 RETRY_AFTER_NO_TARGET = 1.0
@@ -73,7 +75,15 @@
     answer: BorrowReply
 
 
-Effect = AnswerRequest | AskOthers | SaveLedger | AnswerBorrower
+@attrs.frozen(kw_only=True)
+class TellLender:
+    """Tell the coordinator of the domain ``lender`` what was given back, once."""
+
+    lender: str
+    word: LoanGivenBack
+
+
+Effect = AnswerRequest | AskOthers | SaveLedger | AnswerBorrower | TellLender
 
 
 @attrs.define(kw_only=True)
@@ -112,11 +122,10 @@
     """Admission for one failure domain, for as long as the lease lasts."""
 
     def __init__(
-        self, *, domain: str, epoch: int, limits: DomainLimits,
+        self, *, epoch: int, limits: DomainLimits,
         targets: TargetRegistry, shifts: ShiftGate,
         weight_of: Callable[[str], float], clock: Clock,
     ) -> None:  # fmt: skip
-        self._domain = domain
         self._epoch = epoch
         self._limits = limits
         self._targets = targets
@@ -164,6 +173,8 @@
         elif not request.organisation or request.has_token:
             self._find_slot(waiting)
         elif self._limits.take(request.organisation):
+            if self._limits.should_borrow(request.organisation):
+                self._start_round(request.organisation)
             self._find_slot(waiting)
         else:
             self._wait_for_token(waiting)
@@ -196,15 +207,16 @@
         self._retry_tokens()
         self._refuse_late()
         self._serve_queues()
-        for organisation in self._limits.due_renewals():
-            self._start_round(organisation)
+        self._give_back(self._limits.give_back_ending())
 
     # Loans
 
     def lend(self, ticket: int, request: BorrowRequest) -> None:
         """Lend to another domain; answered once a majority knows of the loan."""
+        # Another domain is short: what isn't needed here goes back to its owners.
+        self._give_back(self._limits.give_back(request.organisation))
         answer = self._limits.lend(request)
-        if answer.capacity <= 0:
+        if answer.seconds <= 0:
             self._effects.append(AnswerBorrower(ticket=ticket, answer=answer))
             return
         self._ledger_version += 1
@@ -212,6 +224,10 @@
         self._open_loans.append(loan)
         self._effects.append(SaveLedger(ledger=self.ledger()))
 
+    def take_back(self, word: LoanGivenBack) -> None:
+        """Count what another domain gave back."""
+        self._limits.take_back(word)
+
     def on_saved(self, version: int) -> None:
         """A majority has kept the ledger of ``version``."""
         for loan in self._open_loans:
@@ -228,7 +244,7 @@
         if round_ is None or lender not in round_.missing:
             return
         round_.missing.discard(lender)
-        if reply is not None and reply.capacity > 0:
+        if reply is not None and reply.seconds > 0:
             round_.gained = True
             self._limits.borrow(
                 round_.organisation, lender=lender, reply=reply, sent_at=round_.sent_at
@@ -252,17 +268,28 @@
 
     def _wait_for_token(self, waiting: _Waiting) -> None:
         organisation = waiting.request.organisation
-        if not self._is_borrowing(organisation):
-            if not self._limits.may_borrow(organisation):
-                self._refuse_rate(waiting)
-                return
+        if self._limits.may_borrow(organisation):
             self._start_round(organisation)
+        if not self._is_worth_waiting(organisation):
+            self._refuse_rate(waiting)
+            return
         line = self._for_token.setdefault(organisation, [])
         if len(line) >= TOKEN_QUEUE_LIMIT:
             self._refuse_rate(waiting)
         else:
             line.append(waiting)
 
+    def _is_worth_waiting(self, organisation: str) -> bool:
+        """Whether tokens may come from other domains within a short time.
+
+        They may be on their way even between two rounds of asking. An organisation
+        above its whole rate is refused at once, unless a round is open.
+        """
+        if not self._limits.other_domains:
+            return False
+        borrowing = self._is_borrowing(organisation)
+        return borrowing or not self._limits.is_above_rate(organisation)
+
     def _serve_tokens(self, organisation: str) -> None:
         line = self._for_token.get(organisation, [])
         while line and self._limits.take_again(organisation):
@@ -271,6 +298,8 @@
     def _retry_tokens(self) -> None:
         for organisation in list(self._for_token):
             self._serve_tokens(organisation)
+            if self._for_token[organisation] and self._limits.may_borrow(organisation):
+                self._start_round(organisation)
 
     def _find_slot(self, waiting: _Waiting) -> None:
         service = waiting.request.service
@@ -342,7 +371,7 @@
             (organisation, waiting)
             for organisation, line in self._for_token.items()
             for waiting in line
-            if waiting.until <= now
+            if min(waiting.until, waiting.since + LONGEST_TOKEN_WAIT) <= now
         ]
 
     def _expire_grants(self) -> None:
@@ -353,6 +382,10 @@
 
     # Steps of borrowing
 
+    def _give_back(self, words: list[tuple[str, LoanGivenBack]]) -> None:
+        for lender, word in words:
+            self._effects.append(TellLender(lender=lender, word=word))
+
     def _is_borrowing(self, organisation: str) -> bool:
         return any(r.organisation == organisation for r in self._rounds.values())
 
@@ -366,11 +399,7 @@
             sent_at=self._clock.now(),
             missing=set(self._limits.other_domains),
         )
-        request = BorrowRequest(
-            organisation=organisation,
-            domain=self._domain,
-            wanted=self._limits.wanted(organisation),
-        )
+        request = self._limits.create_request(organisation)
         self._effects.append(AskOthers(number=number, request=request))
 
     def _end_late_rounds(self) -> None:
@@ -384,5 +413,6 @@
         organisation = round_.organisation
         self._limits.borrow_ended(organisation, gained=round_.gained)
         self._serve_tokens(organisation)
-        for waiting in self._for_token.pop(organisation, []):
-            self._refuse_rate(waiting)
+        if not self._is_worth_waiting(organisation):
+            for waiting in self._for_token.pop(organisation, []):
+                self._refuse_rate(waiting)
--- a/src/chicoryhold/steering/coordinator_actor.py
+++ b/src/chicoryhold/steering/coordinator_actor.py
@@ -21,6 +21,7 @@
     Hello,
     LeaseReply,
     LeaseRequest,
+    LoanGivenBack,
     NotCoordinator,
     Release,
 )
@@ -32,6 +33,7 @@
     Coordinator,
     Effect,
     SaveLedger,
+    TellLender,
 )
 from chicoryhold.steering.lease import RENEW_INTERVAL, LeaseCandidate
 
@@ -126,6 +128,8 @@
                 asked.reply.set_result(coordinator.announce(word))
             case BorrowRequest() as request:
                 coordinator.lend(self._ticket(asked), request)
+            case LoanGivenBack() as word:
+                coordinator.take_back(word)
 
     def _ticket(self, asked: Asked) -> int:
         self._next_ticket += 1
@@ -211,6 +215,8 @@
                 self._ask_voters(self._candidate.start_round(ledger))
             case AskOthers():
                 self._ask_others(effect)
+            case TellLender(lender=lender, word=word):
+                self._bus.tell(self._coordinator_of(lender), word)
 
     def _answer(self, ticket: int, answer: object) -> None:
         reply = self._tickets.pop(ticket, None)
@@ -222,7 +228,7 @@
             self._ask_domain(domain, effect)
 
     def _ask_domain(self, domain: str, effect: AskOthers) -> None:
-        host = self._known_coordinators.get(domain) or self._domain_hosts[domain][0]
+        host = self._coordinator_of(domain)
         epoch = self._candidate.epoch
         future = self._bus.ask(host, effect.request)
 
@@ -234,6 +240,10 @@
 
         future.add_done_callback(deliver)
 
+    def _coordinator_of(self, domain: str) -> str:
+        """Return the host that coordinates another domain, as far as is known."""
+        return self._known_coordinators.get(domain) or self._domain_hosts[domain][0]
+
     def _on_borrow_reply(self, message: _BorrowReplied) -> None:
         if self._coordinator is None or message.epoch != self._candidate.epoch:
             return
@@ -245,7 +255,7 @@
 
     def _try_next_host(self, domain: str, coordinator: str) -> None:
         hosts = self._domain_hosts[domain]
-        asked = self._known_coordinators.get(domain) or hosts[0]
+        asked = self._coordinator_of(domain)
         following = hosts[(hosts.index(asked) + 1) % len(hosts)]
         known = coordinator if coordinator in hosts else following
         self._known_coordinators[domain] = known
--- a/src/chicoryhold/trial/target.py
+++ b/src/chicoryhold/trial/target.py
@@ -32,6 +32,7 @@
 _ENTRY = flags.DEFINE_list("entry", [], "Entry hosts to announce itself to.")
 _TOKEN = flags.DEFINE_string("token", "", "The announcement token.")
 _SLOTS = flags.DEFINE_integer("slots", 4, "Requests it handles at once.")
+_LINGER = flags.DEFINE_float("linger", 0.0, "Seconds that it stays after draining.")
 _DELAY = flags.DEFINE_float("delay", 0.0, "Seconds that each request takes.")
 
 
@@ -197,6 +198,7 @@
         announcer.announce(draining=False)
     while announcer.announce(draining=True):
         time.sleep(0.1)
+    time.sleep(_LINGER.value)
 
 
 if __name__ == "__main__":
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -52,8 +52,8 @@
 def run_behave(folder: Path) -> dict[str, bool]:
     """Run the scenarios with real processes."""
     report = folder / "behave.json"
-    command = [sys.executable, "-m", "behave", "--no-capture", "-f", "progress2"]
-    command += ["-f", "json", "-o", str(report), "features"]
+    command = [sys.executable, "-m", "behave", "--no-capture", "-f", "json"]
+    command += ["-o", str(report), "-f", "progress2", "features"]
     done = subprocess.run(command, cwd=ROOT)
     features = json.loads(report.read_text() or "[]")
     results = {
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,134 @@
+"""What leaves an entry host: no keys, one route, and true refusals."""
+
+from __future__ import annotations
+
+import base64
+import io
+from urllib.parse import quote
+
+import pytest
+from hypothesis import given, strategies as st
+from result import Err, Ok
+
+from chicoryhold.callers.observations import ServedResult, result_of
+from chicoryhold.callers.refusals import Ran, Refusal, RefusalKind
+from chicoryhold.callers.request import read_request
+from chicoryhold.errors import RequestRefused
+from chicoryhold.keys import create_key
+from chicoryhold.report.burn import burn_rows, increase, worst_organisation
+from chicoryhold.report.samples import Sample
+
+KEY = create_key().text
+
+
+def environ(path="/menus", query="", body=b"", **headers) -> dict:
+    return {
+        "REQUEST_METHOD": "POST",
+        "PATH_INFO": path,
+        "QUERY_STRING": query,
+        "wsgi.input": io.BytesIO(body),
+        "HTTP_CHICORYHOLD_KEY": KEY,
+        **{f"HTTP_{name}": value for name, value in headers.items()},
+    }
+
+
+def encodings(key: str):
+    yield key
+    yield key.upper()
+    yield quote(key, safe="")
+    yield "".join(f"%{byte:02X}" for byte in key.encode())
+    yield quote("".join(f"%{byte:02x}" for byte in key.encode()))
+
+
+text = st.text(st.characters(min_codepoint=33, max_codepoint=126), max_size=20)
+
+
+@given(
+    before=text,
+    after=text,
+    written=st.sampled_from(list(encodings(KEY))),
+    place=st.sampled_from(["query", "body", "path", "header", "cookie"]),
+)
+def test_nothing_that_a_target_gets_holds_the_key(before, after, written, place):
+    value = f"{before}{written}{after}"
+    given_environ = {
+        "query": environ(query=value),
+        "body": environ(body=value.encode()),
+        "path": environ(path=f"/menus/{value}"),
+        "header": environ(X_ANY=value),
+        "cookie": environ(COOKIE=f"a={value}"),
+    }[place]
+    try:
+        request = read_request(given_environ)
+    except RequestRefused as error:
+        assert error.refusal.ran is Ran.NOT_RUN
+        return
+    sent = f"{request.target} {request.headers} {request.body!r}".lower()
+    for encoded in encodings(KEY):
+        assert encoded.lower() not in sent
+
+
+def test_key_in_basic_credentials_is_removed():
+    credentials = base64.b64encode(f"user:{KEY}".encode()).decode()
+    request = read_request(environ(AUTHORIZATION=f"Basic {credentials}"))
+    assert "Authorization" not in request.headers
+
+
+def test_header_named_by_connection_is_not_passed_on():
+    request = read_request(environ(CONNECTION="close, X-Hop", X_HOP="1", X_END="2"))
+    assert request.headers == {"X-End": "2"}
+
+
+@pytest.mark.parametrize(
+    "path", ["/a/../b", "/a/./b", "/a//b", "/a/..;p/b", "/a\\b", "/a/\x00b"]
+)
+def test_path_that_a_target_could_read_in_another_way_is_refused(path):
+    with pytest.raises(RequestRefused):
+        read_request(environ(path=path))
+
+
+def test_ordinary_path_is_sent_as_its_route_was_chosen():
+    request = read_request(environ(path="/a b/\u00e9", query="x=%2F"))
+    assert request.target == "/a%20b/%E9?x=%2F"
+
+
+def test_results_count_as_the_objective_needs():
+    refused = Refusal(kind=RefusalKind.OVERLOADED, ran=Ran.NOT_RUN, message="")
+    over = Refusal(kind=RefusalKind.RATE_EXCEEDED, ran=Ran.NOT_RUN, message="")
+    assert result_of(Err(refused)) is ServedResult.REFUSED
+    assert result_of(Err(over)) is ServedResult.RATE_EXCEEDED
+
+    class Answer:
+        status = 500
+
+    assert result_of(Ok(Answer())) is ServedResult.FAILED
+
+
+def sample(time, result, value, organisation="o", host="h") -> Sample:
+    return Sample(
+        time=time, host=host, service="s", organisation=organisation, result=result,
+        value=value,
+    )  # fmt: skip
+
+
+def test_restarted_counter_counts_from_zero():
+    values = [sample(10, "answered", 5), sample(20, "answered", 9)]
+    values += [sample(30, "answered", 2), sample(40, "answered", 3)]
+    assert increase(values, 15, 40) == 4 + 2 + 1
+
+
+def test_burn_alarm_and_worst_organisation():
+    samples = [
+        sample(3_500, "answered", 0),
+        sample(3_500, "refused", 0),
+        sample(3_990, "answered", 90),
+        sample(3_990, "refused", 10),
+        sample(3_990, "rate_exceeded", 900),
+        sample(3_990, "answered", 100, organisation="fine"),
+    ]
+    rows = burn_rows(samples, objective=0.999, now=4_000)
+    assert worst_organisation(rows) == "o"
+    assert rows[0].burn["5 min"] == pytest.approx(100)
+    assert rows[0].alarm == "fast burn"
+    assert (rows[0].refused, rows[0].rate_exceeded) == (10, 900)
+    assert rows[1].budget_left == 1 and rows[1].alarm == ""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings, strategies as st
 
 from chicoryhold.hosts.messages import BorrowReply, BorrowRequest, Ledger
-from chicoryhold.limits.budget import Budget, LoanOffer
+from chicoryhold.limits.budget import Budget, LoanOffer, Wanted
 from chicoryhold.limits.domain_limits import DomainLimits
 from chicoryhold.limits.shares import share_of
 from chicoryhold.state.table import OrganisationLimits
@@ -21,15 +21,19 @@
 
     def __init__(self, *, seed: int, rate: float, burst: int) -> None:
         self.random = Random(seed)
+        self.epoch = 0
         self.clock = FakeClock()
         self.limits = OrganisationLimits(rate=rate, burst=burst)
         self.domains = {name: self.create(name) for name in DOMAINS}
         self.spent: list[float] = []
         self.asked = 0
+        self.returns: list = []
         self.flying: list[tuple[float, str, str, BorrowReply, float]] = []
 
     def create(self, name: str) -> DomainLimits:
+        self.epoch += 1
         return DomainLimits(
+            epoch=self.epoch,
             domain=name,
             domains=DOMAINS,
             limits_of=lambda _: self.limits,
@@ -40,7 +44,9 @@
         self.asked += 1
         limits = self.domains[domain]
         taken = limits.take("org")
-        if not taken and limits.may_borrow("org"):
+        if taken and limits.should_borrow("org"):
+            self.borrow(domain, loss=loss, delay=delay)
+        elif not taken and limits.may_borrow("org"):
             self.borrow(domain, loss=loss, delay=delay)
             taken = limits.take_again("org")
         if taken:
@@ -49,13 +55,12 @@
 
     def borrow(self, domain: str, *, loss: float, delay: float) -> None:
         limits = self.domains[domain]
-        request = BorrowRequest(
-            organisation="org", domain=domain, wanted=limits.wanted("org")
-        )
+        request = limits.create_request("org")
         sent_at = self.clock.now()
         for lender in limits.other_domains:
             if self.random.random() < loss:
                 continue
+            self.tell(self.domains[lender].give_back("org"), loss, delay)
             reply = self.domains[lender].lend(request)
             if self.random.random() >= loss:
                 arrival = sent_at + self.random.random() * delay
@@ -63,9 +68,19 @@
         self.land()
         limits.borrow_ended("org", gained=True)
 
+    def tell(self, words, loss: float, delay: float) -> None:
+        for lender, word in words:
+            if self.random.random() >= loss:
+                arrival = self.clock.now() + self.random.random() * delay
+                self.returns.append((arrival, lender, word))
+
     def land(self) -> None:
-        """Deliver the replies that are due."""
+        """Deliver the replies and the parts given back that are due."""
         now = self.clock.now()
+        arrived = [entry for entry in self.returns if entry[0] <= now]
+        self.returns = [entry for entry in self.returns if entry[0] > now]
+        for _, lender, word in arrived:
+            self.domains[lender].take_back(word)
         due = [entry for entry in self.flying if entry[0] <= now]
         self.flying = [entry for entry in self.flying if entry[0] > now]
         for _, domain, lender, reply, sent_at in due:
@@ -113,6 +128,8 @@
         if fleet.random.random() < 0.02:
             fleet.clock.advance(fleet.random.random() * 5)
         fleet.request(home, loss=loss, delay=delay)
+        idle = fleet.random.choice(DOMAINS)
+        fleet.tell(fleet.domains[idle].give_back_ending(), loss, delay)
     assert fleet.worst_excess() <= 1e-6
 
 
@@ -122,9 +139,6 @@
     answered = 0
     for _ in range(2000):
         fleet.clock.advance(1 / 54)
-        for organisation in fleet.domains["a1"].due_renewals():
-            assert organisation == "org"
-            fleet.borrow("a1", loss=0, delay=0)
         answered += fleet.request("a1", loss=0, delay=0)
     assert answered == 2000
 
@@ -140,7 +154,9 @@
     fleet = Fleet(seed=1, rate=10, burst=6)
     fleet.clock.advance(5)
     lender = fleet.domains["b1"]
-    offer = lender.lend(BorrowRequest(organisation="org", domain="a1", wanted=10))
+    offer = lender.lend(
+        BorrowRequest(organisation="org", domain="a1", sequence=1, capacity=10, rate=0)
+    )
     assert offer.capacity == 1
     assert not lender.take("org")
     fleet.clock.advance(offer.seconds)
@@ -160,21 +176,60 @@
         assert abs(sum(share.rate for share in shares) - 12) < 1e-9
 
 
+def offer(tokens: float, capacity: float = 1, serial: str = "s") -> LoanOffer:
+    return LoanOffer(
+        capacity=capacity, rate=2.5, tokens=tokens, seconds=2, serial=serial
+    )
+
+
 def test_tokens_of_an_overtaken_answer_are_dropped():
-    clock = FakeClock()
-    budget = Budget(capacity=1, rate=2.5, now=clock.now())
-    later = LoanOffer(capacity=1, rate=2.5, tokens=0)
-    budget.borrow(lender="b1", offer=later, until=clock.now() + 2, now=clock.now())
-    overtaken = LoanOffer(capacity=1, rate=2.5, tokens=1)
-    budget.borrow(lender="b1", offer=overtaken, until=clock.now() + 1, now=clock.now())
+    now = 100.0
+    budget = Budget(capacity=1, rate=2.5, now=now)
+    budget.borrow(lender="b1", offer=offer(0), sent_at=now, now=now)
+    budget.borrow(lender="b1", offer=offer(1), sent_at=now - 1, now=now)
     assert budget.level == 0
     assert budget.capacity == 2
 
 
+def test_answer_from_before_something_was_given_back_is_dropped():
+    now = 100.0
+    budget = Budget(capacity=1, rate=2.5, now=now)
+    budget.borrow(lender="b1", offer=offer(1, capacity=4), sent_at=now, now=now)
+    assert budget.give_back(now + 0.5, unneeded=True)[0].capacity == 4
+    late = offer(1, capacity=4)
+    budget.borrow(lender="b1", offer=late, sent_at=now + 0.4, now=now + 0.6)
+    assert budget.capacity == 1
+
+
+def test_part_given_back_of_an_ended_loan_is_not_counted():
+    now = 100.0
+    budget = Budget(capacity=4, rate=4, now=now, level=4)
+    wanted = Wanted(capacity=2, rate=2)
+    first = budget.lend(borrower="b1", wanted=wanted, now=now, serial="1")
+    later = now + 5
+    second = budget.lend(borrower="b1", wanted=wanted, now=later, serial="2")
+    assert (first.serial, second.serial) == ("1", "2")
+    budget.take_back(borrower="b1", serial="1", capacity=2, rate=2, tokens=2, now=later)
+    assert budget.capacity == 2
+
+
 def test_lent_tokens_are_gone_from_the_lender():
-    clock = FakeClock()
-    budget = Budget(capacity=3, rate=1, now=clock.now())
-    clock.advance(1)
-    offer = budget.lend(borrower="b1", wanted=1, now=clock.now())
-    assert offer.tokens == 1
+    budget = Budget(capacity=3, rate=1, now=100.0)
+    wanted = Wanted(capacity=1, rate=0)
+    lent = budget.lend(borrower="b1", wanted=wanted, now=101.0, serial="1")
+    assert lent.tokens == 1
     assert budget.level == 0
+
+
+def test_demand_that_jumps_between_domains_is_hardly_refused():
+    fleet = Fleet(seed=1, rate=60, burst=60)
+    fleet.clock.advance(5)
+    refused = 0
+    for number in range(1200):
+        fleet.clock.advance(1 / 54)
+        fleet.land()
+        for limits in fleet.domains.values():
+            fleet.tell(limits.give_back_ending(), 0, 0.05)
+        home = DOMAINS[number // 54 % 6]
+        refused += not fleet.request(home, loss=0, delay=0)
+    assert refused <= 12
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -47,9 +47,9 @@
 
 def coordinator(clock, *, limits=None, shifts=(), epoch=1) -> Coordinator:
     return Coordinator(
-        domain="a",
         epoch=epoch,
         limits=DomainLimits(
+            epoch=epoch,
             domain="a",
             domains=("a",),
             limits_of=lambda _: limits or OrganisationLimits(rate=1e6, burst=1000),
