--- a/Makefile
+++ b/Makefile
@@ -22,10 +22,13 @@
 test: setup
 	$(BIN)/python tests/run_all.py
 
-.PHONY: capacity decisions
+.PHONY: capacity decisions processes
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
 
 decisions: setup
 	$(BIN)/python -m bench.decisions
+
+processes: setup
+	$(BIN)/python -m bench.processes
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -530,6 +530,9 @@
 
     def arrive(number: int) -> None:
         started = events.now()
+        if started > seconds - PATIENCE - 1:
+            # What is still open at the end would count as unanswered.
+            return
         asked[number] += 1
 
         def done(ok: bool) -> None:
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,135 @@
+"""What running processes cost: idle, per look-up and per request, and added latency.
+
+Run it by ``make processes`` on a quiet machine.
+"""
+
+from __future__ import annotations
+
+import os
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from bench.events import percentile
+from bench.measuring import Row, print_rows
+from chicoryhold.trial.caller import Caller
+from chicoryhold.trial.fleet import Fleet, Member, running_fleet, wait_until
+
+DOMAINS = {"north-a": 3, "south-a": 3}
+TABLE = """scope,name,field,value,unit
+route,/open,service,menus,
+route,/open,access,open,
+route,/menus,service,menus,
+organisation,clinic,rate,100000,requests/s
+organisation,clinic,burst,100000,requests
+"""
+IDLE_SECONDS = 15.0
+REQUESTS = 1500
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+def processor_seconds(member: Member) -> float:
+    """Return the processor time that a process has used."""
+    fields = Path(f"/proc/{member.process.pid}/stat").read_text().rpartition(")")[2]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / TICKS_PER_SECOND
+
+
+def resident_megabytes(member: Member) -> float:
+    """Return the memory that a process holds."""
+    status = Path(f"/proc/{member.process.pid}/status").read_text()
+    line = next(x for x in status.splitlines() if x.startswith("VmRSS"))
+    return int(line.split()[1]) / 1024
+
+
+def measure_idle(fleet: Fleet) -> list[Row]:
+    members = [m for m in fleet.members.values() if "metrics" in m.addresses]
+    before = {member.name: processor_seconds(member) for member in members}
+    time.sleep(IDLE_SECONDS)
+    rows = []
+    for member in members:
+        used = processor_seconds(member) - before[member.name]
+        share = 100 * used / IDLE_SECONDS
+        memory = resident_megabytes(member)
+        rows.append(
+            Row(what=f"{member.name} idle", size="-", figure=share, unit="% of a core")
+        )
+        rows.append(Row(what=f"{member.name} idle", size="-", figure=memory, unit="MB"))
+    return rows
+
+
+def measure_calls(what: str, member: Member, call: Callable[[], object]) -> list[Row]:
+    """Measure one call after another from one caller."""
+    for _ in range(100):
+        call()
+    before = processor_seconds(member)
+    times = []
+    for _ in range(REQUESTS):
+        started = time.perf_counter()
+        call()
+        times.append(time.perf_counter() - started)
+    used = (processor_seconds(member) - before) / REQUESTS
+    size = f"{REQUESTS} in turn"
+    rows = [
+        Row(
+            what=f"{what}, p50",
+            size=size,
+            figure=percentile(times, 0.5) * 1e3,
+            unit="ms",
+        ),
+        Row(
+            what=f"{what}, p99",
+            size=size,
+            figure=percentile(times, 0.99) * 1e3,
+            unit="ms",
+        ),
+    ]
+    if used:
+        rows.append(
+            Row(
+                what=f"{what}, at {member.name}",
+                size=size,
+                figure=1 / used,
+                unit="per s and core",
+            )
+        )
+    return rows
+
+
+def main() -> None:
+    """Start a fleet, measure, and end it."""
+    with tempfile.TemporaryDirectory() as folder:
+        with running_fleet(Path(folder), DOMAINS) as fleet:
+            run(fleet)
+
+
+def run(fleet: Fleet) -> None:
+    targets = [
+        fleet.add_target(domain=domain, service="menus", options=("--slots=8",))
+        for domain in DOMAINS
+    ]
+    table = fleet.folder / "table.csv"
+    table.write_text(TABLE)
+    fleet.operate("organisation", "create", "clinic")
+    key = fleet.operate("key", "give", "clinic")["key"]
+    based_on = fleet.operate("table", "get")["revision"]
+    put = fleet.operate("table", "put", table, f"--based_on={based_on}")
+    fleet.operate("wait", put["revision"])
+    host = fleet["north-a-3"]
+    caller = Caller(known_host=host.addresses["callers"], key=key)
+    wait_until(
+        lambda: caller.send("GET", "/open/1").status == 200, what="service", timeout=20
+    )
+    print_rows("Processes", measure_idle(fleet))
+    direct = Caller(known_host=targets[0].addresses["target"])
+    rows = measure_calls(
+        "target alone", targets[0], lambda: direct.send("GET", "/menus/1")
+    )
+    rows += measure_calls("look-up", host, caller.look_up)
+    rows += measure_calls("keyed request", host, lambda: caller.send("GET", "/menus/1"))
+    print_rows("Requests", rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/features/promise_08_not_run.feature
+++ b/features/promise_08_not_run.feature
@@ -35,3 +35,11 @@
     And "clinic" pays with key "a" until refused
     Then it is refused as "key_rejected" and "unknown"
     And the request ran once
+
+  @promise_08
+  Scenario: A resend that is malformed doesn't deny an earlier run
+    When "clinic" pays with key "a"
+    Then the answer is 200
+    When "clinic" pays with key "a" and its secret in the body
+    Then it is refused as "bad_request" and "unknown"
+    And the request ran once
--- a/features/start_up.feature
+++ b/features/start_up.feature
@@ -48,3 +48,10 @@
     And "south-a-1" is killed
     And "south-a-1" is started
     Then "clinic" is answered at "south-a-1" within 10 s
+
+  @start_up
+  Scenario: Load from an experiment file, and the report on what it did
+    Given organisation "clinic" has a key
+    When 60 requests a second of "clinic" to "/slots/1" are sent for 3 s by experiment
+    Then the experiment answered every request
+    And the report counts them for "slots" and "clinic"
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -275,7 +275,7 @@
     return prefixes[context.marker]
 
 
-def pay(context, name, text, *, host=FIRST_HOST, fault="", amount=40):
+def pay(context, name, text, *, host=FIRST_HOST, fault="", amount="40"):
     headers = {"Idempotency-Key": f"{prefix(context)}{context.marker}{text}"}
     if fault:
         headers["Trial"] = fault
@@ -419,3 +419,8 @@
     for target in targets_of(context):
         if f"-{service}-" in target.name:
             target.kill()
+
+
+@when('"{name:Quoted}" pays with key "{text:Quoted}" and its secret in the body')
+def step_pay_secret(context, name, text):
+    pay(context, name, text, amount=context.keys[name])
--- a/features/steps/start_up.py
+++ b/features/steps/start_up.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import subprocess
 import threading
 import time
@@ -127,3 +128,67 @@
         return reply.status == 200
 
     wait_until(answered, what="an answer", timeout=seconds)
+
+
+def run_program(context, program, *arguments):
+    script = context.fleet["control-1"].command[0].rpartition("/")[0]
+    command = [f"{script}/{program}", *arguments]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0, done.stderr
+    return done.stdout
+
+
+def record(context):
+    hosts = [
+        member.addresses["metrics"]
+        for member in context.fleet.members.values()
+        if "callers" in member.addresses
+    ]
+    context.samples = context.folder / f"{context.marker}.jsonl"
+    run_program(
+        context,
+        "chicoryhold-report",
+        "record",
+        f"--hosts={','.join(hosts)}",
+        f"--file={context.samples}",
+    )
+
+
+@when(
+    '{rate:d} requests a second of "{name:Quoted}" to "{path:Quoted}" are sent '
+    "for {seconds:d} s by experiment"
+)
+def step_experiment(context, rate, name, path, seconds):
+    record(context)
+    file = context.folder / f"{context.marker}.toml"
+    file.write_text(
+        f'seed = 1\nseconds = {seconds}\nscale = "trial"\n'
+        f'known_host = "{address_of(context, "north-a-1")}"\n'
+        f'[[traffic]]\norganisation = "{name}"\nkey = "{context.keys[name]}"\n'
+        f'path = "{path}"\nrate = {rate}\n'
+    )
+    output = run_program(context, "chicoryhold-load", f"--experiment={file}", "--json")
+    context.results = json.loads(output)["results"]
+    record(context)
+
+
+@then("the experiment answered every request")
+def step_experiment_answered(context):
+    (result,) = context.results
+    assert result["sent"] > 100, result
+    assert result["answered"] == result["sent"], result
+    assert 0 < result["latency_ms"]["p50"] <= result["latency_ms"]["p99"], result
+
+
+@then('the report counts them for "{service:Quoted}" and "{name:Quoted}"')
+def step_report(context, service, name):
+    output = run_program(
+        context, "chicoryhold-report", "show", f"--file={context.samples}", "--json"
+    )
+    rows = json.loads(output)["rows"]
+    (row,) = [r for r in rows if (r["service"], r["organisation"]) == (service, name)]
+    assert row["requests"] >= context.results[0]["sent"], row
+    table = run_program(
+        context, "chicoryhold-report", "show", f"--file={context.samples}"
+    )
+    assert "worst-served organisation" in table
--- a/src/chicoryhold/callers/app.py
+++ b/src/chicoryhold/callers/app.py
@@ -13,8 +13,8 @@
 from result import Err, Ok
 
 from chicoryhold.callers.refusals import Ran, Refusal, RefusalKind
-from chicoryhold.callers.request import read_request
-from chicoryhold.callers.service import CallerService, Outcome
+from chicoryhold.callers.request import IDEMPOTENCY_HEADER, read_request
+from chicoryhold.callers.service import CallerService, Outcome, honest
 from chicoryhold.errors import RequestRefused
 from chicoryhold.hosts.messages import Announcement
 from chicoryhold.http_server import QUEUED_REQUESTS
@@ -32,10 +32,9 @@
 )  # fmt: skip
 
 
-# An idempotency key hasn't been looked at yet, so nothing is said of earlier tries.
 _TOO_MANY_WAIT = Refusal(
     kind=RefusalKind.OVERLOADED,
-    ran=Ran.UNKNOWN,
+    ran=Ran.NOT_RUN,
     message="too many requests wait at this host: use another entry host",
     retry_after=1.0,
 )
@@ -108,13 +107,14 @@
         return _json_reply(200, msgspec.json.encode(reply))
 
     def _serve(self, environ: Mapping[str, object]) -> _Reply:
+        key = environ.get(IDEMPOTENCY_HEADER)
         if environ.get(QUEUED_REQUESTS, 0) > MOST_QUEUED:
             # Refusing takes microseconds, so the queue is soon short again.
-            return _refusal_reply(_TOO_MANY_WAIT)
+            return _refusal_reply(honest(_TOO_MANY_WAIT, key))
         try:
             outcome = self._service.serve(read_request(environ))
         except RequestRefused as error:
-            outcome = Err(error.refusal)
+            outcome = Err(honest(error.refusal, key))
         return self._outcome_reply(outcome)
 
     def _outcome_reply(self, outcome: Outcome) -> _Reply:
--- a/src/chicoryhold/callers/forwarding.py
+++ b/src/chicoryhold/callers/forwarding.py
@@ -74,7 +74,7 @@
         admit = Admit(
             organisation=job.organisation,
             service=job.service,
-            patience=0.0,
+            patience=max(0.0, job.deadline - self._clock.now()),
             avoid=progress.avoid,
             has_token=progress.tries > 0,
         )
--- a/src/chicoryhold/callers/service.py
+++ b/src/chicoryhold/callers/service.py
@@ -58,9 +58,7 @@
     def serve(self, caller: CallerRequest) -> Outcome:
         """Return a whole answer, or a refusal that says whether the request ran."""
         outcome = self._authorize(caller).and_then(self._run_observed)
-        if outcome.is_err() and caller.idempotency_key is not None:
-            return Err(self._honest(caller, outcome.err_value))
-        return outcome
+        return outcome.map_err(lambda refusal: honest(refusal, caller.idempotency_key))
 
     def _authorize(self, caller: CallerRequest) -> Result[_Work, Refusal]:
         started = self._clock.now()
@@ -169,17 +167,19 @@
                 return Err(attrs.evolve(refusal, proved=True))
         return outcome
 
-    def _honest(self, caller: CallerRequest, refusal: Refusal) -> Refusal:
-        """Say "not run" of an idempotency key only where that was proved.
-
-        An earlier attempt with the same key may have run. A majority of its home's
-        replicas recording this attempt proves that none did, and a key that names
-        no home never runs at all.
-        """
-        key = parse_idempotency_key(caller.idempotency_key)
-        if refusal.ran is not Ran.NOT_RUN or refusal.proved or key.is_err():
-            return refusal
-        return attrs.evolve(refusal, ran=Ran.UNKNOWN)
+
+def honest(refusal: Refusal, idempotency_key: str | None) -> Refusal:
+    """Say "not run" of an idempotency key only where that was proved.
+
+    An earlier attempt with the same key may have run. A majority of its home's
+    replicas recording this attempt proves that none did, and a key that names no
+    home never runs at all.
+    """
+    if refusal.ran is not Ran.NOT_RUN or refusal.proved or idempotency_key is None:
+        return refusal
+    if parse_idempotency_key(idempotency_key).is_err():
+        return refusal
+    return attrs.evolve(refusal, ran=Ran.UNKNOWN)
 
 
 def _without_running(verdict: Verdict, answer: StoredAnswer | None) -> Outcome:
--- a/src/chicoryhold/programs/control.py
+++ b/src/chicoryhold/programs/control.py
@@ -42,7 +42,7 @@
 Start it with --found once on each of the first replicas of a new installation. A
 replica whose data folder was lost starts without it and rejoins by itself.
 """
-TICK = 0.02
+TICK = 0.05
 API_THREADS = 8
 FOUND_CHECK_TIMEOUT = 0.5
 
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -67,9 +67,10 @@
 SIGTERM drains: callers are sent to other hosts, and the process ends once the last
 request is answered.
 """
-FOLLOWER_TICK = 0.05
-PRESENCE_TICK = 0.05
-COORDINATOR_TICK = 0.02
+FOLLOWER_TICK = 0.2
+PRESENCE_TICK = 0.25
+COORDINATOR_TICK = 0.05
+DOMAIN_REPLICA_TICK = 5.0
 GENERATION_BYTES = 6
 DRAIN_QUIET_SECONDS = 1.0
 DRAIN_LONGEST_SECONDS = 60.0
@@ -241,7 +242,7 @@
     for kind in (Admit, Release, Announcement, BorrowRequest, LoanGivenBack):
         parts.bus.handle(kind, forward_to(coordinator))
     parts.bus.handle(Hello, _hello_handler(replica, coordinator))
-    stack.enter_context(running_actor(replica, interval=FOLLOWER_TICK))
+    stack.enter_context(running_actor(replica, interval=DOMAIN_REPLICA_TICK))
     stack.enter_context(running_actor(coordinator, interval=COORDINATOR_TICK))
 
 
--- a/src/chicoryhold/steering/admission_client.py
+++ b/src/chicoryhold/steering/admission_client.py
@@ -67,15 +67,15 @@
             patience = PATIENCE_PART * (deadline - now)
             request = attrs.evolve(request, patience=patience)
             answer = self._ask(asked, request, deadline)
-            if isinstance(answer, Admitted) and self._is_fresh(answer, now):
-                self._hold(answer, asked)
-                return answer
             if isinstance(answer, NotAdmitted):
                 return answer
             if isinstance(answer, Admitted):
+                if self._is_fresh(answer, now):
+                    self._hold(answer, asked)
+                    return answer
                 self._discard(answer, asked)
-                continue
-            time.sleep(RETRY_PAUSE)
+            else:
+                time.sleep(RETRY_PAUSE)
         return NotAdmitted(reason=NO_COORDINATOR, retry_after=1.0)
 
     def admit_elsewhere(self, domain: str, request: Admit) -> Admitted | None:
--- a/src/chicoryhold/steering/coordinator.py
+++ b/src/chicoryhold/steering/coordinator.py
@@ -32,7 +32,8 @@
 TOKEN_QUEUE_LIMIT = 64
 BORROW_TIMEOUT = 0.25
 LONGEST_TOKEN_WAIT = 0.25
-GRANT_SECONDS = 60.0
+GRANT_PATIENCE_FACTOR = 1.2
+GRANT_MARGIN_SECONDS = 1.0
 RETRY_AFTER_FULL = 0.5
 RETRY_AFTER_NO_TARGET = 1.0
 
@@ -96,6 +97,15 @@
     def until(self) -> float:
         return self.since + self.request.patience
 
+    @property
+    def grant_until(self) -> float:
+        """When the asker has surely ended: its deadline is patience over 0.9 away.
+
+        The slot of a host that was killed is free again by then.
+        """
+        patience = self.request.patience * GRANT_PATIENCE_FACTOR
+        return self.since + patience + GRANT_MARGIN_SECONDS
+
 
 @attrs.define(kw_only=True)
 class _Grant:
@@ -335,7 +345,7 @@
         now = self._clock.now()
         self._next_number += 1
         grant = f"{self._epoch}.{self._next_number}"
-        self._grants[grant] = _Grant(address=target.address, until=now + GRANT_SECONDS)
+        self._grants[grant] = _Grant(address=target.address, until=waiting.grant_until)
         self._targets.occupy(target)
         answer = Admitted(
             grant=grant, address=target.address, waited=now - waiting.since
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -79,6 +79,7 @@
     clock = FakeClock()
     one = coordinator(clock)
     held: dict[str, str] = {}
+    ends: dict[str, float] = {}
     sequence = 0
     for step in range(200):
         clock.advance(random.random() * 0.2)
@@ -98,10 +99,13 @@
             del held[grant]
             ok = random.random() < 0.8
             one.release(Release(grant=grant, ok=ok, latency=0.1))
+        # A host ends its exchange by its deadline, which is patience over 0.9 away.
+        held = {grant: held[grant] for grant in held if ends[grant] > clock.now()}
         one.tick()
         for answer in answers(one):
             if isinstance(answer, Admitted):
                 held[answer.grant] = answer.address
+                ends[answer.grant] = clock.now() - answer.waited + 2.0 / 0.9
         for name in {"t0", "t1", "t2"}:
             assert list(held.values()).count(name) <= 2
 
@@ -153,6 +157,21 @@
     assert isinstance(answers(one)[0], Admitted)
 
 
+def test_slot_of_a_host_that_never_gives_it_back_is_free_after_its_deadline(clock):
+    one = coordinator(clock)
+    one.announce(word(slots=1))
+    admit(one)
+    clock.advance(1 / 0.9)
+    one.announce(word(slots=1, sequence=2))
+    one.tick()
+    assert admit(one, ticket=2) == []
+    clock.advance(1.2)
+    one.announce(word(slots=1, sequence=3))
+    one.tick()
+    answers(one)
+    assert isinstance(admit(one, ticket=3)[0], Admitted)
+
+
 def test_waiting_request_is_refused_when_its_patience_ends(clock):
     one = coordinator(clock)
     one.announce(word(slots=1))
