Rename announcements and loans given back after what they are

Cause: read as a newcomer, "word" stood for three different messages.

Change: names only. Ruled out: renaming the wire messages themselves, whose names are in use and clear.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -380,8 +380,8 @@
                     self._finish(domain, ticket, answer)
                 case AskOthers():
                     self._ask_others(domain, effect)
-                case TellLender(lender=lender, word=word):
-                    self._send(domain, lender, lambda c, w=word: c.take_back(w))
+                case TellLender(lender=lender, message=message):
+                    self._send(domain, lender, lambda c, m=message: c.take_back(m))
                 case SaveLedger(ledger=ledger):
                     version = ledger.version
                     self._events.after(
--- a/src/chicoryhold/callers/app.py
+++ b/src/chicoryhold/callers/app.py
@@ -98,10 +98,10 @@
             return _error_reply(401, "send the announcement token as Bearer")
         body = environ["wsgi.input"].read()
         try:
-            word = msgspec.json.decode(body, type=Announcement)
+            announcement = msgspec.json.decode(body, type=Announcement)
         except msgspec.DecodeError as error:
             return _error_reply(400, f"not an announcement: {error}")
-        reply = self._admission.announce(word)
+        reply = self._admission.announce(announcement)
         if reply is None:
             return _error_reply(503, "no coordinator: announce again in a second")
         return _json_reply(200, msgspec.json.encode(reply))
--- a/src/chicoryhold/callers/authentication.py
+++ b/src/chicoryhold/callers/authentication.py
@@ -14,7 +14,7 @@
 
 
 class Authenticator:
-    """Finds the organisation of a key, or refuses while its word is too old."""
+    """Finds the organisation of a key, or refuses while the copy is too old."""
 
     def __init__(self, *, follower: Follower, view: DomainView, clock: Clock) -> None:
         self._follower = follower
--- a/src/chicoryhold/callers/forwarding.py
+++ b/src/chicoryhold/callers/forwarding.py
@@ -149,7 +149,7 @@
 
 
 def _checked_for_shedding(answer: TargetAnswer) -> Result[TargetAnswer, Refusal]:
-    """Turn a target's own word that it did not run the request into a refusal."""
+    """Turn a target's own statement that it did not run the request into a refusal."""
     said = {name.lower(): value for name, value in answer.headers}
     if answer.status != SHED_STATUS or said.get(RAN_HEADER.lower()) != "no":
         return Ok(answer)
--- a/src/chicoryhold/hosts/domain_view.py
+++ b/src/chicoryhold/hosts/domain_view.py
@@ -20,7 +20,7 @@
 
 
 class DomainView:
-    """The newest word of each domain replica.
+    """The newest heartbeat answer of each domain replica.
 
     One thread calls :meth:`on_reply`; any thread may read, since each update replaces
     a whole record.
@@ -69,7 +69,7 @@
     def control_confirmed_at(self) -> float:
         """When the freshest copy of the control state in the domain was current."""
         recent = self._recent().values()
-        times = [word.at - word.reply.control_age for word in recent]
+        times = [heard.at - heard.reply.control_age for heard in recent]
         return max(times, default=float("-inf"))
 
     def on_reply(self, replica: str, reply: HelloReply, *, sent_at: float) -> None:
@@ -87,5 +87,5 @@
 
     def _recent(self) -> dict[str, _Heard]:
         oldest = self._clock.now() - REPLICA_SILENT_AFTER
-        heard = list(self._heard.items())
-        return {name: word for name, word in heard if word.at > oldest}
+        known = list(self._heard.items())
+        return {name: heard for name, heard in known if heard.at > oldest}
--- a/src/chicoryhold/hosts/messages.py
+++ b/src/chicoryhold/hosts/messages.py
@@ -232,7 +232,7 @@
 
 @message
 class Announcement:
-    """A target's word of itself, renewed every second.
+    """What a target announces of itself, renewed every second.
 
     ``sequence`` grows with each announcement of one target process, named by
     ``instance``; ``load`` is what it says of itself, from 0 to 1.
--- a/src/chicoryhold/limits/domain_limits.py
+++ b/src/chicoryhold/limits/domain_limits.py
@@ -208,16 +208,18 @@
             for message in self.give_back(organisation, unneeded=_is_large(budget))
         ]
 
-    def take_back(self, word: LoanGivenBack) -> None:
+    def take_back(self, given_back: LoanGivenBack) -> None:
         """Count what another domain gave back."""
-        if not self._is_next(word.organisation, word.domain, word.sequence):
+        if not self._is_next(
+            given_back.organisation, given_back.domain, given_back.sequence
+        ):
             return
-        self.budget(word.organisation).take_back(
-            borrower=word.domain,
-            serial=word.serial,
-            capacity=word.capacity,
-            rate=word.rate,
-            tokens=word.tokens,
+        self.budget(given_back.organisation).take_back(
+            borrower=given_back.domain,
+            serial=given_back.serial,
+            capacity=given_back.capacity,
+            rate=given_back.rate,
+            tokens=given_back.tokens,
             now=self._clock.now(),
         )
 
--- a/src/chicoryhold/steering/admission_client.py
+++ b/src/chicoryhold/steering/admission_client.py
@@ -110,12 +110,12 @@
             HeldSlots(address=address, count=count) for address, count in counts.items()
         )
 
-    def announce(self, word: Announcement) -> AnnouncementReply | None:
-        """Pass a target's word on, or return ``None`` if no coordinator took it."""
+    def announce(self, announcement: Announcement) -> AnnouncementReply | None:
+        """Pass an announcement on; returns ``None`` if no coordinator took it."""
         deadline = self._clock.now() + ANNOUNCE_TIMEOUT
         while self._clock.now() < deadline:
             asked = self._view.coordinator
-            answer = self._ask(asked, word, deadline) if asked else None
+            answer = self._ask(asked, announcement, deadline) if asked else None
             if isinstance(answer, AnnouncementReply):
                 return answer
             time.sleep(RETRY_PAUSE)
--- a/src/chicoryhold/steering/coordinator.py
+++ b/src/chicoryhold/steering/coordinator.py
@@ -81,7 +81,7 @@
     """Tell the coordinator of the domain ``lender`` what was given back, once."""
 
     lender: str
-    word: LoanGivenBack
+    message: LoanGivenBack
 
 
 Effect = AnswerRequest | AskOthers | SaveLedger | AnswerBorrower | TellLender
@@ -199,9 +199,9 @@
         self._targets.release(grant.address)
         self._serve_queues()
 
-    def announce(self, word: Announcement) -> AnnouncementReply:
+    def announce(self, announcement: Announcement) -> AnnouncementReply:
         """Add, renew or drain a target."""
-        reply = self._targets.announce(word)
+        reply = self._targets.announce(announcement)
         self._serve_queues()
         return reply
 
@@ -234,9 +234,9 @@
         self._open_loans.append(loan)
         self._effects.append(SaveLedger(ledger=self.ledger()))
 
-    def take_back(self, word: LoanGivenBack) -> None:
+    def take_back(self, message: LoanGivenBack) -> None:
         """Count what another domain gave back."""
-        self._limits.take_back(word)
+        self._limits.take_back(message)
 
     def on_saved(self, version: int) -> None:
         """A majority has kept the ledger of ``version``."""
@@ -392,9 +392,9 @@
 
     # Steps of borrowing
 
-    def _give_back(self, words: list[tuple[str, LoanGivenBack]]) -> None:
-        for lender, word in words:
-            self._effects.append(TellLender(lender=lender, word=word))
+    def _give_back(self, messages: list[tuple[str, LoanGivenBack]]) -> None:
+        for lender, message in messages:
+            self._effects.append(TellLender(lender=lender, message=message))
 
     def _is_borrowing(self, organisation: str) -> bool:
         return any(r.organisation == organisation for r in self._rounds.values())
--- a/src/chicoryhold/steering/coordinator_actor.py
+++ b/src/chicoryhold/steering/coordinator_actor.py
@@ -124,12 +124,12 @@
                 coordinator.admit(self._ticket(asked), request)
             case Release() as release:
                 coordinator.release(release)
-            case Announcement() as word:
-                asked.reply.set_result(coordinator.announce(word))
+            case Announcement() as announcement:
+                asked.reply.set_result(coordinator.announce(announcement))
             case BorrowRequest() as request:
                 coordinator.lend(self._ticket(asked), request)
-            case LoanGivenBack() as word:
-                coordinator.take_back(word)
+            case LoanGivenBack() as given_back:
+                coordinator.take_back(given_back)
 
     def _ticket(self, asked: Asked) -> int:
         self._next_ticket += 1
@@ -215,8 +215,8 @@
                 self._ask_voters(self._candidate.start_round(ledger))
             case AskOthers():
                 self._ask_others(effect)
-            case TellLender(lender=lender, word=word):
-                self._bus.tell(self._coordinator_of(lender), word)
+            case TellLender(lender=lender, message=message):
+                self._bus.tell(self._coordinator_of(lender), message)
 
     def _answer(self, ticket: int, answer: object) -> None:
         reply = self._tickets.pop(ticket, None)
--- a/src/chicoryhold/steering/shifts.py
+++ b/src/chicoryhold/steering/shifts.py
@@ -72,7 +72,7 @@
     """Chooses at a sending host which requests go elsewhere.
 
     After a refusal, or silence, from the receiving domain its share is left at home
-    for a while: without fresh word there is no sending.
+    for a while: without a fresh answer there is no sending.
     """
 
     def __init__(
--- a/src/chicoryhold/steering/targets.py
+++ b/src/chicoryhold/steering/targets.py
@@ -55,23 +55,23 @@
     def targets(self) -> Iterable[Target]:
         return self._targets.values()
 
-    def announce(self, word: Announcement) -> AnnouncementReply:
+    def announce(self, announcement: Announcement) -> AnnouncementReply:
         """Add or renew a target."""
-        known = self._targets.get(word.address)
+        known = self._targets.get(announcement.address)
         if known is None:
-            known = self._add(word)
-        elif known.instance != word.instance:
-            if word.instance in known.former_instances:
+            known = self._add(announcement)
+        elif known.instance != announcement.instance:
+            if announcement.instance in known.former_instances:
                 return self._reply(known, "a newer process uses this address")
-            known = self._replace(known, word)
-        elif word.sequence <= known.sequence:
+            known = self._replace(known, announcement)
+        elif announcement.sequence <= known.sequence:
             return self._reply(known, "a later announcement has arrived before")
-        elif known.service != word.service:
+        elif known.service != announcement.service:
             return self._reply(known, "one process serves one service an address")
-        known.sequence = word.sequence
-        known.slots = word.slots
+        known.sequence = announcement.sequence
+        known.slots = announcement.slots
         # A process that began to drain ends; only a new one takes work again.
-        known.draining = known.draining or word.draining
+        known.draining = known.draining or announcement.draining
         known.renewed_at = self._clock.now()
         return self._reply(known, "")
 
@@ -148,25 +148,25 @@
             if now - target.renewed_at > ANNOUNCEMENT_TTL and not target.occupied:
                 self._remove(target)
 
-    def _add(self, word: Announcement) -> Target:
+    def _add(self, announcement: Announcement) -> Target:
         target = Target(
-            service=word.service,
-            address=word.address,
-            instance=word.instance,
-            sequence=word.sequence,
-            slots=word.slots,
-            draining=word.draining,
+            service=announcement.service,
+            address=announcement.address,
+            instance=announcement.instance,
+            sequence=announcement.sequence,
+            slots=announcement.slots,
+            draining=announcement.draining,
             renewed_at=self._clock.now(),
         )
-        self._targets[word.address] = target
-        self._services.setdefault(word.service, []).append(target)
+        self._targets[announcement.address] = target
+        self._services.setdefault(announcement.service, []).append(target)
         for host, held in self._held.items():
             self._set_inherited(target, host, held)
         return target
 
-    def _replace(self, old: Target, word: Announcement) -> Target:
+    def _replace(self, old: Target, announcement: Announcement) -> Target:
         self._remove(old)
-        target = self._add(word)
+        target = self._add(announcement)
         target.former_instances = old.former_instances | {old.instance}
         # Requests to the former process may still hold the machine's slots.
         target.in_use = old.in_use
--- a/src/chicoryhold/trial/target.py
+++ b/src/chicoryhold/trial/target.py
@@ -158,7 +158,7 @@
     def announce(self, *, draining: bool) -> int | None:
         """Return how many of the system's requests are here, if anyone answered."""
         self._sequence += 1
-        word = {
+        announcement = {
             "service": _SERVICE.value,
             "address": self._address,
             "instance": self._instance,
@@ -169,17 +169,21 @@
             "load": 0.0,
         }
         for entry in _ENTRY.value:
-            in_use = self._send(entry, word)
+            in_use = self._send(entry, announcement)
             if in_use is not None:
                 return in_use
         return None
 
-    def _send(self, entry: str, word: dict) -> int | None:
+    def _send(self, entry: str, announcement: dict) -> int | None:
         headers = {"Authorization": f"Bearer {_TOKEN.value}"}
         url = f"http://{entry}/v1/announcements"
         try:
             answer = self._pool.request(
-                "POST", url, json=word, headers=headers, timeout=ANNOUNCE_TIMEOUT
+                "POST",
+                url,
+                json=announcement,
+                headers=headers,
+                timeout=ANNOUNCE_TIMEOUT,
             )
             return answer.json()["in_use"] if answer.status == 200 else None
         except (urllib3.exceptions.HTTPError, ValueError):
