--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -36,6 +36,7 @@
     RecordClaim,
     Release,
 )
+from chicoryhold.hosts.transport import CurveTransport
 from chicoryhold.limits.domain_limits import DomainLimits
 from chicoryhold.state.changes import Change, CreateOrganisation, GiveKey, PutTable
 from chicoryhold.state.control_state import ControlState
@@ -402,9 +403,11 @@
                     Bus(
                         name=name,
                         address=addresses[name],
-                        keys=load_key_pair(Path(folder), name),
-                        authorized=load_public_keys(Path(folder)),
-                        peers=addresses,
+                        transport=CurveTransport(
+                            keys=load_key_pair(Path(folder), name),
+                            authorized=load_public_keys(Path(folder)),
+                            peers=addresses,
+                        ),
                     )
                 )
             )
--- a/src/chicoryhold/consensus/messages.py
+++ b/src/chicoryhold/consensus/messages.py
@@ -4,6 +4,8 @@
 
 from chicoryhold.codec import message
 
+NEVER_CONFIRMED = 1e9  # seconds; finite, so that every codec can carry it
+
 
 @message
 class Members:
@@ -73,7 +75,8 @@
     """Entries after ``previous_index``; empty as a heartbeat.
 
     ``round`` numbers the leader's broadcasts, so that an answer proves leadership
-    at the time when that broadcast was sent.
+    at the time when that broadcast was sent. ``confirmed_age`` is how many seconds
+    before sending the leader was last proved to lead, with ``commit`` committed.
     """
 
     term: int
@@ -83,6 +86,7 @@
     entries: tuple[Entry, ...]
     commit: int
     round: int
+    confirmed_age: float = NEVER_CONFIRMED
 
 
 @message
--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -24,6 +24,7 @@
 )
 from chicoryhold.consensus.log import Log
 from chicoryhold.consensus.messages import (
+    NEVER_CONFIRMED,
     AppendReply,
     AppendRequest,
     Entry,
@@ -90,6 +91,7 @@
         self._round = 0
         self._round_sent: dict[int, float] = {}
         self._heard_leader = float("-inf")
+        self._copy_confirmed_at = float("-inf")
         self._leader_since = float("-inf")
         self._heartbeat_due = float("-inf")
         self._election_due = 0.0
@@ -138,6 +140,29 @@
             return float("-inf")
         return self._quorum_acknowledged()
 
+    @property
+    def copy_confirmed_at(self) -> float:
+        """When what is committed here was last known to be the newest.
+
+        At a follower it is told by the leader and counted from the arrival of the
+        message, so it doesn't notice how long that message was under way.
+        """
+        if self._role is Role.LEADER:
+            return self.confirmed_at
+        return self._copy_confirmed_at
+
+    def silent_members(self, *, longer_than: float) -> tuple[str, ...]:
+        """Return the members that haven't answered this leader for so many seconds."""
+        now = self._clock.now()
+        if self._role is not Role.LEADER or now - self._leader_since < longer_than:
+            return ()
+        return tuple(
+            member
+            for member in self.members.everyone
+            if member != self._identity
+            and now - self._acknowledged_by(member) > longer_than
+        )
+
     def take(self) -> list[Effect]:
         """Return the effects requested since the last call, oldest first."""
         effects = self._effects
@@ -343,9 +368,16 @@
             entries=entries,
             commit=self._commit,
             round=self._round,
+            confirmed_age=self._confirmed_age(),
         )
+        # Later messages go on where this one ends; if it is lost, the follower
+        # refuses the next one and says where it stands.
+        progress.next_index += len(entries)
         self._send(peer, request)
 
+    def _confirmed_age(self) -> float:
+        return min(self._clock.now() - self.confirmed_at, NEVER_CONFIRMED)
+
     def _send_snapshot(self, peer: str) -> None:
         request = SnapshotRequest(
             term=self.term,
@@ -367,7 +399,11 @@
         if reply.accepted:
             progress.match = max(progress.match, reply.match)
             progress.next_index = max(progress.next_index, reply.match + 1)
+            committed = self._commit
             self._advance_commit()
+            if self._commit > committed:
+                # Followers serve what is committed, so they hear of it at once.
+                self._broadcast()
             behind = progress.next_index <= self._log.last_index
         else:
             progress.next_index = max(1, min(progress.next_index - 1, reply.match + 1))
@@ -425,6 +461,9 @@
         self._store_missing(request.entries)
         match = request.previous_index + len(request.entries)
         self._commit_to(min(request.commit, match))
+        if request.commit <= match and request.confirmed_age < NEVER_CONFIRMED:
+            at = self._clock.now() - request.confirmed_age
+            self._copy_confirmed_at = max(self._copy_confirmed_at, at)
         self._reply_append(request.leader, True, match, request.round)
 
     def _store_missing(self, entries: tuple[Entry, ...]) -> None:
--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from concurrent.futures import Future
 
 import attrs
 from loguru import logger
 
 from chicoryhold.clock import Clock
+from chicoryhold.consensus.messages import NEVER_CONFIRMED
 from chicoryhold.control.follower import BatchResult, Follower
 from chicoryhold.control.messages import (
     ChangeBatch,
@@ -25,6 +27,7 @@
 FETCH_TIMEOUT = 1.5
 RETRY_PAUSE = 0.1
 STALE_SOURCE_AGE = 3.0
+SOURCE_MEMORY = 10.0
 REPORT_MEMORY = 10.0
 
 
@@ -40,18 +43,33 @@
     at: float
 
 
+@attrs.frozen(kw_only=True)
+class FetchTiming:
+    """Seconds: how long a fetch may take, and from which age a source is stale."""
+
+    timeout: float = FETCH_TIMEOUT
+    stale: float = STALE_SOURCE_AGE
+    pause: float = RETRY_PAUSE
+
+
 class FollowerActor(OwningActor):
     """Fetches from one source at a time and serves what it has to others.
 
-    ``sources`` are process names in order of preference; a source that is silent,
-    behind, or itself stale is left for the next one.
+    ``sources`` returns process names in order of preference; a source that is
+    silent, behind, or itself stale is left for the next one. ``applied`` is called
+    after each change of the copy.
     """
 
     def __init__(
-        self, *, follower: Follower, sources: tuple[str, ...], bus: Bus, clock: Clock,
-        domain: str,
+        self, *, follower: Follower, sources: Callable[[], tuple[str, ...]], bus: Bus,
+        clock: Clock, domain: str, timing: FetchTiming | None = None,
+        applied: Callable[[], None] | None = None,
     ) -> None:  # fmt: skip
         super().__init__()
+        self._timing = timing or FetchTiming()
+        self._applied = applied
+        self._applied_revision = -1
+        self._left_until: dict[str, float] = {}
         self._follower = follower
         self._sources = sources
         self._bus = bus
@@ -59,7 +77,8 @@
         self._domain = domain
         self._fetches = PendingFetches(feed=follower.feed, clock=clock)
         self._reports: dict[str, _KnownReport] = {}
-        self._source = 0
+        self._source = ""
+        self._hint = ""
         self._number = 0
         self._sent_at = 0.0
         self._open = False
@@ -75,22 +94,40 @@
             case Asked():
                 self._on_asked(message)
         self._fetches.answer_ready(confirmed_age=self._follower.age)
+        revision = self._follower.state.revision
+        if self._applied is not None and revision != self._applied_revision:
+            self._applied_revision = revision
+            self._applied()
 
     def _tick(self) -> None:
         now = self._clock.now()
-        if self._open and now - self._sent_at > FETCH_TIMEOUT:
+        if self._open and now - self._sent_at > self._timing.timeout:
             self._leave_source("it is silent")
         if not self._open and now >= self._next_at:
             self._fetch()
 
     def _fetch(self) -> None:
+        self._source = self._choose_source()
+        if not self._source:
+            return
         self._number += 1
         self._sent_at = self._clock.now()
         self._open = True
-        future = self._bus.ask(self._sources[self._source], self._request())
+        future = self._bus.ask(self._source, self._request())
         number = self._number
         future.add_done_callback(lambda done: self._deliver(number, done))
 
+    def _choose_source(self) -> str:
+        """Return the most preferred source that wasn't left lately."""
+        sources = self._sources()
+        if not sources:
+            return ""
+        now = self._clock.now()
+        if self._hint in sources and now >= self._left_until.get(self._hint, 0.0):
+            return self._hint
+        # With every source left, the one that was left first gets the next try.
+        return min(sources, key=lambda s: max(now, self._left_until.get(s, 0.0)))
+
     def _deliver(self, number: int, done: Future) -> None:
         self.actor_ref.tell(_Answered(number=number, answer=done.result()))
 
@@ -126,7 +163,7 @@
             self._wants_image = True
         elif result in (BatchResult.BEHIND, BatchResult.OUT_OF_ORDER):
             self._leave_source(result.value)
-        elif batch.confirmed_age > STALE_SOURCE_AGE:
+        elif batch.confirmed_age > self._timing.stale:
             self._leave_source("it is stale")
 
     def _on_snapshot_needed(self, revision: int) -> None:
@@ -136,13 +173,18 @@
             self._wants_image = True
 
     def _leave_source(self, reason: str, preferred: str = "") -> None:
-        left = self._sources[self._source]
-        logger.debug("follower: source {} is left because {}.", left, reason)
+        logger.bind(
+            source=self._source,
+            revision=self._follower.state.revision,
+            age=round(min(self._follower.age, NEVER_CONFIRMED), 2),
+            reason=reason,
+        ).info("follower: the source is left.")
+        now = self._clock.now()
         self._open = False
-        self._source = (self._source + 1) % len(self._sources)
-        if preferred in self._sources:
-            self._source = self._sources.index(preferred)
-        self._next_at = self._clock.now() + RETRY_PAUSE
+        self._left_until[self._source] = now + SOURCE_MEMORY
+        self._hint = preferred
+        self._left_until.pop(preferred, None)
+        self._next_at = now + self._timing.pause
 
     def _on_asked(self, asked: Asked) -> None:
         match asked.message:
--- a/src/chicoryhold/control/pending_fetches.py
+++ b/src/chicoryhold/control/pending_fetches.py
@@ -21,19 +21,22 @@
 
 
 class PendingFetches:
-    """Holds each fetch until there is a newer revision, or for ``LONGEST_FETCH``.
+    """Holds each fetch until there is a newer revision, or for ``longest`` seconds.
 
     Answering without news after that time is the heartbeat in this direction; the
     next fetch is the one in the other.
     """
 
-    def __init__(self, *, feed: ChangeFeed, clock: Clock) -> None:
+    def __init__(
+        self, *, feed: ChangeFeed, clock: Clock, longest: float = LONGEST_FETCH
+    ) -> None:
+        self._longest = longest
         self._feed = feed
         self._clock = clock
         self._pending: list[_Pending] = []
 
     def add(self, request: FetchChanges, reply: Future) -> None:
-        until = self._clock.now() + LONGEST_FETCH
+        until = self._clock.now() + self._longest
         self._pending.append(_Pending(request=request, reply=reply, until=until))
 
     def answer_ready(self, *, confirmed_age: float) -> None:
--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 
 import attrs
@@ -18,7 +19,7 @@
     SaveVote,
     Send,
 )
-from chicoryhold.consensus.messages import Entry
+from chicoryhold.consensus.messages import NEVER_CONFIRMED, Entry
 from chicoryhold.consensus.replica import Replica, Role
 from chicoryhold.control.feed import ChangeFeed
 from chicoryhold.control.in_force import InForceReports
@@ -32,7 +33,7 @@
     ReplicaStatusRequest,
     SourceUnavailable,
 )
-from chicoryhold.control.pending_fetches import PendingFetches
+from chicoryhold.control.pending_fetches import LONGEST_FETCH, PendingFetches
 from chicoryhold.control.storage import Storage
 from chicoryhold.errors import NotLeader, ResultUnknown
 from chicoryhold.hosts.actors import Asked, OwningActor, Tick
@@ -67,14 +68,38 @@
     reply: Future
 
 
+@attrs.frozen(kw_only=True)
+class ReplicaPolicy:
+    """How a group of control replicas is run.
+
+    ``voter_limit`` keeps further replicas learners; ``silent_seconds`` is how long a
+    voter may be silent before a learner takes its place. With ``serves_copies`` a
+    replica that doesn't lead answers fetches from its copy, which says how old it
+    is. With ``open_membership`` any process may send consensus messages. A fetch
+    waits ``longest_fetch`` seconds for news.
+    """
+
+    voter_limit: int | None = None
+    silent_seconds: float = 10.0
+    serves_copies: bool = False
+    open_membership: bool = False
+    longest_fetch: float = LONGEST_FETCH
+
+
 class ReplicaActor(OwningActor):
-    """Owns the replica, its storage and the control state."""
+    """Owns the replica, its storage and the control state.
+
+    ``peers`` names the processes that a replica asks to let it join.
+    """
 
     def __init__(
         self, *, replica: Replica, storage: Storage, state: ControlState, bus: Bus,
-        clock: Clock, snapshot_every: int,
+        clock: Clock, snapshot_every: int, peers: Callable[[], Iterable[str]],
+        policy: ReplicaPolicy | None = None,
     ) -> None:  # fmt: skip
         super().__init__()
+        self._peers = peers
+        self._policy = policy or ReplicaPolicy()
         self._replica = replica
         self._storage = storage
         self._state = state
@@ -86,7 +111,9 @@
         self._applied = replica.commit_index
         self._proposals: dict[int, _OpenProposal] = {}
         self._reads: list[Read] = []
-        self._fetches = PendingFetches(feed=self._feed, clock=clock)
+        self._fetches = PendingFetches(
+            feed=self._feed, clock=clock, longest=self._policy.longest_fetch
+        )
         self._joins: dict[str, float] = {}
         self._join_due = 0.0
 
@@ -134,8 +161,9 @@
 
     def _on_replica_message(self, sender: str, message: ReplicaMessage) -> None:
         known = sender in {name_of(i) for i in self._replica.members.everyone}
+        trusted = known or self._policy.open_membership
         fresh = not self._replica.members.voters
-        if message.to == self._replica.identity and (known or fresh):
+        if message.to == self._replica.identity and (trusted or fresh):
             self._replica.receive(decode(message.body))
 
     def _status(self) -> ReplicaStatus:
@@ -212,7 +240,7 @@
     # Followers of the control state
 
     def _on_fetch(self, asked: Asked) -> None:
-        if self._replica.role is not Role.LEADER:
+        if not self._serves_fetches():
             leader = name_of(self._replica.leader or "")
             asked.reply.set_result(SourceUnavailable(leader=leader))
             return
@@ -220,12 +248,15 @@
         self._fetches.add(asked.message, asked.reply)
 
     def _answer_fetches(self) -> None:
-        if self._replica.role is Role.LEADER:
-            age = self._clock.now() - self._replica.confirmed_at
-            self._fetches.answer_ready(confirmed_age=age)
+        if self._serves_fetches():
+            age = self._clock.now() - self._replica.copy_confirmed_at
+            self._fetches.answer_ready(confirmed_age=min(age, NEVER_CONFIRMED))
         else:
             self._fetches.refuse_all()
 
+    def _serves_fetches(self) -> bool:
+        return self._replica.role is Role.LEADER or self._policy.serves_copies
+
     def _answer_reads(self) -> None:
         waiting = []
         for read in self._reads:
@@ -260,6 +291,10 @@
             self._replica.members,
             joining=recent,
             caught_up=self._is_caught_up,
+            voter_limit=self._policy.voter_limit,
+            silent=self._replica.silent_members(
+                longer_than=self._policy.silent_seconds
+            ),
         )
         if members and self._replica.propose_members(members):
             logger.info("control: membership becomes {}.", members)
@@ -273,7 +308,7 @@
         if is_voter or now < self._join_due:
             return
         self._join_due = now + JOIN_INTERVAL
-        for peer in self._bus.peers:
+        for peer in self._peers():
             if peer != self._bus.name:
                 self._bus.tell(peer, JoinRequest(identity=self._replica.identity))
 
--- a/src/chicoryhold/errors.py
+++ b/src/chicoryhold/errors.py
@@ -71,6 +71,14 @@
     """Raised when an exchange with a target broke after its first byte was sent."""
 
 
+class ExchangeTimeout(ExchangeFailed):
+    """Raised when a target gave no whole answer in time."""
+
+
+class CallerLeft(ExchangeFailed):
+    """Raised when an exchange was ended because nobody waits for its answer."""
+
+
 class AnswerMismatch(ExchangeFailed):
     """Raised when a target's answer is cut, too long, or for another request."""
 
@@ -81,3 +89,7 @@
 
 class ExperimentError(ChicoryholdError):
     """Raised when an experiment can't be started as its file describes it."""
+
+
+class Unavailable(ChicoryholdError):
+    """Raised or returned when a control host can't give a confirmed answer now."""
--- a/src/chicoryhold/hosts/bus.py
+++ b/src/chicoryhold/hosts/bus.py
@@ -1,4 +1,4 @@
-"""Request and reply between the system's processes over CURVE-encrypted sockets.
+"""Request and reply between the system's processes over ZeroMQ sockets.
 
 One thread owns every socket. A process listens on one ROUTER and opens one DEALER to
 each peer that it asks. Handlers run on that thread and must not block: they answer at
@@ -11,40 +11,30 @@
 import os
 import struct
 import threading
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator
 from concurrent.futures import Future, TimeoutError as FutureTimeout
 from contextlib import contextmanager
 
 import attrs
 import zmq
 from loguru import logger
-from zmq.auth.thread import ThreadAuthenticator
 
 from chicoryhold.codec import decode, encode
 from chicoryhold.errors import AddressInUse, PeerTimeout, UnknownMessage, UnknownPeer
-from chicoryhold.hosts.curve import KeyPair
+from chicoryhold.hosts.transport import Transport
 
 SEND_QUEUE_MESSAGES = 10_000
 HEARTBEAT_INTERVAL_MS = 500
 HEARTBEAT_TIMEOUT_MS = 1_500
 RECONNECT_FIRST_MS = 50
 RECONNECT_LAST_MS = 1_000
-POLL_MS = 100
+POLL_MS = 1_000
 _NUMBER = struct.Struct("<Q")
 _NO_REPLY = 0
 
 Handler = Callable[[str, object], object]
 
 
-@attrs.frozen(kw_only=True)
-class Peer:
-    """Where a process listens, as ``ip:port``, and its public key."""
-
-    name: str
-    address: str
-    public_key: bytes
-
-
 @attrs.frozen(kw_only=True)
 class _Outgoing:
     peer: str
@@ -63,15 +53,11 @@
     """Sends typed messages to named peers and answers theirs."""
 
     def __init__(
-        self, *, name: str, address: str, keys: KeyPair,
-        authorized: Mapping[str, bytes], peers: Mapping[str, str],
+        self, *, name: str, address: str, transport: Transport,
     ) -> None:  # fmt: skip
         self._name = name
         self._address = address
-        self._keys = keys
-        self._authorized = dict(authorized)
-        self._names = {key.decode(): name for name, key in authorized.items()}
-        self._peers = dict(peers)
+        self._transport = transport
         self._handlers: dict[type, Handler] = {}
         self._outbox: collections.deque[_Outgoing | _Answer] = collections.deque()
         self._waiting: dict[int, Future] = {}
@@ -87,18 +73,10 @@
     def name(self) -> str:
         return self._name
 
-    @property
-    def peers(self) -> tuple[str, ...]:
-        """The names of the peers that have an address."""
-        return tuple(self._peers)
-
     def handle(self, kind: type, handler: Handler) -> None:
         """Answer messages of ``kind`` by ``handler(sender_name, message)``."""
         self._handlers[kind] = handler
 
-    def knows(self, peer: str) -> bool:
-        return peer in self._peers
-
     def tell(self, peer: str, message: object) -> None:
         """Send without waiting for an answer; the message may be lost."""
         self._post(_Outgoing(peer=peer, number=_NO_REPLY, payload=encode(message)))
@@ -109,7 +87,7 @@
         The future never fails by itself when the peer is gone: wait on it with a
         timeout, and :meth:`forget` it after.
         """
-        if peer not in self._peers:
+        if self._transport.address_of(peer) is None:
             raise UnknownPeer(f"peer {peer!r} has no address: add it to the settings")
         future: Future = Future()
         with self._lock:
@@ -139,17 +117,13 @@
 
     def start(self) -> None:
         """Bind the listening socket and start the thread."""
-        self._authenticator = ThreadAuthenticator(self._context)
-        self._authenticator.start()
-        self._authenticator.configure_curve_callback(
-            domain="*", credentials_provider=self
-        )
+        self._transport.start(self._context)
         self._router = self._socket(zmq.ROUTER)
-        self._router.curve_server = True
+        self._transport.prepare_listening(self._router)
         try:
             self._router.bind(f"tcp://{self._address}")
         except zmq.ZMQError as error:
-            self._authenticator.stop()
+            self._transport.stop()
             raise AddressInUse(
                 f"can't listen on {self._address}: {error}; stop the other process "
                 "or change the address in the settings"
@@ -161,15 +135,11 @@
         self._stopping = True
         self._wake()
         self._thread.join()
-        self._authenticator.stop()
+        self._transport.stop()
         self._context.destroy(linger=0)
         os.close(self._wake_read)
         os.close(self._wake_write)
 
-    def callback(self, domain: str, key: bytes) -> bool:
-        """Tell the authenticator whether a peer with the public ``key`` may connect."""
-        return key.decode() in self._names
-
     def _post(self, item: _Outgoing | _Answer) -> None:
         self._outbox.append(item)
         self._wake()
@@ -183,8 +153,6 @@
 
     def _socket(self, kind: int) -> zmq.Socket:
         socket = self._context.socket(kind)
-        socket.curve_secretkey = self._keys.secret
-        socket.curve_publickey = self._keys.public
         socket.linger = 0
         socket.sndhwm = SEND_QUEUE_MESSAGES
         socket.rcvhwm = SEND_QUEUE_MESSAGES
@@ -223,7 +191,7 @@
 
     def _on_request(self, frames: list[zmq.Frame]) -> None:
         route, number, payload = frames
-        sender = self._names.get(payload.get("User-Id"), "")
+        sender = self._transport.sender_of(route, payload)
         try:
             message = decode(payload.bytes)
         except UnknownMessage as error:
@@ -281,13 +249,12 @@
     def _dealer(self, peer: str) -> zmq.Socket | None:
         dealer = self._dealers.get(peer)
         if dealer is None:
-            key = self._authorized.get(peer)
-            address = self._peers.get(peer)
-            if key is None or address is None:
+            address = self._transport.address_of(peer)
+            if address is None:
                 logger.warning("bus: peer {} has no key or address.", peer)
                 return None
             dealer = self._socket(zmq.DEALER)
-            dealer.curve_serverkey = key
+            self._transport.prepare_connecting(dealer, peer)
             dealer.connect(f"tcp://{address}")
             self._poller.register(dealer, zmq.POLLIN)
             self._dealers[peer] = dealer
--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -10,15 +10,23 @@
 from waitress.server import create_server
 from waitress.task import WSGITask
 
+from chicoryhold.clock import BootClock
 from chicoryhold.errors import AddressInUse
+from chicoryhold.targets.cancellation import Cancellation
 
 QUEUED_REQUESTS = "chicoryhold.queued_requests"
+ARRIVED_AT = "chicoryhold.arrived_at"
+CANCELLATION = "chicoryhold.cancellation"
 CONNECTION_LIMIT = 1_000
+READ_AHEAD = 1  # requests; reading on is how a caller that left is noticed
 CONNECTION_IDLE_SECONDS = 30
 LARGEST_HEADERS = 65_536
 LARGEST_BODY = 1_048_576
 
 
+_CLOCK = BootClock()
+
+
 def never() -> bool:
     """Return false: the default for a server that keeps its connections."""
     return False
@@ -28,7 +36,9 @@
     """Return a channel that closes after each answer while ``closing()`` is true.
 
     The application finds under ``QUEUED_REQUESTS`` how many requests wait for a
-    thread, which waitress itself doesn't bound.
+    thread, which waitress itself doesn't bound; under ``ARRIVED_AT`` when the request
+    was whole, on the boot clock; and under ``CANCELLATION`` what is set when the
+    caller closes its connection.
 
     WSGI forbids an application to send the Connection header, and waitress answers
     500 if it does, so the wish has to come from below the application.
@@ -37,7 +47,10 @@
     class Task(WSGITask):
         def get_environment(self) -> dict:
             environ = super().get_environment()
-            environ[QUEUED_REQUESTS] = len(self.channel.server.task_dispatcher.queue)
+            channel = self.channel
+            environ[QUEUED_REQUESTS] = len(channel.server.task_dispatcher.queue)
+            environ[ARRIVED_AT] = channel.arrived_at
+            environ[CANCELLATION] = channel.begin_cancellation()
             return environ
 
         def build_response_header(self) -> bytes:
@@ -47,16 +60,35 @@
 
     class Channel(HTTPChannel):
         task_class = Task
+        arrived_at = 0.0
+        cancellation: Cancellation | None = None
+
+        def received(self, data: bytes) -> bool:
+            self.arrived_at = _CLOCK.now()
+            return super().received(data)
+
+        def begin_cancellation(self) -> Cancellation:
+            self.cancellation = Cancellation()
+            if not self.connected:
+                self.cancellation.set()
+            return self.cancellation
+
+        def handle_close(self) -> None:
+            super().handle_close()
+            if self.cancellation is not None:
+                self.cancellation.set()
 
     return Channel
 
 
 @contextmanager
 def serve_http(
-    app: Callable, address: str, *, threads: int, closing: Callable[[], bool] = never
-) -> Iterator[int]:
+    app: Callable, address: str, *, threads: int, closing: Callable[[], bool] = never,
+    largest_body: int = LARGEST_BODY, idle_seconds: int = CONNECTION_IDLE_SECONDS,
+) -> Iterator[int]:  # fmt: skip
     """Serve a WSGI application in a background thread; yields the port.
 
+    ``largest_body`` in bytes; ``idle_seconds`` is how long a connection may be idle.
     While ``closing()`` is true, connections are closed after their next answer.
     """
     host, _, port = address.rpartition(":")
@@ -69,9 +101,11 @@
             ident=None,
             clear_untrusted_proxy_headers=True,
             connection_limit=CONNECTION_LIMIT,
-            channel_timeout=CONNECTION_IDLE_SECONDS,
+            channel_timeout=idle_seconds,
+            channel_request_lookahead=READ_AHEAD,
+            asyncore_use_poll=True,
             max_request_header_size=LARGEST_HEADERS,
-            max_request_body_size=LARGEST_BODY,
+            max_request_body_size=largest_body,
         )
     except OSError as error:
         raise AddressInUse(
--- /dev/null
+++ b/src/chicoryhold/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts there are: joining through seeds, presence, and forgetting."""
--- /dev/null
+++ b/src/chicoryhold/membership/presence_actor.py
@@ -0,0 +1,138 @@
+"""The actor of an entry host that reports to control hosts and learns of others."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import Future
+
+import attrs
+from loguru import logger
+
+from chicoryhold.clock import Clock
+from chicoryhold.hosts.actors import OwningActor, Tick
+from chicoryhold.hosts.bus import Bus
+from chicoryhold.membership.messages import (
+    ControlHost,
+    ControlHosts,
+    EntryHost,
+    EntryPresence,
+)
+from chicoryhold.membership.roster import by_nearness
+
+PRESENCE_INTERVAL = 0.5  # seconds
+HEARD_RECENTLY = 1.6  # seconds
+REPORTED_TO = 2  # control hosts at a time
+
+
+@attrs.frozen(kw_only=True)
+class Announce:
+    """Report at once: the host's own state has changed."""
+
+
+@attrs.frozen(kw_only=True)
+class _Answered:
+    name: str
+    hosts: tuple[ControlHost, ...]
+
+
+class ControlHostList:
+    """The control hosts that an entry host knows, nearest first.
+
+    Only the presence actor changes it; any thread may read.
+    """
+
+    def __init__(
+        self, *, seeds: Callable[[], tuple[str, ...]], domain: str, region: str,
+        clock: Clock,
+    ) -> None:  # fmt: skip
+        self._seeds = seeds
+        self._domain = domain
+        self._region = region
+        self._clock = clock
+        self._hosts: tuple[ControlHost, ...] = ()
+        self._heard: dict[str, float] = {}
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names on the bus: known hosts by nearness, then the seeds."""
+        known = tuple(host.name for host in self._hosts)
+        return known + tuple(seed for seed in self._seeds() if seed not in known)
+
+    @property
+    def live_names(self) -> tuple[str, ...]:
+        """The names heard lately first, in order of nearness; then the others."""
+        oldest = self._clock.now() - HEARD_RECENTLY
+        names = self.names
+        live = tuple(n for n in names if self._heard.get(n, float("-inf")) >= oldest)
+        return live + tuple(name for name in names if name not in live)
+
+    def domain_of(self, name: str) -> str:
+        return next((host.domain for host in self._hosts if host.name == name), "")
+
+    def hear(self, name: str, hosts: tuple[ControlHost, ...]) -> bool:
+        """Take an answer; returns whether the list of hosts has changed."""
+        self._heard[name] = self._clock.now()
+        merged = {host.name: host for host in self._hosts}
+        merged.update({host.name: host for host in hosts})
+        sorted_hosts = by_nearness(
+            merged.values(), domain=self._domain, region=self._region
+        )
+        changed = sorted_hosts != self._hosts
+        self._hosts = sorted_hosts
+        return changed
+
+
+class PresenceActor(OwningActor):
+    """Reports every half second to the two nearest control hosts that answer."""
+
+    def __init__(
+        self, *, controls: ControlHostList, bus: Bus, clock: Clock,
+        describe: Callable[[], EntryHost],
+    ) -> None:  # fmt: skip
+        super().__init__()
+        self._controls = controls
+        self._bus = bus
+        self._clock = clock
+        self._describe = describe
+        self._due = 0.0
+        self._asked: list[Future] = []
+        self._turn = 0
+
+    def on_receive(self, message: object) -> None:
+        match message:
+            case Tick():
+                if self._clock.now() >= self._due:
+                    self._report()
+            case Announce():
+                self._report()
+            case _Answered():
+                if self._controls.hear(message.name, message.hosts):
+                    logger.bind(hosts=list(self._controls.names)).info(
+                        "presence: the control hosts changed."
+                    )
+
+    def _report(self) -> None:
+        self._due = self._clock.now() + PRESENCE_INTERVAL
+        for future in self._asked:
+            self._bus.forget(future)
+        presence = EntryPresence(host=self._describe())
+        self._asked = [self._ask(name, presence) for name in self._chosen()]
+
+    def _chosen(self) -> tuple[str, ...]:
+        names = self._controls.live_names
+        self._turn += 1
+        # One more each time in turn finds hosts that came back or were cut off.
+        extra = names[self._turn % len(names)] if names else ""
+        chosen = dict.fromkeys((*names[:REPORTED_TO], extra))
+        return tuple(name for name in chosen if name)
+
+    def _ask(self, name: str, presence: EntryPresence) -> Future:
+        future = self._bus.ask(name, presence)
+
+        def deliver(done: Future) -> None:
+            answer = done.result()
+            if isinstance(answer, ControlHosts):
+                self.actor_ref.tell(_Answered(name=name, hosts=answer.hosts))
+
+        future.add_done_callback(deliver)
+        return future
--- a/src/chicoryhold/programs/control.py
+++ b/src/chicoryhold/programs/control.py
@@ -27,6 +27,7 @@
 from chicoryhold.hosts.actors import forward_to, running_actor
 from chicoryhold.hosts.bus import Bus, running_bus
 from chicoryhold.hosts.curve import load_key_pair, load_public_keys
+from chicoryhold.hosts.transport import CurveTransport
 from chicoryhold.http_server import serve_http
 from chicoryhold.logs import set_up_logs
 from chicoryhold.metrics import create_meter, serve_metrics
@@ -79,6 +80,7 @@
             bus=bus,
             clock=BootClock(),
             snapshot_every=settings.snapshot_every,
+            peers=lambda: settings.replicas,
         )
         stack.enter_context(running_actor(actor, interval=TICK))
         _handle_messages(bus, actor)
@@ -97,9 +99,11 @@
     return Bus(
         name=settings.name,
         address=settings.transport.address,
-        keys=load_key_pair(folder, settings.name),
-        authorized=load_public_keys(folder),
-        peers=settings.replicas,
+        transport=CurveTransport(
+            keys=load_key_pair(folder, settings.name),
+            authorized=load_public_keys(folder),
+            peers=settings.replicas,
+        ),
     )
 
 
--- /dev/null
+++ b/src/chicoryhold/programs/control_host.py
@@ -0,0 +1,217 @@
+"""One control host of an installation whose hosts find each other through seeds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from random import Random
+
+import attrs
+import pykka
+from loguru import logger
+
+from chicoryhold.clock import BootClock
+from chicoryhold.consensus.messages import Members
+from chicoryhold.consensus.replica import Replica, Timing
+from chicoryhold.control.messages import (
+    FetchChanges,
+    FetchImage,
+    JoinRequest,
+    ReplicaMessage,
+    ReplicaStatusRequest,
+)
+from chicoryhold.control.plane import ControlPlane
+from chicoryhold.control.replica_actor import ReplicaActor, ReplicaPolicy, name_of
+from chicoryhold.control.storage import Storage, open_storage, read_identity
+from chicoryhold.hosts.actors import forward_to, running_actor
+from chicoryhold.hosts.bus import Bus, running_bus
+from chicoryhold.limits.messages import PermitLoan, PermitLoanRequest, PermitRequest
+from chicoryhold.limits.permit_actor import PermitActor
+from chicoryhold.limits.permits import Allowance, PermitOffice
+from chicoryhold.membership.messages import (
+    ControlPresence,
+    EntryPresence,
+    ForwardedChange,
+    ReadConfiguration,
+)
+from chicoryhold.membership.roster import Roster
+from chicoryhold.membership.roster_actor import RosterActor
+from chicoryhold.membership.target_reports import TargetReports
+from chicoryhold.metrics import create_meter, serve_metrics
+from chicoryhold.programs.host_bus import create_bus
+from chicoryhold.programs.host_settings import (
+    VOTERS,
+    ControlHostSettings,
+    RateTolerance,
+)
+from chicoryhold.state.control_state import ControlState
+
+REPLICA_TICK = 0.1  # seconds
+ROSTER_TICK = 0.25  # seconds
+TIMING = Timing(heartbeat=0.25, election=1.0)
+FOUNDER_SUFFIX = ".founder"
+RATE_SHARE_KEPT = 0.06  # of the rate's tolerance, for permits used late
+SLACK_SHARE = 0.75  # of the tolerance in requests
+
+
+@attrs.frozen(kw_only=True)
+class ControlHostParts:
+    """What the adapters of a control host use."""
+
+    plane: ControlPlane
+    roster: Roster
+
+
+@contextmanager
+def running_control_host(
+    settings: ControlHostSettings, *, seeds: Callable[[], tuple[str, ...]]
+) -> Iterator[ControlHostParts]:
+    """Run a control host until the block ends; ``seeds`` may change meanwhile."""
+    with ExitStack() as stack:
+        storage = stack.enter_context(open_storage(settings.data_folder))
+        bus = stack.enter_context(running_bus(create_bus(settings)))
+        clock = BootClock()
+        identity = read_identity(
+            settings.data_folder, name=settings.name, found=_is_founder(settings)
+        )
+        replica, state = _load(settings, storage, identity, clock)
+        roster = Roster(own=settings.control_host, clock=clock)
+
+        def peers() -> tuple[str, ...]:
+            return _peers(replica, roster, seeds())
+
+        actor = ReplicaActor.start(
+            replica=replica,
+            storage=storage,
+            state=state,
+            bus=bus,
+            clock=clock,
+            snapshot_every=settings.snapshot_every,
+            peers=peers,
+            policy=ReplicaPolicy(
+                voter_limit=VOTERS,
+                serves_copies=True,
+                open_membership=True,
+                longest_fetch=0.5,
+            ),
+        )
+        stack.enter_context(running_actor(actor, interval=REPLICA_TICK))
+        reports = TargetReports(targets=lambda: state.targets, clock=clock)
+        plane = ControlPlane(
+            replica=replica,
+            actor=actor,
+            state=state,
+            bus=bus,
+            clock=clock,
+            reports=reports,
+        )
+        roster_actor = RosterActor.start(
+            roster=roster,
+            reports=reports,
+            bus=bus,
+            clock=clock,
+            peers=peers,
+            leads=lambda: plane.leads,
+            record_silent=plane.record_silent,
+        )
+        stack.enter_context(running_actor(roster_actor, interval=ROSTER_TICK))
+        permit_actor = _start_permits(stack, settings, state, roster, bus, clock)
+        _handle_messages(bus, actor, roster_actor, permit_actor, plane)
+        create_meter(settings.name)
+        stack.enter_context(
+            serve_metrics(settings.metrics_address, lambda: _not_ready(replica))
+        )
+        logger.bind(identity=identity, seeds=list(seeds())).info("control: started.")
+        yield ControlHostParts(plane=plane, roster=roster)
+        logger.info("control: stopping.")
+
+
+def _is_founder(settings: ControlHostSettings) -> bool:
+    """Only the first seeds found: every host is told the same ones at that time."""
+    return settings.founds and settings.name in settings.seeds
+
+
+def _load(
+    settings: ControlHostSettings, storage: Storage, identity: str, clock: BootClock
+) -> tuple[Replica, ControlState]:
+    log = storage.load_log(_founders(settings, identity))
+    state = ControlState()
+    state.load(log.snapshot.data)
+    replica = Replica(
+        identity=identity,
+        log=log,
+        vote=storage.load_vote(),
+        clock=clock,
+        random=Random(identity),
+        timing=TIMING,
+    )
+    return replica, state
+
+
+def _founders(settings: ControlHostSettings, identity: str) -> Members:
+    if not identity.endswith(FOUNDER_SUFFIX):
+        return Members(voters=())
+    return Members(voters=tuple(f"{seed}{FOUNDER_SUFFIX}" for seed in settings.seeds))
+
+
+def _peers(replica: Replica, roster: Roster, seeds: tuple[str, ...]) -> tuple[str, ...]:
+    members = (name_of(identity) for identity in replica.members.everyone)
+    heard = (host.name for host in roster.known_control_hosts)
+    return tuple(dict.fromkeys((*members, *heard, *seeds)))
+
+
+def _start_permits(
+    stack: ExitStack, settings: ControlHostSettings, state: ControlState,
+    roster: Roster, bus: Bus, clock: BootClock,
+) -> pykka.ActorRef:  # fmt: skip
+    office = PermitOffice(
+        domains=len(settings.regions),
+        allowance_of=allowances(state, settings.tolerance),
+        clock=clock,
+    )
+
+    def lenders() -> tuple[str, ...]:
+        return tuple(
+            host.name for host in roster.control_hosts if host.name != settings.name
+        )
+
+    return PermitActor.start(office=office, bus=bus, clock=clock, peers=lenders)
+
+
+def allowances(
+    state: ControlState, tolerance: RateTolerance
+) -> Callable[[str], Allowance | None]:
+    """Return what an organisation may use, by the configuration in force."""
+
+    def allowance_of(name: str) -> Allowance | None:
+        for rule in state.configuration.organisations:
+            if rule.name == name and rule.rate > 0:
+                return Allowance(
+                    rate=rule.rate * (1 + max(0.0, tolerance.share - RATE_SHARE_KEPT)),
+                    burst=rule.burst * (1 + tolerance.share)
+                    + tolerance.requests * SLACK_SHARE,
+                )
+        return None
+
+    return allowance_of
+
+
+def _handle_messages(
+    bus: Bus, actor: pykka.ActorRef, roster: pykka.ActorRef, permits: pykka.ActorRef,
+    plane: ControlPlane,
+) -> None:  # fmt: skip
+    replica_kinds = (
+        ReplicaMessage, JoinRequest, FetchChanges, FetchImage, ReplicaStatusRequest,
+    )  # fmt: skip
+    for kind in replica_kinds:
+        bus.handle(kind, forward_to(actor))
+    for kind in (EntryPresence, ControlPresence):
+        bus.handle(kind, forward_to(roster))
+    for kind in (PermitRequest, PermitLoanRequest, PermitLoan):
+        bus.handle(kind, forward_to(permits))
+    bus.handle(ForwardedChange, plane.on_forwarded)
+    bus.handle(ReadConfiguration, plane.on_read)
+
+
+def _not_ready(replica: Replica) -> str:
+    return "" if replica.leader else "no leader is known: check the other replicas"
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -45,6 +45,7 @@
     Release,
 )
 from chicoryhold.hosts.presence_actor import PresenceActor
+from chicoryhold.hosts.transport import CurveTransport
 from chicoryhold.http_server import serve_http
 from chicoryhold.limits.domain_limits import DomainLimits
 from chicoryhold.logs import set_up_logs
@@ -187,9 +188,11 @@
     return Bus(
         name=settings.name,
         address=settings.transport.address,
-        keys=load_key_pair(folder, settings.name),
-        authorized=load_public_keys(folder),
-        peers=peers,
+        transport=CurveTransport(
+            keys=load_key_pair(folder, settings.name),
+            authorized=load_public_keys(folder),
+            peers=peers,
+        ),
     )
 
 
@@ -215,7 +218,7 @@
     )
     actor = FollowerActor.start(
         follower=parts.follower,
-        sources=sources,
+        sources=lambda: sources,
         bus=parts.bus,
         clock=parts.clock,
         domain=parts.settings.domain,
--- /dev/null
+++ b/src/chicoryhold/programs/gateway.py
@@ -0,0 +1,232 @@
+"""One entry host of an installation whose hosts find each other through seeds."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from random import Random
+
+import attrs
+from loguru import logger
+
+from chicoryhold.clock import BootClock
+from chicoryhold.control.follower import Follower
+from chicoryhold.control.follower_actor import FetchTiming, FollowerActor
+from chicoryhold.gateway.delivery import Delivery, TargetWords
+from chicoryhold.gateway.retry_budgets import RetryBudgets
+from chicoryhold.gateway.service import GatewayService
+from chicoryhold.hosts.actors import running_actor
+from chicoryhold.hosts.bus import Bus, running_bus
+from chicoryhold.limits.permit_client import PermitClient
+from chicoryhold.membership.messages import EntryHost
+from chicoryhold.membership.presence_actor import (
+    Announce,
+    ControlHostList,
+    PresenceActor,
+)
+from chicoryhold.metrics import create_meter, serve_metrics
+from chicoryhold.programs.host_bus import create_bus
+from chicoryhold.programs.host_settings import GatewaySettings
+from chicoryhold.routing.route_index import RouteIndex
+from chicoryhold.routing.target_choice import Place, TargetChooser
+from chicoryhold.targets.connections import TargetConnections
+from chicoryhold.targets.dialect import TargetDialect
+
+TICK = 0.25  # seconds
+FETCH_TIMING = FetchTiming(timeout=0.9, stale=1.2, pause=0.05)
+CONNECT_TIMEOUT = 0.4  # seconds; two round trips to the farthest region and some
+DOMAIN_DISTANCE = 0.001  # seconds there and back
+REGION_DISTANCE = 0.11  # seconds there and back
+
+
+class Gateway:
+    """What the adapters of an entry host use. Safe to use from many threads."""
+
+    def __init__(
+        self, *, settings: GatewaySettings, follower: Follower, chooser: TargetChooser,
+        clock: BootClock,
+    ) -> None:  # fmt: skip
+        self._settings = settings
+        self._follower = follower
+        self._chooser = chooser
+        self._clock = clock
+        self._index = RouteIndex(follower.state.configuration)
+        self._started = time.time()
+        self._leaving = False
+        self._announce: Callable[[], None] = lambda: None
+        self.service: GatewayService | None = None
+
+    @property
+    def clock(self) -> BootClock:
+        return self._clock
+
+    @property
+    def index(self) -> RouteIndex:
+        """The configuration in force here."""
+        return self._index
+
+    @property
+    def leaving(self) -> bool:
+        return self._leaving
+
+    @property
+    def ready(self) -> bool:
+        return self._index.version > 0 and not self._leaving
+
+    def leave(self) -> None:
+        """Stop being named to callers; requests that come are still served."""
+        self._leaving = True
+        self._announce()
+
+    def describe(self) -> EntryHost:
+        return EntryHost(
+            name=self._settings.name,
+            domain=self._settings.domain,
+            region=self._settings.region,
+            address=self._settings.callers_address,
+            started=self._started,
+            ready=self.ready,
+        )
+
+    def apply(self) -> None:
+        """Bring the newest copy of the control state into force."""
+        state = self._follower.state
+        was_ready = self.ready
+        if state.configuration.version != self._index.version:
+            self._index = RouteIndex(state.configuration)
+            logger.bind(
+                version=state.configuration.version,
+                revision=state.revision,
+                routes=len(state.configuration.routes),
+            ).info("gateway: configuration applied.")
+        self._chooser.update(
+            state.targets,
+            evacuated=state.evacuated,
+            service_rule=self._index.service,
+        )
+        if self.ready != was_ready:
+            self._announce()
+
+    def on_change(self, announce: Callable[[], None]) -> None:
+        """Call ``announce`` whenever :meth:`describe` has changed."""
+        self._announce = announce
+
+
+@contextmanager
+def running_gateway(
+    settings: GatewaySettings, *, seeds: Callable[[], tuple[str, ...]],
+    words: TargetWords, dialect: TargetDialect,
+) -> Iterator[Gateway]:  # fmt: skip
+    """Run an entry host until the block ends; ``seeds`` may change meanwhile."""
+    with ExitStack() as stack:
+        bus = stack.enter_context(running_bus(create_bus(settings)))
+        clock = BootClock()
+        follower = Follower(clock=clock)
+        controls = ControlHostList(
+            seeds=seeds, domain=settings.domain, region=settings.region, clock=clock
+        )
+        chooser = TargetChooser(place=_place(settings), clock=clock)
+        gateway = Gateway(
+            settings=settings, follower=follower, chooser=chooser, clock=clock
+        )
+        gateway.service = _create_service(
+            settings, gateway, chooser, controls, bus, words, dialect
+        )
+        _start_actors(stack, settings, gateway, follower, controls, bus)
+        create_meter(settings.name)
+        stack.enter_context(
+            serve_metrics(
+                settings.metrics_address,
+                lambda: "" if gateway.ready else "no configuration, or leaving",
+            )
+        )
+        logger.bind(seeds=list(seeds()), domain=settings.domain).info(
+            "gateway: started."
+        )
+        yield gateway
+        logger.info("gateway: stopping.")
+
+
+def _place(settings: GatewaySettings) -> Place:
+    return Place(
+        domain=settings.domain,
+        region=settings.region,
+        regions=settings.regions,
+        domain_distance=DOMAIN_DISTANCE,
+        region_distance=REGION_DISTANCE,
+    )
+
+
+def _create_service(
+    settings: GatewaySettings, gateway: Gateway, chooser: TargetChooser,
+    controls: ControlHostList, bus: Bus, words: TargetWords, dialect: TargetDialect,
+) -> GatewayService:  # fmt: skip
+    clock = gateway.clock
+    regions = settings.regions
+    permits = PermitClient(
+        bus=bus,
+        clock=clock,
+        control_hosts=lambda: controls.live_names,
+        is_near=lambda name: regions.get(controls.domain_of(name)) == settings.region,
+    )
+    delivery = Delivery(
+        chooser=chooser,
+        connections=TargetConnections(
+            clock=clock, dialect=dialect, connect_timeout=CONNECT_TIMEOUT
+        ),
+        words=words,
+        budgets=RetryBudgets(),
+        clock=clock,
+    )
+    return GatewayService(
+        index=lambda: gateway.index,
+        permits=permits,
+        delivery=delivery,
+        clock=clock,
+        random=Random(settings.name),
+    )
+
+
+def _start_actors(
+    stack: ExitStack, settings: GatewaySettings, gateway: Gateway, follower: Follower,
+    controls: ControlHostList, bus: Bus,
+) -> None:  # fmt: skip
+    presence = PresenceActor.start(
+        controls=controls, bus=bus, clock=gateway.clock, describe=gateway.describe
+    )
+    gateway.on_change(lambda: presence.tell(Announce()))
+    follower_actor = FollowerActor.start(
+        follower=follower,
+        sources=lambda: controls.live_names,
+        bus=bus,
+        clock=gateway.clock,
+        domain=settings.domain,
+        timing=FETCH_TIMING,
+        applied=gateway.apply,
+    )
+    for actor in (presence, follower_actor):
+        stack.enter_context(running_actor(actor, interval=TICK))
+
+
+@attrs.frozen(kw_only=True)
+class StopTiming:
+    """How a stopping entry host waits, in seconds from the signal on."""
+
+    least: float = 1.5
+    longest: float = 5.0
+    quiet: float = 0.5
+
+
+def wait_until_idle(
+    in_flight: Callable[[], int], *, clock: BootClock, timing: StopTiming
+) -> None:
+    """Return once no request was in flight for a while, or when time is up."""
+    started = clock.now()
+    quiet_since = started
+    while (elapsed := clock.now() - started) < timing.longest:
+        if in_flight():
+            quiet_since = clock.now()
+        if elapsed > timing.least and clock.now() - quiet_since > timing.quiet:
+            return
+        time.sleep(0.05)
--- /dev/null
+++ b/src/chicoryhold/programs/host_bus.py
@@ -0,0 +1,20 @@
+"""The bus of a host that finds others through seeds."""
+
+from __future__ import annotations
+
+from chicoryhold.errors import SettingsError
+from chicoryhold.hosts.bus import Bus
+from chicoryhold.hosts.transport import OpenTransport
+from chicoryhold.programs.host_settings import HostSettings
+
+
+def create_bus(settings: HostSettings) -> Bus:
+    """Return the bus; without keys it must be said that nothing is encrypted."""
+    if settings.transport_encrypted:
+        raise SettingsError(
+            "transport_encrypted = true needs a key for every host, which hosts that "
+            "only know seeds don't have: set it to false on a closed network, or name "
+            "all hosts in the settings of chicoryhold-entry and chicoryhold-control"
+        )
+    transport = OpenTransport(name=settings.name, port=settings.bus_port)
+    return Bus(name=settings.name, address=settings.bus_address, transport=transport)
--- /dev/null
+++ b/src/chicoryhold/routing/target_choice.py
@@ -0,0 +1,246 @@
+"""Chooses a target by when it is expected to have finished.
+
+A target that has handled an object lately is several times as fast, so a short queue
+there beats an idle target elsewhere, until the wait costs more than it saves.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable, Mapping
+
+import attrs
+
+from chicoryhold.clock import Clock
+from chicoryhold.routing.affinity import hash_of, rendezvous_score, share_of
+from chicoryhold.routing.configuration import RouteRule, ServiceRule
+from chicoryhold.routing.spill import Spill
+from chicoryhold.routing.target_view import Load, TargetView
+from chicoryhold.routing.work_times import WorkTime
+from chicoryhold.state.targets import TargetRecord, TargetState
+
+HOMES_OF_AN_OBJECT = 2
+FAILING_SHARE = 0.3  # of failures from which a target is taken last
+FAILURE_COST = 1.0  # seconds that a certain failure is worth
+
+
+@attrs.frozen(kw_only=True)
+class Wanted:
+    """What a request needs of a target.
+
+    ``homes`` are the regions it may run in, empty for any; ``avoid`` are instances
+    that it was sent to before.
+    """
+
+    route: RouteRule
+    service: str
+    object_name: str
+    homes: frozenset[str] = frozenset()
+    avoid: frozenset[str] = frozenset()
+
+
+@attrs.frozen(kw_only=True)
+class Choice:
+    """A target, and why: what was expected of it, in seconds."""
+
+    view: TargetView
+    expected: float
+    work: float
+    is_known: bool
+
+
+@attrs.frozen(kw_only=True)
+class Place:
+    """Where this host is, and how far the others are (seconds, there and back)."""
+
+    domain: str
+    region: str
+    regions: Mapping[str, str]
+    domain_distance: float
+    region_distance: float
+
+    def distance(self, record: TargetRecord) -> float:
+        if record.domain == self.domain:
+            return 0.0
+        if self.regions.get(record.domain) == self.region:
+            return self.domain_distance
+        return self.region_distance
+
+
+class TargetChooser:
+    """Keeps beliefs about targets and picks one. Safe to use from many threads."""
+
+    def __init__(self, *, place: Place, clock: Clock) -> None:
+        self._place = place
+        self._clock = clock
+        self._views: dict[str, TargetView] = {}
+        self._services: dict[str, list[TargetView]] = {}
+        self._evacuated: frozenset[str] = frozenset()
+        self._work: dict[tuple[str, str], WorkTime] = {}
+        self._spill = Spill(clock=clock)
+        self._lock = threading.Lock()
+
+    def update(
+        self, records: Iterable[TargetRecord], *, evacuated: frozenset[str],
+        service_rule: Callable[[str], ServiceRule],
+    ) -> None:  # fmt: skip
+        """Take the targets, evacuated domains and services that are in force now."""
+        now = self._clock.now()
+        with self._lock:
+            readmitted = self._evacuated - evacuated
+            self._evacuated = evacuated
+            views = {}
+            for record in records:
+                if record.state is not TargetState.GONE:
+                    view = self._updated(record, now)
+                    if record.domain in readmitted:
+                        _expect_cold(view, service_rule(record.service), now)
+                    views[record.instance] = view
+            self._views = views
+            self._services = {}
+            for view in views.values():
+                self._services.setdefault(view.record.service, []).append(view)
+
+    def choose(self, wanted: Wanted) -> Choice | None:
+        """Return the best target and count the request there, or ``None``."""
+        now = self._clock.now()
+        with self._lock:
+            allowed = self._allowed(wanted, now)
+            candidates = self._candidates(wanted, allowed, now)
+            if not candidates:
+                return None
+            choices = [self._expect(wanted, view, now) for view in candidates]
+            best = min(choices, key=lambda choice: choice.expected)
+            best.view.sent()
+            return best
+
+    def finished(
+        self, choice: Choice, wanted: Wanted, *, seconds: float, load: Load | None
+    ) -> None:
+        """A whole answer came after ``seconds``."""
+        now = self._clock.now()
+        with self._lock:
+            view = choice.view
+            if load is not None:
+                view.told(load, now)
+            view.done()
+            view.objects.add(wanted.object_name)
+            work = max(0.001, seconds - self._place.distance(view.record))
+            waited = load is not None and load.waiting > 0
+            if not waited:
+                expected = self._work_time(wanted)
+                view.succeeded(ratio=work / max(0.001, choice.work))
+                expected.learn(work, was_known=choice.is_known)
+
+    def turned_away(self, choice: Choice, *, load: Load | None) -> None:
+        """The target itself said that it didn't run the request."""
+        with self._lock:
+            if load is not None:
+                choice.view.told(load, self._clock.now())
+            choice.view.done()
+
+    def failed(self, choice: Choice, *, unreachable: bool) -> bool:
+        """An exchange broke; returns whether the target is left alone for a time."""
+        with self._lock:
+            choice.view.done()
+            return choice.view.failed(self._clock.now(), unreachable=unreachable)
+
+    def dropped(self, choice: Choice) -> None:
+        """An exchange ended without telling anything about the target."""
+        with self._lock:
+            choice.view.done()
+
+    def _updated(self, record: TargetRecord, now: float) -> TargetView:
+        view = self._views.get(record.instance)
+        if view is None or view.record.born_ms != record.born_ms:
+            view = TargetView(
+                record=record,
+                region=self._place.regions.get(record.domain, ""),
+                cold_until=now + record.cold_seconds,
+            )
+        elif record != view.record:
+            view.cold_until = now + record.cold_seconds
+            if record.cold_seconds > 0:
+                view.objects.clear()
+            view.record = record
+        return view
+
+    def _allowed(self, wanted: Wanted, now: float) -> list[TargetView]:
+        return [
+            view
+            for view in self._services.get(wanted.service, ())
+            if view.record.state in (TargetState.READY, TargetState.SILENT)
+            and view.record.domain not in self._evacuated
+            and view.record.instance not in wanted.avoid
+            and (not wanted.homes or view.region in wanted.homes)
+            and now >= view.cold_until
+        ]
+
+    def _candidates(
+        self, wanted: Wanted, allowed: list[TargetView], now: float
+    ) -> list[TargetView]:
+        good = [view for view in allowed if self._is_good(view, now)]
+        usable = good or allowed
+        near = [view for view in usable if view.region == self._place.region]
+        far = [view for view in usable if view.region != self._place.region]
+        if not near:
+            return self._homes(wanted, far)
+        if not far:
+            return near
+        load = sum(v.occupancy(now) for v in near) / sum(v.slots for v in near)
+        share = self._spill.observe(wanted.service, load)
+        if share_of(hash_of(wanted.object_name), hash_of("spill")) < share:
+            return self._homes(wanted, far)
+        return near
+
+    def _homes(self, wanted: Wanted, views: list[TargetView]) -> list[TargetView]:
+        """Return the targets to which the object belongs among ``views``."""
+        if len(views) <= HOMES_OF_AN_OBJECT:
+            return views
+        object_hash = hash_of(wanted.object_name)
+        return sorted(
+            views,
+            key=lambda v: rendezvous_score(object_hash, hash_of(v.record.instance)),
+            reverse=True,
+        )[:HOMES_OF_AN_OBJECT]
+
+    def _is_good(self, view: TargetView, now: float) -> bool:
+        if now < view.ejected_until or view.record.state is TargetState.SILENT:
+            return False
+        return view.failure_share < FAILING_SHARE or view.in_flight == 0
+
+    def _expect(self, wanted: Wanted, view: TargetView, now: float) -> Choice:
+        times = self._work_time(wanted)
+        known = wanted.object_name in view.objects or self._is_first_home(wanted, view)
+        work = times.of(is_known=known)
+        slots = max(1, view.slots)
+        ahead = max(0.0, view.occupancy(now) + 1 - slots)
+        wait = ahead / slots * (times.known + times.unknown) / 2
+        cost = FAILURE_COST * view.failure_share
+        expected = (work + wait) * max(0.3, view.slowness)
+        expected += self._place.distance(view.record) + cost
+        return Choice(view=view, expected=expected, work=work, is_known=known)
+
+    def _is_first_home(self, wanted: Wanted, view: TargetView) -> bool:
+        peers = self._services[view.record.service]
+        object_hash = hash_of(wanted.object_name)
+        own = rendezvous_score(object_hash, hash_of(view.record.instance))
+        return all(
+            rendezvous_score(object_hash, hash_of(peer.record.instance)) <= own
+            for peer in peers
+            if peer.region == view.region and peer.record.state is TargetState.READY
+        )
+
+    def _work_time(self, wanted: Wanted) -> WorkTime:
+        key = (wanted.route.name, wanted.service)
+        times = self._work.get(key)
+        if times is None:
+            times = WorkTime.expected(wanted.route.objective)
+            self._work[key] = times
+        return times
+
+
+def _expect_cold(view: TargetView, rule: ServiceRule, now: float) -> None:
+    """Take a target as cold that may have been restarted without a word of it."""
+    view.cold_until = max(view.cold_until, now + rule.cold_seconds)
+    view.objects.clear()
--- /dev/null
+++ b/src/chicoryhold/routing/target_view.py
@@ -0,0 +1,90 @@
+"""What one entry host believes of each target, from its own exchanges and reports."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+from chicoryhold.routing.affinity import RecentObjects
+from chicoryhold.state.targets import TargetRecord
+
+EJECT_AFTER_FAILURES = 3
+EJECT_FIRST_SECONDS = 0.5
+EJECT_LAST_SECONDS = 8.0
+LOAD_MEMORY_SECONDS = 0.5  # over which a target's own word of its load loses weight
+WORK_WEIGHT = 0.2  # of the newest work time in the smoothed one
+SLOWNESS_WEIGHT = 0.15
+
+
+@attrs.frozen(kw_only=True)
+class Load:
+    """A target's own word: requests running and waiting, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@attrs.define(kw_only=True)
+class TargetView:
+    """Beliefs about one target. Times are on the own clock, in seconds.
+
+    ``slowness`` is how many times as long as others of its service it takes.
+    """
+
+    record: TargetRecord
+    region: str
+    cold_until: float
+    in_flight: int = 0
+    load: Load | None = None
+    load_at: float = float("-inf")
+    in_flight_at_load: int = 0
+    failures: int = 0
+    failure_share: float = 0.0
+    slowness: float = 1.0
+    ejected_until: float = float("-inf")
+    eject_seconds: float = EJECT_FIRST_SECONDS
+    objects: RecentObjects = attrs.field(factory=RecentObjects)
+
+    @property
+    def slots(self) -> int:
+        return self.load.slots if self.load and self.load.slots else self.record.slots
+
+    def occupancy(self, now: float) -> float:
+        """Requests at the target: its own word, ageing, and ours since then."""
+        if self.load is None:
+            return float(self.in_flight)
+        age = now - self.load_at
+        fade = math.exp(-age / LOAD_MEMORY_SECONDS)
+        others = self.load.running + self.load.waiting - self.in_flight_at_load
+        return self.in_flight + max(0.0, others) * fade
+
+    def sent(self) -> None:
+        self.in_flight += 1
+
+    def told(self, load: Load, now: float) -> None:
+        """Take the load that came with an answer, counted before our request ended."""
+        self.load = load
+        self.load_at = now
+        self.in_flight_at_load = max(0, self.in_flight - 1)
+
+    def done(self) -> None:
+        self.in_flight = max(0, self.in_flight - 1)
+
+    def succeeded(self, *, ratio: float) -> None:
+        """``ratio`` is the work time against what was expected."""
+        self.failures = 0
+        self.failure_share *= 1 - SLOWNESS_WEIGHT
+        self.eject_seconds = EJECT_FIRST_SECONDS
+        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+
+    def failed(self, now: float, *, unreachable: bool) -> bool:
+        """Count a failure; returns whether the target is now left alone for a time."""
+        self.failures += 1
+        self.failure_share += SLOWNESS_WEIGHT * (1 - self.failure_share)
+        if not unreachable and self.failures < EJECT_AFTER_FAILURES:
+            return False
+        self.ejected_until = now + self.eject_seconds
+        self.eject_seconds = min(2 * self.eject_seconds, EJECT_LAST_SECONDS)
+        return True
--- a/src/chicoryhold/state/changes.py
+++ b/src/chicoryhold/state/changes.py
@@ -5,13 +5,16 @@
 from typing import Any
 
 from chicoryhold.codec import message
+from chicoryhold.routing.configuration import Configuration
+from chicoryhold.state.targets import TargetRecord
 
 
 @message
 class Change:
     """One operator request.
 
-    ``request_id`` makes a resend return the first outcome. ``based_on`` is the
+    ``request_id`` makes a resend return the first outcome; empty for a change that
+    has the same effect however often it is made. ``based_on`` is the
     revision that the operator saw, required for the table. ``body`` is an encoded
     body message from this module.
     """
@@ -80,6 +83,36 @@
     host: str
 
 
+@message
+class PutConfiguration:
+    """Replaces the configuration if its version is higher than the one in force.
+
+    ``text`` is the document as it was sent, compressed, to be read back whole.
+    """
+
+    configuration: Configuration
+    text: bytes
+
+
+@message
+class RecordTargets:
+    """What targets said of themselves, or that they fell silent."""
+
+    records: tuple[TargetRecord, ...]
+
+
+@message
+class EvacuateDomain:
+    """No request goes to the targets of ``domain`` until :class:`EndEvacuation`."""
+
+    domain: str
+
+
+@message
+class EndEvacuation:
+    domain: str
+
+
 @message
 class Outcome:
     """The result of a change, the same for each resend of its request id.
@@ -96,7 +129,8 @@
 
 Body = (
     CreateOrganisation | GiveKey | WithdrawKey | PutTable | StartShift | EndShift
-    | PlanStop | EndStop
+    | PlanStop | EndStop | PutConfiguration | RecordTargets | EvacuateDomain
+    | EndEvacuation
 )  # fmt: skip
 
 
--- a/src/chicoryhold/state/control_state.py
+++ b/src/chicoryhold/state/control_state.py
@@ -12,22 +12,29 @@
 import attrs
 
 from chicoryhold.codec import decode, encode, message
+from chicoryhold.routing.configuration import Configuration
 from chicoryhold.state.changes import (
     Change,
     CreateOrganisation,
+    EndEvacuation,
     EndShift,
     EndStop,
+    EvacuateDomain,
     GiveKey,
     Outcome,
     PlanStop,
+    PutConfiguration,
     PutTable,
+    RecordTargets,
     StartShift,
     WithdrawKey,
 )
 from chicoryhold.state.table import Table, check_table, parse_table
+from chicoryhold.state.targets import TargetRecord, TargetRecords
 
 REMEMBERED_REQUESTS = 100_000
 EMPTY_TABLE = "scope,name,field,value,unit\n"
+EMPTY_CONFIGURATION = Configuration(version=0)
 
 
 @message
@@ -60,6 +67,10 @@
     shifts: dict[str, StartShift]
     stops: tuple[str, ...]
     requests: dict[str, RequestRecord]
+    configuration: Configuration = EMPTY_CONFIGURATION
+    configuration_text: bytes = b""
+    targets: tuple[TargetRecord, ...] = ()
+    evacuated: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -83,6 +94,10 @@
         self._shifts: dict[str, StartShift] = {}
         self._stops: set[str] = set()
         self._requests: dict[str, RequestRecord] = {}
+        self._configuration = EMPTY_CONFIGURATION
+        self._configuration_text = b""
+        self._targets = TargetRecords()
+        self._evacuated: set[str] = set()
 
     @property
     def revision(self) -> int:
@@ -123,6 +138,25 @@
         """Entry hosts with a planned stop."""
         return frozenset(self._stops)
 
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force; version 0 means that none was accepted yet."""
+        return self._configuration
+
+    @property
+    def configuration_text(self) -> bytes:
+        """The compressed document that :attr:`configuration` was read from."""
+        return self._configuration_text
+
+    @property
+    def targets(self) -> TargetRecords:
+        return self._targets
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains whose targets get no requests."""
+        return frozenset(self._evacuated)
+
     def key_by_digest(self, digest: str) -> KeyRecord | None:
         """Return the key whose hexadecimal SHA-256 is ``digest``, even if withdrawn."""
         return self._keys.get(digest)
@@ -130,7 +164,7 @@
     def apply(self, change: Change) -> Outcome:
         """Apply ``change``, or return the outcome of its first application."""
         body_digest = hashlib.sha256(change.body).digest()
-        known = self._requests.get(change.request_id)
+        known = self._requests.get(change.request_id) if change.request_id else None
         if known is not None:
             return self._repeat(known, body_digest)
         try:
@@ -144,7 +178,8 @@
                 reason=refusal.reason,
                 difference=refusal.difference,
             )
-        self._remember(change.request_id, body_digest, outcome)
+        if change.request_id:
+            self._remember(change.request_id, body_digest, outcome)
         return outcome
 
     def image(self, *, with_requests: bool = True) -> bytes:
@@ -163,6 +198,10 @@
                 shifts=self._shifts,
                 stops=tuple(sorted(self._stops)),
                 requests=self._requests if with_requests else {},
+                configuration=self._configuration,
+                configuration_text=self._configuration_text,
+                targets=tuple(self._targets),
+                evacuated=tuple(sorted(self._evacuated)),
             )
         )
 
@@ -182,6 +221,10 @@
         self._shifts = dict(image.shifts)
         self._stops = set(image.stops)
         self._requests = dict(image.requests)
+        self._configuration = image.configuration
+        self._configuration_text = image.configuration_text
+        self._targets = TargetRecords(image.targets)
+        self._evacuated = set(image.evacuated)
 
     def _repeat(self, known: RequestRecord, body_digest: bytes) -> Outcome:
         if known.digest == body_digest:
@@ -219,6 +262,15 @@
                 self._stops.add(body.host)
             case EndStop():
                 self._stops.discard(body.host)
+            case PutConfiguration():
+                self._put_configuration(body)
+            case RecordTargets():
+                for record in body.records:
+                    self._targets.put(record)
+            case EvacuateDomain():
+                self._evacuated.add(body.domain)
+            case EndEvacuation():
+                self._evacuated.discard(body.domain)
             case _:
                 raise _Refusal(reason=f"{type(body).__name__} is not a change")
 
@@ -245,6 +297,13 @@
                 return
         raise _Refusal(reason=f"key {body.key_id!r} doesn't exist: list the keys")
 
+    def _put_configuration(self, body: PutConfiguration) -> None:
+        # An older or equal version is acknowledged without effect: it was accepted
+        # before, or lost against a higher one, and either way must not be resent.
+        if body.configuration.version > self._configuration.version:
+            self._configuration = body.configuration
+            self._configuration_text = body.text
+
     def _put_table(self, body: PutTable, based_on: int | None) -> None:
         if based_on is None or not self._table_revision <= based_on <= self._revision:
             raise _Refusal(
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -13,7 +13,15 @@
 from urllib3.util import wait_for_read
 
 from chicoryhold.clock import Clock
-from chicoryhold.errors import AnswerMismatch, ConnectFailed, ExchangeFailed
+from chicoryhold.errors import (
+    AnswerMismatch,
+    CallerLeft,
+    ConnectFailed,
+    ExchangeFailed,
+    ExchangeTimeout,
+)
+from chicoryhold.targets.cancellation import NEVER_CANCELLED, Cancellation
+from chicoryhold.targets.dialect import OWN_DIALECT, TargetDialect
 
 IDLE_SECONDS = 5.0
 IDLE_SECONDS_ONCE = 0.5
@@ -23,7 +31,6 @@
 UNACKNOWLEDGED_MS = 1_000
 READ_BYTES = 65_536
 LARGEST_ANSWER = 16 * 1024 * 1024
-REQUEST_ID_HEADER = "Chicoryhold-Request-Id"
 
 
 # The kernel ends a connection whose data or probes are no longer acknowledged, so a
@@ -56,6 +63,7 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    started_at: float = 0.0
 
 
 class _CheckedResponse(http.client.HTTPResponse):
@@ -92,14 +100,19 @@
 class TargetConnections:
     """Sends requests to targets, each answer checked to be whole and its own."""
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(
+        self, *, clock: Clock, dialect: TargetDialect = OWN_DIALECT,
+        connect_timeout: float = CONNECT_TIMEOUT,
+    ) -> None:  # fmt: skip
         self._clock = clock
+        self._connect_timeout = connect_timeout
+        self._dialect = dialect
         self._idle: dict[str, list[_Idle]] = {}
         self._lock = threading.Lock()
 
     def exchange(
         self, address: str, request: OutgoingRequest, *, deadline: float,
-        doubted_deadline: float,
+        doubted_deadline: float, cancellation: Cancellation = NEVER_CANCELLED,
     ) -> TargetAnswer:  # fmt: skip
         """Return the answer of the target at ``address``, by ``deadline``.
 
@@ -109,7 +122,8 @@
         another try would only load more.
 
         Raises ``ConnectFailed`` if no byte was sent, and ``ExchangeFailed`` if the
-        target may or may not have run the request.
+        target may or may not have run the request: ``ExchangeTimeout`` if time ran
+        out, ``CallerLeft`` if ``cancellation`` ended the exchange.
         """
         idle = self._take(address, once=request.once)
         if idle is None:
@@ -119,20 +133,29 @@
             if self._clock.now() - idle.since > DOUBTED_AFTER_SECONDS:
                 deadline = doubted_deadline
         try:
-            answer = self._send(connection, request, deadline)
+            with cancellation.closing(connection.sock):
+                answer = self._send(connection, request, deadline)
         except AnswerMismatch:
             connection.close()
             raise
         except (OSError, urllib3.exceptions.HTTPError, http.client.HTTPException) as e:
             connection.close()
+            if cancellation.is_set:
+                raise CallerLeft("the caller left: nobody waits for this") from e
             # One silent connection means that the path may have dropped them all.
             self.retire(address)
-            raise ExchangeFailed(
-                f"target {address} broke off: {e}; look at its log and at the link"
-            ) from e
+            raise self._failure(address, deadline, e) from e
         self._keep(address, connection)
         return answer
 
+    def _failure(
+        self, address: str, deadline: float, error: Exception
+    ) -> ExchangeFailed:
+        kind = ExchangeTimeout if self._clock.now() >= deadline else ExchangeFailed
+        return kind(
+            f"target {address} broke off: {error}; look at its log and at the link"
+        )
+
     def retire(self, address: str) -> None:
         """Close every idle connection to ``address``."""
         with self._lock:
@@ -167,7 +190,7 @@
     def _connect(self, address: str, deadline: float) -> _CheckedConnection:
         host, _, port = address.rpartition(":")
         remaining = max(0.001, deadline - self._clock.now())
-        timeout = min(CONNECT_TIMEOUT, remaining)
+        timeout = min(self._connect_timeout, remaining)
         connection = _CheckedConnection(
             host, int(port), timeout=timeout, socket_options=_SOCKET_OPTIONS
         )
@@ -189,7 +212,10 @@
             request.method,
             request.path,
             body=request.body or None,
-            headers={**request.headers, REQUEST_ID_HEADER: request.request_id},
+            headers={
+                **request.headers,
+                self._dialect.request_id_header: request.request_id,
+            },
             preload_content=False,
             decode_content=False,
         )
@@ -240,20 +266,25 @@
         raw = response._original_response
         chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
         empty = response.status in (204, 304) or request.method == "HEAD"
-        if not (chunked or empty or "Content-Length" in response.headers):
+        framed = chunked or empty or "Content-Length" in response.headers
+        if not (framed or self._dialect.takes_answers_to_the_end):
             raise AnswerMismatch(
                 "the answer has no length, so it can't be known to be whole: make the "
                 "target send Content-Length or chunks"
             )
-        if raw.surplus:
+        header = self._dialect.request_id_header
+        echoed = response.headers.get(header)
+        if raw.surplus and self._dialect.takes_answers_to_the_end:
+            # What follows belongs to no request; the answer itself is whole.
+            connection.close()
+        elif raw.surplus:
             raise AnswerMismatch(
                 "the answer goes on after its end: fix its Content-Length"
             )
-        echoed = response.headers.get(REQUEST_ID_HEADER)
         if echoed != request.request_id:
             raise AnswerMismatch(
                 f"the answer is for request {echoed!r}, not {request.request_id!r}: "
-                f"make the target return {REQUEST_ID_HEADER}"
+                f"make the target return {header}"
             )
 
 
