--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -14,6 +14,7 @@
 from chicoryhold.gateway.delivery import Delivery, Job
 from chicoryhold.gateway.request import GatewayRequest
 from chicoryhold.limits.permit_client import Permission, PermitClient
+from chicoryhold.metrics import Metrics
 from chicoryhold.routing.configuration import OrganisationRule, RouteRule
 from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.targets.connections import TargetAnswer
@@ -41,8 +42,9 @@
 
     def __init__(
         self, *, index: Callable[[], RouteIndex], permits: PermitClient,
-        delivery: Delivery, clock: Clock, random: Random,
+        delivery: Delivery, clock: Clock, random: Random, metrics: Metrics,
     ) -> None:  # fmt: skip
+        self._metrics = metrics
         self._index = index
         self._permits = permits
         self._delivery = delivery
@@ -55,8 +57,22 @@
         served = self._serve(request, index)
         if served.outcome.is_err():
             self._log_refusal(request, index, served)
+        self._measure(request, served)
         return served
 
+    def _measure(self, request: GatewayRequest, served: Served) -> None:
+        route = served.route.name if served.route else ""
+        if served.outcome.is_ok():
+            outcome = str(served.outcome.ok_value.status)
+        else:
+            outcome = served.outcome.err_value.kind.label
+        self._metrics.count("chicoryhold_requests", route=route, outcome=outcome)
+        self._metrics.observe(
+            "chicoryhold_request_seconds",
+            self._clock.now() - request.arrived_at,
+            route=route,
+        )
+
     def _serve(self, request: GatewayRequest, index: RouteIndex) -> Served:
         if index.version == 0:
             return Served(outcome=_refused(RefusalKind.NOT_READY, "no configuration"))
--- a/src/chicoryhold/hosts/bus.py
+++ b/src/chicoryhold/hosts/bus.py
@@ -24,8 +24,9 @@
 from chicoryhold.hosts.transport import Transport
 
 SEND_QUEUE_MESSAGES = 10_000
-HEARTBEAT_INTERVAL_MS = 500
-HEARTBEAT_TIMEOUT_MS = 1_500
+HEARTBEAT_INTERVAL_MS = 2_000
+HEARTBEAT_TIMEOUT_MS = 2_500
+UNACKNOWLEDGED_MS = 1_500
 RECONNECT_FIRST_MS = 50
 RECONNECT_LAST_MS = 1_000
 POLL_MS = 1_000
@@ -158,6 +159,9 @@
         socket.rcvhwm = SEND_QUEUE_MESSAGES
         socket.heartbeat_ivl = HEARTBEAT_INTERVAL_MS
         socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
+        # A path that was lost shows by data that nobody acknowledges, long before
+        # the next heartbeat.
+        socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MS)
         socket.reconnect_ivl = RECONNECT_FIRST_MS
         socket.reconnect_ivl_max = RECONNECT_LAST_MS
         return socket
--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -18,6 +18,7 @@
 ARRIVED_AT = "chicoryhold.arrived_at"
 CANCELLATION = "chicoryhold.cancellation"
 CONNECTION_LIMIT = 1_000
+LOOP_SECONDS = 5  # longest sleep; work and answers wake the loop at once
 READ_AHEAD = 1  # requests; reading on is how a caller that left is noticed
 CONNECTION_IDLE_SECONDS = 30
 LARGEST_HEADERS = 65_536
@@ -104,6 +105,7 @@
             channel_timeout=idle_seconds,
             channel_request_lookahead=READ_AHEAD,
             asyncore_use_poll=True,
+            asyncore_loop_timeout=LOOP_SECONDS,
             max_request_header_size=LARGEST_HEADERS,
             max_request_body_size=largest_body,
         )
--- a/src/chicoryhold/limits/permits.py
+++ b/src/chicoryhold/limits/permits.py
@@ -23,7 +23,7 @@
 
 @attrs.frozen(kw_only=True)
 class Allowance:
-    """``rate`` in permits per second, ``burst`` in permits, for all domains together."""
+    """``rate`` in permits per second, ``burst`` in permits, over all domains."""
 
     rate: float
     burst: float
--- a/src/chicoryhold/membership/presence_actor.py
+++ b/src/chicoryhold/membership/presence_actor.py
@@ -20,8 +20,9 @@
 from chicoryhold.membership.roster import by_nearness
 
 PRESENCE_INTERVAL = 0.5  # seconds
-HEARD_RECENTLY = 1.6  # seconds
-REPORTED_TO = 2  # control hosts at a time
+HEARD_RECENTLY = 1.2  # seconds
+SECOND_EVERY = 2  # reports of which one also goes to a second control host
+OTHERS_EVERY = 8  # reports of which one also goes to another one in turn
 
 
 @attrs.frozen(kw_only=True)
@@ -83,7 +84,7 @@
 
 
 class PresenceActor(OwningActor):
-    """Reports every half second to the two nearest control hosts that answer."""
+    """Reports every half second to the nearest control host that answers."""
 
     def __init__(
         self, *, controls: ControlHostList, bus: Bus, clock: Clock,
@@ -121,10 +122,13 @@
     def _chosen(self) -> tuple[str, ...]:
         names = self._controls.live_names
         self._turn += 1
-        # One more each time in turn finds hosts that came back or were cut off.
-        extra = names[self._turn % len(names)] if names else ""
-        chosen = dict.fromkeys((*names[:REPORTED_TO], extra))
-        return tuple(name for name in chosen if name)
+        chosen = list(names[:1])
+        if self._turn % SECOND_EVERY == 0:
+            chosen += names[1:2]
+        if self._turn % OTHERS_EVERY == 0:
+            # Finds hosts that came back, or that this one never heard.
+            chosen.append(names[self._turn // OTHERS_EVERY % len(names)])
+        return tuple(dict.fromkeys(chosen))
 
     def _ask(self, name: str, presence: EntryPresence) -> Future:
         future = self._bus.ask(name, presence)
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -37,7 +37,7 @@
 from chicoryhold.membership.roster import Roster
 from chicoryhold.membership.roster_actor import RosterActor
 from chicoryhold.membership.target_reports import TargetReports
-from chicoryhold.metrics import create_meter, serve_metrics
+from chicoryhold.metrics import Metrics, serve_metrics
 from chicoryhold.programs.host_bus import create_bus
 from chicoryhold.programs.host_settings import (
     VOTERS,
@@ -117,9 +117,14 @@
         stack.enter_context(running_actor(roster_actor, interval=ROSTER_TICK))
         permit_actor = _start_permits(stack, settings, state, roster, bus, clock)
         _handle_messages(bus, actor, roster_actor, permit_actor, plane)
-        create_meter(settings.name)
+        metrics = Metrics(process=settings.name)
+        metrics.gauge("chicoryhold_control_revision", lambda: state.revision)
+        metrics.gauge("chicoryhold_control_term", lambda: replica.term)
+        metrics.gauge("chicoryhold_control_leads", lambda: int(plane.leads))
         stack.enter_context(
-            serve_metrics(settings.metrics_address, lambda: _not_ready(replica))
+            serve_metrics(
+                settings.metrics_address, lambda: _not_ready(replica), metrics
+            )
         )
         logger.bind(identity=identity, seeds=list(seeds())).info("control: started.")
         yield ControlHostParts(plane=plane, roster=roster)
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -25,7 +25,7 @@
     ControlHostList,
     PresenceActor,
 )
-from chicoryhold.metrics import create_meter, serve_metrics
+from chicoryhold.metrics import Metrics, serve_metrics
 from chicoryhold.programs.host_bus import create_bus
 from chicoryhold.programs.host_settings import GatewaySettings
 from chicoryhold.routing.route_index import RouteIndex
@@ -55,6 +55,8 @@
         self._started = time.time()
         self._leaving = False
         self._announce: Callable[[], None] = lambda: None
+        self._metrics = Metrics(process=settings.name)
+        self._metrics.gauge("chicoryhold_revision", lambda: follower.state.revision)
         self.service: GatewayService | None = None
 
     @property
@@ -66,6 +68,10 @@
         """The configuration in force here."""
         return self._index
 
+    @property
+    def metrics(self) -> Metrics:
+        return self._metrics
+
     @property
     def leaving(self) -> bool:
         return self._leaving
@@ -134,11 +140,11 @@
             settings, gateway, chooser, controls, bus, words, dialect
         )
         _start_actors(stack, settings, gateway, follower, controls, bus)
-        create_meter(settings.name)
         stack.enter_context(
             serve_metrics(
                 settings.metrics_address,
                 lambda: "" if gateway.ready else "no configuration, or leaving",
+                gateway.metrics,
             )
         )
         logger.bind(seeds=list(seeds()), domain=settings.domain).info(
@@ -185,6 +191,7 @@
         delivery=delivery,
         clock=clock,
         random=Random(settings.name),
+        metrics=gateway.metrics,
     )
 
 
