Take a target's report as known, and failures for what they show

Traces: every report was replicated again (360 in 17 s), because a report that isn't cold was compared with a cold time long past; timeouts of requests with little time left ejected targets, and the rest broke down under the whole load. Ruled out: rates (all 429 were for the one organisation whose rate was lowered). Change: reports compared rightly; a timeout counts only after four times the expected time; half of a region's targets at least stay in use; others' load is smoothed, not faded to zero.

--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -29,6 +29,7 @@
 
 NO_TARGET_RETRY_AFTER = 0.3  # seconds
 SHED_RETRY_AFTER = 0.2  # seconds
+PATIENCE = 4.0  # times what a target was expected to take before it counts as failing
 LEAST_REMAINING = 0.02  # seconds; a target can do nothing with less
 FAILURE_STATUS = 500
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say: this did not run
@@ -127,11 +128,11 @@
                 record.address,
                 self._outgoing(job, choice),
                 deadline=job.deadline,
-                doubted_deadline=self._doubted_deadline(job),
+                doubted_deadline=self._doubted_deadline(job, choice),
                 cancellation=job.request.cancellation,
             )
         except ExchangeFailed as error:
-            return self._broken(job, choice, attempt, error)
+            return self._broken(job, choice, attempt, error, started)
         except ConnectFailed as error:
             self._note_failure(job, choice, attempt, error, unreachable=True)
             return _Tried(
@@ -156,12 +157,13 @@
             once=not job.route.repeatable,
         )
 
-    def _doubted_deadline(self, job: Job) -> float:
-        """Leave half of the time for another try, if one is allowed."""
-        if not job.route.repeatable:
-            return job.deadline
+    def _doubted_deadline(self, job: Job, choice: Choice) -> float:
+        """Leave half of the time for another try, where that is time enough."""
         now = self._clock.now()
-        return now + (job.deadline - now) / 2
+        half = (job.deadline - now) / 2
+        if not job.route.repeatable or half < PATIENCE * choice.expected:
+            return job.deadline
+        return now + half
 
     def _answered(
         self, job: Job, choice: Choice, attempt: int, answer: TargetAnswer,
@@ -187,14 +189,21 @@
         return _Tried(outcome=Ok(answer), may_repeat=False, failed=False)
 
     def _broken(
-        self, job: Job, choice: Choice, attempt: int, error: ExchangeFailed
-    ) -> _Tried:
+        self, job: Job, choice: Choice, attempt: int, error: ExchangeFailed,
+        started: float,
+    ) -> _Tried:  # fmt: skip
         if isinstance(error, CallerLeft):
             self._chooser.dropped(choice)
             outcome = _failure(RefusalKind.TIMED_OUT, Ran.UNKNOWN, error)
             return _Tried(outcome=outcome, may_repeat=False)
-        self._note_failure(job, choice, attempt, error)
         timed_out = isinstance(error, ExchangeTimeout)
+        patient = self._clock.now() - started >= PATIENCE * choice.expected
+        if timed_out and not patient:
+            # It had less time than it usually takes, so this says nothing of it.
+            self._chooser.dropped(choice)
+            self._log(job, choice, attempt, str(error))
+        else:
+            self._note_failure(job, choice, attempt, error)
         kind = RefusalKind.TIMED_OUT if timed_out else RefusalKind.ANSWER_BROKEN
         return _Tried(outcome=_failure(kind, Ran.UNKNOWN, error), may_repeat=False)
 
--- a/src/chicoryhold/membership/target_reports.py
+++ b/src/chicoryhold/membership/target_reports.py
@@ -116,6 +116,8 @@
         )
         if same != known:
             return False
+        if record.cold_seconds <= COLD_TOLERANCE:
+            return True
         heard = self._heard.get(record.instance)
         now = self._clock.now()
         cold_until = heard.cold_until if heard else now
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -21,6 +21,7 @@
 
 HOMES_OF_AN_OBJECT = 2
 FAILING_SHARE = 0.3  # of failures from which a target is taken last
+LEAST_GOOD_SHARE = 0.5
 FAILURE_COST = 1.0  # seconds that a certain failure is worth
 
 
@@ -109,7 +110,7 @@
             candidates = self._candidates(wanted, allowed, now)
             if not candidates:
                 return None
-            choices = [self._expect(wanted, view, now) for view in candidates]
+            choices = [self._expect(wanted, view) for view in candidates]
             best = min(choices, key=lambda choice: choice.expected)
             best.view.sent()
             return best
@@ -179,15 +180,15 @@
     def _candidates(
         self, wanted: Wanted, allowed: list[TargetView], now: float
     ) -> list[TargetView]:
-        good = [view for view in allowed if self._is_good(view, now)]
-        usable = good or allowed
-        near = [view for view in usable if view.region == self._place.region]
-        far = [view for view in usable if view.region != self._place.region]
+        near = [view for view in allowed if view.region == self._place.region]
+        far = [view for view in allowed if view.region != self._place.region]
+        near = _without_bad(near, now)
+        far = _without_bad(far, now)
         if not near:
             return self._homes(wanted, far)
         if not far:
             return near
-        load = sum(v.occupancy(now) for v in near) / sum(v.slots for v in near)
+        load = sum(v.occupancy for v in near) / sum(v.slots for v in near)
         share = self._spill.observe(wanted.service, load)
         if share_of(hash_of(wanted.object_name), hash_of("spill")) < share:
             return self._homes(wanted, far)
@@ -204,17 +205,12 @@
             reverse=True,
         )[:HOMES_OF_AN_OBJECT]
 
-    def _is_good(self, view: TargetView, now: float) -> bool:
-        if now < view.ejected_until or view.record.state is TargetState.SILENT:
-            return False
-        return view.failure_share < FAILING_SHARE or view.in_flight == 0
-
-    def _expect(self, wanted: Wanted, view: TargetView, now: float) -> Choice:
+    def _expect(self, wanted: Wanted, view: TargetView) -> Choice:
         times = self._work_time(wanted)
         known = wanted.object_name in view.objects or self._is_first_home(wanted, view)
         work = times.of(is_known=known)
         slots = max(1, view.slots)
-        ahead = max(0.0, view.occupancy(now) + 1 - slots)
+        ahead = max(0.0, view.occupancy + 1 - slots)
         wait = ahead / slots * (times.known + times.unknown) / 2
         cost = FAILURE_COST * view.failure_share
         expected = (work + wait) * max(0.3, view.slowness)
@@ -240,6 +236,24 @@
         return times
 
 
+def _without_bad(views: list[TargetView], now: float) -> list[TargetView]:
+    """Leave out targets that fail, unless too few would be left for the others' load.
+
+    When many look bad, the cause is more likely to be load or a link than they, and
+    the rest would break down under what all of them got.
+    """
+    good = [view for view in views if _is_good(view, now)]
+    if len(good) >= LEAST_GOOD_SHARE * len(views):
+        return good
+    return views
+
+
+def _is_good(view: TargetView, now: float) -> bool:
+    if now < view.ejected_until or view.record.state is TargetState.SILENT:
+        return False
+    return view.failure_share < FAILING_SHARE or view.in_flight == 0
+
+
 def _expect_cold(view: TargetView, rule: ServiceRule, now: float) -> None:
     """Take a target as cold that may have been restarted without a word of it."""
     view.cold_until = max(view.cold_until, now + rule.cold_seconds)
--- a/src/chicoryhold/routing/target_view.py
+++ b/src/chicoryhold/routing/target_view.py
@@ -12,8 +12,7 @@
 EJECT_AFTER_FAILURES = 3
 EJECT_FIRST_SECONDS = 0.5
 EJECT_LAST_SECONDS = 8.0
-LOAD_MEMORY_SECONDS = 0.5  # over which a target's own word of its load loses weight
-WORK_WEIGHT = 0.2  # of the newest work time in the smoothed one
+LOAD_SECONDS = 0.4  # over which the load that others put on a target is smoothed
 SLOWNESS_WEIGHT = 0.15
 
 
@@ -30,7 +29,8 @@
 class TargetView:
     """Beliefs about one target. Times are on the own clock, in seconds.
 
-    ``slowness`` is how many times as long as others of its service it takes.
+    ``slowness`` is how many times as long as others of its service it takes;
+    ``others`` the requests there that other hosts have sent, smoothed.
     """
 
     record: TargetRecord
@@ -39,7 +39,7 @@
     in_flight: int = 0
     load: Load | None = None
     load_at: float = float("-inf")
-    in_flight_at_load: int = 0
+    others: float = 0.0
     failures: int = 0
     failure_share: float = 0.0
     slowness: float = 1.0
@@ -51,23 +51,21 @@
     def slots(self) -> int:
         return self.load.slots if self.load and self.load.slots else self.record.slots
 
-    def occupancy(self, now: float) -> float:
-        """Requests at the target: its own word, ageing, and ours since then."""
-        if self.load is None:
-            return float(self.in_flight)
-        age = now - self.load_at
-        fade = math.exp(-age / LOAD_MEMORY_SECONDS)
-        others = self.load.running + self.load.waiting - self.in_flight_at_load
-        return self.in_flight + max(0.0, others) * fade
+    @property
+    def occupancy(self) -> float:
+        """Requests at the target: ours, and those of others when last heard."""
+        return self.in_flight + self.others
 
     def sent(self) -> None:
         self.in_flight += 1
 
     def told(self, load: Load, now: float) -> None:
-        """Take the load that came with an answer, counted before our request ended."""
+        """Take the load that came with the answer to one of our requests."""
+        others = max(0, load.running + load.waiting - max(0, self.in_flight - 1))
+        weight = 1 - math.exp(-(now - self.load_at) / LOAD_SECONDS)
+        self.others += max(0.2, weight) * (others - self.others)
         self.load = load
         self.load_at = now
-        self.in_flight_at_load = max(0, self.in_flight - 1)
 
     def done(self) -> None:
         self.in_flight = max(0, self.in_flight - 1)
