--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -55,7 +55,6 @@
     organisation: str
     homes: frozenset[str]
     deadline: float
-    rank: int
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -120,7 +120,6 @@
             organisation=organisation.name if organisation else "",
             homes=_homes_of(route, organisation),
             deadline=_deadline_of(request, route),
-            rank=_rank_of(route, organisation),
         )
 
     def _draw_service(self, route: RouteRule) -> str:
@@ -165,10 +164,6 @@
     return own or frozenset(route.homes)
 
 
-def _rank_of(route: RouteRule, organisation: OrganisationRule | None) -> int:
-    return organisation.rank if organisation else route.rank
-
-
 def _refused(
     kind: RefusalKind, message: str, *, retry_after: float = NOT_READY_RETRY_AFTER
 ) -> Outcome:
--- a/src/chicoryhold/membership/roster.py
+++ b/src/chicoryhold/membership/roster.py
@@ -78,8 +78,8 @@
             if seen.directly and now - seen.heard_at <= ENTRY_SILENT_AFTER
         )
 
-    def entry_hosts(self, *, domain: str, region: str) -> tuple[EntryHost, ...]:
-        """Return the hosts to name to a caller: its region's, else all others."""
+    def entry_hosts(self, *, region: str) -> tuple[EntryHost, ...]:
+        """Return the hosts to name to a caller of ``region``: its own, else all."""
         ready = self._ready()
         near = [host for host in ready if host.region == region]
         return tuple(near or ready)
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -68,7 +68,6 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
-    started_at: float = 0.0
 
 
 class _CheckedResponse(http.client.HTTPResponse):
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -95,7 +95,6 @@
         organisation="",
         homes=frozenset(),
         deadline=request.deadline,
-        rank=0,
     )
     return delivery.deliver(job), connections.asked
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -34,7 +34,7 @@
 
 
 def named(roster: Roster, region: str = "north") -> list[str]:
-    hosts = roster.entry_hosts(domain=f"{region}-a", region=region)
+    hosts = roster.entry_hosts(region=region)
     return sorted(host.name for host in hosts)
 
 
