Take all that a stale source has before leaving it

Cause: a batch holds 200 changes, and a follower left a stale source after each batch, though the copy was still behind it.

Ruled out: candidates that lock each other out (epochs 8 and 9 began at once).

Change: a stale source is left only once the copy has all that it has. Text logs print bound fields, and the scenario prints the answers that it saw.

--- a/features/steps/start_up.py
+++ b/features/steps/start_up.py
@@ -6,6 +6,7 @@
 import subprocess
 import threading
 import time
+from collections import Counter
 
 import urllib3
 from behave import then, when
@@ -119,15 +120,22 @@
 @then('"{name:Quoted}" is answered at "{host:Quoted}" within {seconds:g} s')
 def step_answered_at(context, name, host, seconds):
     caller = caller_of(context, name)
+    seen = []
 
     def answered() -> bool:
         try:
             reply = caller.send("GET", "/slots/1", host=address_of(context, host))
-        except urllib3.exceptions.HTTPError:
+        except urllib3.exceptions.HTTPError as error:
+            seen.append(repr(error))
             return False
+        seen.append(f"{reply.status} {reply.body}")
         return reply.status == 200
 
-    wait_until(answered, what="an answer", timeout=seconds)
+    try:
+        wait_until(answered, what="an answer", timeout=seconds)
+    except Exception:
+        print(f"answers at {host}: {Counter(seen).most_common(5)}")
+        raise
 
 
 def run_program(context, program, *arguments):
--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -163,9 +163,16 @@
             self._wants_image = True
         elif result in (BatchResult.BEHIND, BatchResult.OUT_OF_ORDER):
             self._leave_source(result.value)
-        elif batch.confirmed_age > self._timing.stale:
+        elif self._has_all_of(batch) and batch.confirmed_age > self._timing.stale:
             self._leave_source("it is stale")
 
+    def _has_all_of(self, batch: ChangeBatch) -> bool:
+        """Return whether the source of ``batch`` has nothing more to give.
+
+        A stale source is still the best one while the copy is behind it.
+        """
+        return self._follower.state.revision >= batch.revision
+
     def _on_snapshot_needed(self, revision: int) -> None:
         if revision < self._follower.state.revision:
             self._leave_source(BatchResult.BEHIND.value)
--- a/src/chicoryhold/logs.py
+++ b/src/chicoryhold/logs.py
@@ -22,7 +22,14 @@
     """Send logs of this process to standard error from ``level`` up."""
     logger.remove()
     logger.configure(extra={"process": process})
-    logger.add(sys.stderr, format=_FORMAT + "{message}", level=level, backtrace=False)
+    logger.add(sys.stderr, format=_text_format, level=level, backtrace=False)
+
+
+def _text_format(record: dict) -> str:
+    """Return loguru's template of one line: the message, then its bound fields."""
+    names = [name for name in record["extra"] if name != "process"]
+    fields = "".join(f" {name}={{extra[{name}]}}" for name in names)
+    return _FORMAT + "{message}" + fields + "\n{exception}"
 
 
 def set_up_structured_logs(*, process: str, level: str) -> None:
--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,96 @@
+"""How an entry host's copy is brought up to date, without threads or sockets."""
+
+from __future__ import annotations
+
+import queue
+from concurrent.futures import Future
+
+import attrs
+
+from chicoryhold.control.feed import ChangeFeed
+from chicoryhold.control.follower import Follower
+from chicoryhold.control.follower_actor import FollowerActor
+from chicoryhold.control.messages import FetchChanges
+from chicoryhold.hosts.actors import Tick
+from chicoryhold.state.changes import CreateOrganisation
+from chicoryhold.state.control_state import ControlState
+from tests.conftest import FakeClock
+from tests.test_control_state import change
+
+MANY_CHANGES = 700  # more than a few batches hold
+
+
+@attrs.define(kw_only=True)
+class OneAnswers:
+    """A bus on which only ``answering`` answers; the others are silent."""
+
+    answering: str
+    feed: ChangeFeed
+    confirmed_age: float
+    name: str = "own"
+    asked: list[str] = attrs.field(factory=list)
+
+    def ask(self, peer: str, request: FetchChanges) -> Future:
+        self.asked.append(peer)
+        future: Future = Future()
+        if peer == self.answering:
+            age = self.confirmed_age
+            future.set_result(self.feed.answer(request, confirmed_age=age))
+        return future
+
+
+def a_feed(changes: int) -> ChangeFeed:
+    state = ControlState()
+    feed = ChangeFeed(state=state)
+    for number in range(changes):
+        one = change(str(number), CreateOrganisation(name=f"o{number}"))
+        state.apply(one)
+        feed.record(one)
+    return feed
+
+
+def run_until_idle(actor: FollowerActor) -> None:
+    actor.on_receive(Tick())
+    while True:
+        try:
+            envelope = actor.actor_inbox.get_nowait()
+        except queue.Empty:
+            return
+        actor.on_receive(envelope.message)
+
+
+def test_all_changes_of_a_stale_source_are_taken_before_it_is_left():
+    # A host that started in a domain that was cut off left its neighbour as stale
+    # after each batch, waited for every silent control replica, and refused callers
+    # until it had gone round often enough.
+    clock = FakeClock()
+    follower = Follower(clock=clock)
+    bus = OneAnswers(
+        answering="neighbour", feed=a_feed(MANY_CHANGES), confirmed_age=5.0
+    )
+    actor = FollowerActor(
+        follower=follower,
+        sources=lambda: ("neighbour", "control-1", "control-2"),
+        bus=bus,
+        clock=clock,
+        domain="d",
+    )
+    run_until_idle(actor)
+    assert follower.state.revision == MANY_CHANGES
+    assert follower.age == 5.0
+
+
+def test_a_stale_source_is_left_once_the_copy_has_all_that_it_has():
+    clock = FakeClock()
+    bus = OneAnswers(answering="neighbour", feed=a_feed(3), confirmed_age=5.0)
+    actor = FollowerActor(
+        follower=Follower(clock=clock),
+        sources=lambda: ("neighbour", "control-1"),
+        bus=bus,
+        clock=clock,
+        domain="d",
+    )
+    run_until_idle(actor)
+    clock.advance(1.0)
+    run_until_idle(actor)
+    assert bus.asked == ["neighbour", "control-1"]
