Give an object one home in another region, and bring moved ones back sooner

Abroad an object went to the first targets of two regions, and after an evacuation to whichever target was least used, so that each was cold for it.

Ruled out: lack of warm targets (an object is forgotten after some 30 to 50 others, and a region has about 100 a route).

Change: load decides as before (grows over 0.8, shrinks under 0.55 by 0.03 a second); the home of an object is the highest ranked among the targets that may get it now; a place in a queue costs the typical work time.

--- a/src/chicoryhold/routing/spill.py
+++ b/src/chicoryhold/routing/spill.py
@@ -7,18 +7,18 @@
 from chicoryhold.clock import Clock
 
 HIGH_LOAD = 0.8  # of a region's slots; above it the part grows
-LOW_LOAD = 0.4  # below it the part shrinks
+LOW_LOAD = 0.55  # below it the part shrinks
 GROWTH_PER_SECOND = 0.05  # the caps on moves between regions allow 0.15 in 2 s
-SHRINKING_PER_SECOND = 0.01  # slow, because an object that moves finds no warm target
+SHRINKING_PER_SECOND = 0.03  # slower, because an object that moves finds no warm target
 MOST = 0.9
-LOAD_SECONDS = 0.5  # over which the load is smoothed
+SMOOTHING_SECONDS = 0.5
 
 
 @attrs.define(kw_only=True)
 class _Part:
-    share: float = 0.0
-    load: float = 0.0
-    at: float = 0.0
+    share: float
+    load: float
+    at: float
 
 
 class Spill:
@@ -42,9 +42,9 @@
         if part is None:
             part = _Part(share=min(MOST, first), load=load, at=now)
             self._parts[service] = part
-        elapsed = min(LOAD_SECONDS, now - part.at)
+        elapsed = min(SMOOTHING_SECONDS, now - part.at)
         part.at = now
-        part.load += (load - part.load) * elapsed / LOAD_SECONDS
+        part.load += (load - part.load) * elapsed / SMOOTHING_SECONDS
         if part.load > HIGH_LOAD:
             part.share = min(MOST, part.share + GROWTH_PER_SECOND * elapsed)
         elif part.load < LOW_LOAD:
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -110,13 +110,9 @@
         """Return the best target and count the request there, or ``None``."""
         now = self._clock.now()
         with self._lock:
-            allowed = self._allowed(wanted, now)
-            candidates = self._candidates(wanted, allowed, now)
-            if not candidates:
-                return None
-            choices = [self._expect(wanted, view) for view in candidates]
-            best = min(choices, key=lambda choice: choice.expected)
-            best.view.sent()
+            best = self._best(wanted, self._allowed(wanted, now), now)
+            if best is not None:
+                best.view.sent()
             return best
 
     def finished(
@@ -181,24 +177,42 @@
             and now >= view.cold_until
         ]
 
-    def _candidates(
+    def _best(
         self, wanted: Wanted, allowed: list[TargetView], now: float
-    ) -> list[TargetView]:
-        near = [view for view in allowed if view.region == self._place.region]
-        far = [view for view in allowed if view.region != self._place.region]
-        near = _without_bad(near, now)
-        far = _without_bad(far, now)
-        if not near:
-            return self._homes(wanted, far)
-        if not far:
-            return near
-        load = sum(v.occupancy for v in near) / sum(v.slots for v in near)
+    ) -> Choice | None:
+        region = self._place.region
+        near = _without_bad([v for v in allowed if v.region == region], now)
+        far = _without_bad([v for v in allowed if v.region != region], now)
+        if not near or not far:
+            return self._quickest(wanted, near) or self._quickest_home(wanted, far)
         share = self._spill.observe(
-            wanted.service, load, first=self._missing_share(near, far)
+            wanted.service,
+            sum(v.occupancy for v in near) / sum(v.slots for v in near),
+            first=self._missing_share(near, far),
         )
         if share_of(hash_of(wanted.object_name), hash_of("spill")) < share:
-            return self._homes(wanted, far)
-        return near
+            return self._quickest_home(wanted, far)
+        return self._quickest(wanted, near)
+
+    def _quickest(self, wanted: Wanted, views: list[TargetView]) -> Choice | None:
+        if not views:
+            return None
+        home = self._by_rank(wanted, views)[0]
+        choices = [self._expect(wanted, view, is_home=view is home) for view in views]
+        return min(choices, key=lambda choice: choice.expected)
+
+    def _quickest_home(self, wanted: Wanted, views: list[TargetView]) -> Choice | None:
+        """Choose among few of another region's targets, so that they get warm."""
+        return self._quickest(wanted, self._by_rank(wanted, views)[:HOMES_OF_AN_OBJECT])
+
+    def _by_rank(self, wanted: Wanted, views: list[TargetView]) -> list[TargetView]:
+        """Order targets by how much the object belongs to them, its home first."""
+        object_hash = hash_of(wanted.object_name)
+        return sorted(
+            views,
+            key=lambda v: rendezvous_score(object_hash, hash_of(v.record.instance)),
+            reverse=True,
+        )
 
     def _missing_share(self, near: list[TargetView], far: list[TargetView]) -> float:
         """Return the part of the requests for which the own region has no slots.
@@ -210,24 +224,13 @@
         fair = (slots + sum(view.slots for view in far)) / regions
         return max(0.0, 1 - slots / fair)
 
-    def _homes(self, wanted: Wanted, views: list[TargetView]) -> list[TargetView]:
-        """Return the targets to which the object belongs among ``views``."""
-        if len(views) <= HOMES_OF_AN_OBJECT:
-            return views
-        object_hash = hash_of(wanted.object_name)
-        return sorted(
-            views,
-            key=lambda v: rendezvous_score(object_hash, hash_of(v.record.instance)),
-            reverse=True,
-        )[:HOMES_OF_AN_OBJECT]
-
-    def _expect(self, wanted: Wanted, view: TargetView) -> Choice:
+    def _expect(self, wanted: Wanted, view: TargetView, *, is_home: bool) -> Choice:
         times = self._work_time(wanted)
-        known = wanted.object_name in view.objects or self._is_first_home(wanted, view)
+        known = is_home or wanted.object_name in view.objects
         work = times.of(is_known=known)
         slots = max(1, view.slots)
         ahead = max(0.0, view.occupancy + 1 - slots)
-        wait = ahead / slots * (times.known + times.unknown) / 2
+        wait = ahead / slots * times.typical
         cost = FAILURE_COST * view.failure_share
         expected = (work + wait) * max(0.3, view.slowness)
         expected += self._place.distance(view.record) + cost
@@ -239,16 +242,6 @@
             is_far=view.region != self._place.region,
         )
 
-    def _is_first_home(self, wanted: Wanted, view: TargetView) -> bool:
-        peers = self._services[view.record.service]
-        object_hash = hash_of(wanted.object_name)
-        own = rendezvous_score(object_hash, hash_of(view.record.instance))
-        return all(
-            rendezvous_score(object_hash, hash_of(peer.record.instance)) <= own
-            for peer in peers
-            if peer.region == view.region and peer.record.state is TargetState.READY
-        )
-
     def _work_time(self, wanted: Wanted) -> WorkTime:
         key = (wanted.route.name, wanted.service)
         times = self._work.get(key)
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -171,11 +171,50 @@
     assert [chosen(chooser, wanted(name)) for name in objects] == first
 
 
-def test_the_part_that_moves_changes_by_less_than_the_cap_allows():
+def parts_that_move(load: float, *, first: float = 0.0) -> list[float]:
+    """Return the part that moves, each 50 ms for two seconds."""
     clock = FakeClock()
     spill = Spill(clock=clock)
-    before = spill.observe("menu", 3.0, first=0.0)
-    for _ in range(40):
+    parts = []
+    for _ in range(41):
+        parts.append(spill.observe("menu", load, first=first))
         clock.advance(0.05)
-        spill.observe("menu", 3.0, first=0.0)
-    assert 0.05 < spill.share("menu") - before <= 0.15
+    return parts
+
+
+def test_the_part_that_moves_changes_by_less_than_the_cap_allows():
+    grows = parts_that_move(3.0)
+    assert 0.05 < grows[-1] - grows[0] <= 0.15
+    shrinks = parts_that_move(0.3, first=0.6)
+    assert 0.05 < shrinks[0] - shrinks[-1] <= 0.15
+
+
+def test_requests_come_back_while_half_of_the_own_slots_are_free():
+    # The part that a region moved while all its targets were cold stayed abroad for
+    # the rest of a calm day.
+    assert parts_that_move(0.5, first=0.6)[-1] < 0.56
+
+
+def test_an_object_of_an_evacuated_domain_gets_one_new_home():
+    # Each host once spread such objects by load, so that none of the targets that
+    # were left got warm for them.
+    choosers = [a_chooser("north-a", "north-a", "north-b", "north-b") for _ in "abc"]
+    records = [target(n, d) for n, d in enumerate(["north-a"] * 2 + ["north-b"] * 2)]
+    for chooser in choosers:
+        apply(chooser, records, frozenset({"north-a"}))
+    for number in range(30):
+        request = wanted(f"thing {number}")
+        assert len({chosen(chooser, request) for chooser in choosers}) == 1
+        for chooser in choosers:
+            choice = chooser.choose(request)
+            assert choice.is_known
+            chooser.dropped(choice)
+
+
+def test_an_object_that_moves_abroad_has_one_home_there():
+    choosers = [
+        a_chooser("north-a", "south-a", "south-a", "south-a", "south-a") for _ in "abc"
+    ]
+    for number in range(60):
+        request = wanted(f"thing {number}")
+        assert len({chosen(chooser, request) for chooser in choosers}) == 1
