Open connections to other regions before they are needed

Cause: 30 of 100 requests are bound to another region by their homes, and each of those that opened a connection waited 110 ms longer, which made it late.

Change: taking the last idle connection to a target abroad opens the next one; a new target abroad gets one as soon as it is known.

--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import ExitStack, contextmanager
 from random import Random
 
@@ -30,6 +30,7 @@
 from chicoryhold.programs.host_settings import GatewaySettings
 from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.routing.target_choice import Place, TargetChooser
+from chicoryhold.state.targets import TargetRecord, TargetState
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.dialect import TargetDialect
 
@@ -45,11 +46,13 @@
 
     def __init__(
         self, *, settings: GatewaySettings, follower: Follower, chooser: TargetChooser,
-        clock: BootClock,
+        connections: TargetConnections, clock: BootClock,
     ) -> None:  # fmt: skip
         self._settings = settings
         self._follower = follower
         self._chooser = chooser
+        self._connections = connections
+        self._prepared: frozenset[str] = frozenset()
         self._clock = clock
         self._index = RouteIndex(follower.state.configuration)
         self._leaving = False
@@ -109,9 +112,22 @@
             evacuated=state.evacuated,
             service_rule=self._index.service,
         )
+        self._prepare_connections(state.targets)
         if self.ready != was_ready:
             self._announce()
 
+    def _prepare_connections(self, targets: Iterable[TargetRecord]) -> None:
+        """Have a connection to each target of another region before it is needed."""
+        regions, own = self._settings.regions, self._settings.region
+        addresses = frozenset(
+            record.address
+            for record in targets
+            if record.state is TargetState.READY and regions.get(record.domain) != own
+        )
+        for address in addresses - self._prepared:
+            self._connections.prepare(address)
+        self._prepared = addresses
+
     def on_change(self, announce: Callable[[], None]) -> None:
         """Call ``announce`` whenever :meth:`describe` has changed."""
         self._announce = announce
@@ -131,12 +147,24 @@
             seeds=seeds, domain=settings.domain, region=settings.region, clock=clock
         )
         chooser = TargetChooser(place=_place(settings), clock=clock)
+        connections = TargetConnections(
+            clock=clock, dialect=dialect, connect_timeout=CONNECT_TIMEOUT
+        )
         gateway = Gateway(
-            settings=settings, follower=follower, chooser=chooser, clock=clock
+            settings=settings,
+            follower=follower,
+            chooser=chooser,
+            connections=connections,
+            clock=clock,
         )
-        gateway.service = _create_service(
-            settings, gateway, chooser, controls, bus, words, dialect
+        delivery = Delivery(
+            chooser=chooser,
+            connections=connections,
+            words=words,
+            budgets=RetryBudgets(),
+            clock=clock,
         )
+        gateway.service = _create_service(settings, gateway, delivery, controls, bus)
         _start_actors(stack, settings, gateway, follower, controls, bus)
         stack.enter_context(
             serve_metrics(
@@ -163,8 +191,8 @@
 
 
 def _create_service(
-    settings: GatewaySettings, gateway: Gateway, chooser: TargetChooser,
-    controls: ControlHostList, bus: Bus, words: TargetWords, dialect: TargetDialect,
+    settings: GatewaySettings, gateway: Gateway, delivery: Delivery,
+    controls: ControlHostList, bus: Bus,
 ) -> GatewayService:  # fmt: skip
     clock = gateway.clock
     regions = settings.regions
@@ -174,15 +202,6 @@
         control_hosts=lambda: controls.reachable,
         is_near=lambda name: regions.get(controls.domain_of(name)) == settings.region,
     )
-    delivery = Delivery(
-        chooser=chooser,
-        connections=TargetConnections(
-            clock=clock, dialect=dialect, connect_timeout=CONNECT_TIMEOUT
-        ),
-        words=words,
-        budgets=RetryBudgets(),
-        clock=clock,
-    )
     return GatewayService(
         index=lambda: gateway.index,
         permits=permits,
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -6,9 +6,11 @@
 import socket
 import threading
 from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 import urllib3
+from loguru import logger
 from urllib3.connection import HTTPConnection
 from urllib3.util import wait_for_read
 
@@ -29,6 +31,7 @@
 IDLE_SECONDS_ONCE = 0.5
 CONNECT_TIMEOUT = 1.0
 IDLE_PER_TARGET = 64
+SPARE_THREADS = 2
 DOUBTED_AFTER_SECONDS = 0.1
 UNACKNOWLEDGED_MS = 1_000
 READ_BYTES = 65_536
@@ -117,6 +120,8 @@
         self._connect_timeout = connect_timeout
         self._dialect = dialect
         self._idle: dict[str, list[_Idle]] = {}
+        self._opening: set[str] = set()
+        self._spares = ThreadPoolExecutor(SPARE_THREADS, thread_name_prefix="spare")
         self._lock = threading.Lock()
 
     def exchange(
@@ -135,6 +140,8 @@
         out, ``CallerLeft`` if ``cancellation`` ended the exchange.
         """
         idle = self._take(address, fresh=request.once and not request.far)
+        if request.far:
+            self.prepare(address)
         if idle is None:
             connection = self._connect(address, deadline)
         else:
@@ -154,7 +161,7 @@
             # One silent connection means that the path may have dropped them all.
             self.retire(address)
             raise self._failure(address, deadline, e) from e
-        self._keep(address, connection, answer)
+        self._keep(address, connection, idle_seconds(_header(answer, "keep-alive")))
         return answer
 
     def _failure(
@@ -165,6 +172,35 @@
             f"target {address} broke off: {error}; look at its log and at the link"
         )
 
+    def idle_to(self, address: str) -> int:
+        """Return how many connections wait for a request to ``address``."""
+        with self._lock:
+            return len(self._idle.get(address, ()))
+
+    def prepare(self, address: str) -> None:
+        """Open a connection in the background, unless an idle one is there.
+
+        Opening one to another region takes as long as a request there.
+        """
+        with self._lock:
+            if self._idle.get(address) or address in self._opening:
+                return
+            self._opening.add(address)
+        self._spares.submit(self._open_spare, address)
+
+    def _open_spare(self, address: str) -> None:
+        try:
+            connection = self._connect(address, self._clock.now() + CONNECT_TIMEOUT)
+        except ConnectFailed as error:
+            logger.bind(address=address, reason=str(error)).info(
+                "connections: no spare one could be opened."
+            )
+        else:
+            self._keep(address, connection, IDLE_SECONDS)
+        finally:
+            with self._lock:
+                self._opening.discard(address)
+
     def retire(self, address: str) -> None:
         """Close every idle connection to ``address``."""
         with self._lock:
@@ -186,15 +222,11 @@
             entry.connection.close()
 
     def _keep(
-        self, address: str, connection: _CheckedConnection, answer: TargetAnswer
+        self, address: str, connection: _CheckedConnection, longest: float
     ) -> None:
         if connection.sock is None:
             return
-        entry = _Idle(
-            connection=connection,
-            since=self._clock.now(),
-            longest=idle_seconds(_header(answer, "keep-alive")),
-        )
+        entry = _Idle(connection=connection, since=self._clock.now(), longest=longest)
         with self._lock:
             idle = self._idle.setdefault(address, [])
             if len(idle) < IDLE_PER_TARGET:
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,82 @@
+"""Connections to targets: what is kept, and what is opened ahead."""
+
+from __future__ import annotations
+
+import socket
+import threading
+
+from chicoryhold.clock import BootClock
+from chicoryhold.targets.connections import OutgoingRequest, TargetConnections
+from chicoryhold.trial.fleet import wait_until
+
+WAIT = 5.0  # seconds
+
+
+class CountingTarget:
+    """Answers each request and counts the connections."""
+
+    def __init__(self) -> None:
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.accepted = threading.Semaphore(0)
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                return
+            self.accepted.release()
+            threading.Thread(target=self._serve, args=[connection], daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            while head := connection.recv(65_536).decode():
+                lines = dict(
+                    line.split(": ", 1) for line in head.split("\r\n") if ": " in line
+                )
+                echoed = lines["Chicoryhold-Request-Id"]
+                connection.sendall(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                    + f"Chicoryhold-Request-Id: {echoed}\r\n\r\nok".encode()
+                )
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+def send(connections: TargetConnections, target: CountingTarget, *, far: bool) -> None:
+    clock = BootClock()
+    request = OutgoingRequest(
+        request_id="r1", method="GET", path="/", headers={}, body=b"", once=False,
+        far=far,
+    )  # fmt: skip
+    deadline = clock.now() + WAIT
+    answer = connections.exchange(
+        target.address, request, deadline=deadline, doubted_deadline=deadline
+    )
+    assert answer.body == b"ok"
+
+
+def test_a_connection_to_another_region_is_ready_before_it_is_needed():
+    # One of three requests to another region waited for its connection to open, and
+    # its answer came after the latency objective for that alone.
+    target = CountingTarget()
+    connections = TargetConnections(clock=BootClock())
+    connections.prepare(target.address)
+    assert target.accepted.acquire(timeout=WAIT)
+    wait_until(lambda: connections.idle_to(target.address), what="idle", timeout=WAIT)
+    send(connections, target, far=True)
+    assert target.accepted.acquire(timeout=WAIT)  # the spare one for the next
+    send(connections, target, far=True)
+    assert not target.accepted.acquire(timeout=0.2)
+    target.close()
+
+
+def test_a_target_that_can_not_be_reached_leaves_no_connection_behind():
+    target = CountingTarget()
+    target.close()
+    connections = TargetConnections(clock=BootClock())
+    connections.prepare(target.address)
+    assert connections.idle_to(target.address) == 0
