Forget what targets said of their load within a second; move objects back slowly again

Change: what a target said fades within a second. Refusals begin at 1.3 requests a slot (1.0 before) and each rank has 0.85 of the patience (0.75).

--- a/src/chicoryhold/routing/spill.py
+++ b/src/chicoryhold/routing/spill.py
@@ -7,9 +7,9 @@
 from chicoryhold.clock import Clock
 
 HIGH_LOAD = 0.8  # of a region's slots; above it the part grows
-LOW_LOAD = 0.55  # below it the part shrinks
+LOW_LOAD = 0.4  # below it the part shrinks
 GROWTH_PER_SECOND = 0.05  # the caps on moves between regions allow 0.15 in 2 s
-SHRINKING_PER_SECOND = 0.03  # slower, because an object that moves finds no warm target
+SHRINKING_PER_SECOND = 0.01  # slow, because an object that moves finds no warm target
 MOST = 0.9
 SMOOTHING_SECONDS = 0.5
 
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -22,9 +22,9 @@
 HOMES_OF_AN_OBJECT = 2
 FAILING_SHARE = 0.3  # of failures from which a target is taken last
 LEAST_GOOD_SHARE = 0.5
-OVERLOAD = 1.0  # requests for each slot, from which a late answer is refused instead
+OVERLOAD = 1.3  # requests for each slot, from which a late answer is refused instead
 LEAST_PATIENCE = 0.2  # of the latency objective, where the work alone takes as long
-PATIENCE_BY_RANK = 0.75  # for each rank, so that the least urgent is refused first
+PATIENCE_BY_RANK = 0.85  # for each rank, so that the least urgent is refused first
 LAST_RANK = 4  # ranks after it are treated alike
 FAILURE_COST = 1.0  # seconds that a certain failure is worth
 
@@ -142,7 +142,7 @@
             views, best = self._best(wanted, self._allowed(wanted, now), now)
             if best is None:
                 return None
-            load = _load_of(views)
+            load = _load_of(views, now)
             if load > OVERLOAD and best.wait > self._patience(wanted, best):
                 return Overloaded(wait=best.wait, load=load)
             best.view.sent()
@@ -217,15 +217,15 @@
         region = self._place.region
         near = _without_bad([v for v in allowed if v.region == region], now)
         far = _without_bad([v for v in allowed if v.region != region], now)
-        if far and (not near or self._moves(wanted, near, far)):
-            return far, self._quickest_home(wanted, far)
-        return near, self._quickest(wanted, near)
+        if far and (not near or self._moves(wanted, near, far, now)):
+            return far, self._quickest_home(wanted, far, now)
+        return near, self._quickest(wanted, near, now)
 
     def _moves(
-        self, wanted: Wanted, near: list[TargetView], far: list[TargetView]
+        self, wanted: Wanted, near: list[TargetView], far: list[TargetView], now: float
     ) -> bool:
         share = self._spill.observe(
-            wanted.service, _load_of(near), first=self._missing_share(near, far)
+            wanted.service, _load_of(near, now), first=self._missing_share(near, far)
         )
         return share_of(hash_of(wanted.object_name), hash_of("spill")) < share
 
@@ -240,16 +240,23 @@
             in_time *= PATIENCE_BY_RANK ** min(wanted.rank, LAST_RANK)
         return min(in_time, wanted.left - choice.expected + choice.wait)
 
-    def _quickest(self, wanted: Wanted, views: list[TargetView]) -> Choice | None:
+    def _quickest(
+        self, wanted: Wanted, views: list[TargetView], now: float
+    ) -> Choice | None:
         if not views:
             return None
         home = self._by_rank(wanted, views)[0]
-        choices = [self._expect(wanted, view, is_home=view is home) for view in views]
+        choices = [
+            self._expect(wanted, view, now, is_home=view is home) for view in views
+        ]
         return min(choices, key=lambda choice: choice.expected)
 
-    def _quickest_home(self, wanted: Wanted, views: list[TargetView]) -> Choice | None:
+    def _quickest_home(
+        self, wanted: Wanted, views: list[TargetView], now: float
+    ) -> Choice | None:
         """Choose among few of another region's targets, so that they get warm."""
-        return self._quickest(wanted, self._by_rank(wanted, views)[:HOMES_OF_AN_OBJECT])
+        homes = self._by_rank(wanted, views)[:HOMES_OF_AN_OBJECT]
+        return self._quickest(wanted, homes, now)
 
     def _by_rank(self, wanted: Wanted, views: list[TargetView]) -> list[TargetView]:
         """Order targets by how much the object belongs to them, its home first."""
@@ -270,12 +277,14 @@
         fair = (slots + sum(view.slots for view in far)) / regions
         return max(0.0, 1 - slots / fair)
 
-    def _expect(self, wanted: Wanted, view: TargetView, *, is_home: bool) -> Choice:
+    def _expect(
+        self, wanted: Wanted, view: TargetView, now: float, *, is_home: bool
+    ) -> Choice:
         times = self._work_time(wanted)
         known = is_home or wanted.object_name in view.objects
         work = times.of(is_known=known)
         slots = max(1, view.slots)
-        ahead = max(0.0, view.occupancy + 1 - slots)
+        ahead = max(0.0, view.occupancy(now) + 1 - slots)
         slowness = max(0.3, view.slowness)
         wait = ahead / slots * times.typical * slowness
         cost = FAILURE_COST * view.failure_share
@@ -298,8 +307,9 @@
         return times
 
 
-def _load_of(views: list[TargetView]) -> float:
-    return sum(view.occupancy for view in views) / sum(view.slots for view in views)
+def _load_of(views: list[TargetView], now: float) -> float:
+    """Return the requests for each slot of ``views``."""
+    return sum(view.occupancy(now) for view in views) / sum(v.slots for v in views)
 
 
 def _without_bad(views: list[TargetView], now: float) -> list[TargetView]:
--- a/src/chicoryhold/routing/target_view.py
+++ b/src/chicoryhold/routing/target_view.py
@@ -13,6 +13,7 @@
 EJECT_FIRST_SECONDS = 0.5
 EJECT_LAST_SECONDS = 8.0
 LOAD_SECONDS = 0.4  # over which the load that others put on a target is smoothed
+NEWS_SECONDS = 1.0  # over which what a target said of its load loses its meaning
 SLOWNESS_WEIGHT = 0.15
 
 
@@ -51,10 +52,16 @@
     def slots(self) -> int:
         return self.load.slots if self.load and self.load.slots else self.record.slots
 
-    @property
-    def occupancy(self) -> float:
-        """Requests at the target: ours, and those of others when last heard."""
-        return self.in_flight + self.others
+    def occupancy(self, now: float) -> float:
+        """Requests at the target: ours, and those of others, as far as is known.
+
+        Old news counts for less: a target that was full when last heard of would
+        otherwise never be asked again.
+        """
+        return self.in_flight + self.others * self._news(now)
+
+    def _news(self, now: float) -> float:
+        return math.exp(-max(0.0, now - self.load_at) / NEWS_SECONDS)
 
     def sent(self) -> None:
         self.in_flight += 1
@@ -63,7 +70,8 @@
         """Take the load that came with the answer to one of our requests."""
         others = max(0, load.running + load.waiting - max(0, self.in_flight - 1))
         weight = 1 - math.exp(-(now - self.load_at) / LOAD_SECONDS)
-        self.others += max(0.2, weight) * (others - self.others)
+        known = self.others * self._news(now)
+        self.others = known + max(0.2, weight) * (others - known)
         self.load = load
         self.load_at = now
 
