--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -286,7 +286,7 @@
         slots = max(1, view.slots)
         ahead = max(0.0, view.occupancy(now) + 1 - slots)
         slowness = max(0.3, view.slowness)
-        wait = ahead / slots * times.typical * slowness
+        wait = ahead / slots * times.in_queue * slowness
         cost = FAILURE_COST * view.failure_share
         distance = self._place.distance(view.record)
         return Choice(
