Send cold targets what they bear, each host its part

Cause: a cold target got nothing for its cold seconds, so a domain that came back or a service whose targets were all replaced refused everything for three seconds.

Change: entry hosts learn from control hosts how many of them there are; each sends a cold target its part of 0.8 of the rate it bears, staggered by a hash, so that no host has to ask. Patience under overload is what the objective leaves after the work that is expected of this object, so requests for objects that nobody has warm are refused first. What targets said of their load is believed for half a second before it fades: each pair of host and target talks every 0.4 s, and the sum looked a third too low.

--- a/src/chicoryhold/membership/messages.py
+++ b/src/chicoryhold/membership/messages.py
@@ -38,9 +38,13 @@
 
 @message
 class ControlHosts:
-    """The control hosts that the answering one has heard lately, itself included."""
+    """The control hosts that the answering one has heard lately, itself included.
+
+    ``entry_hosts`` says how many entry hosts it has heard of in the last while.
+    """
 
     hosts: tuple[ControlHost, ...]
+    entry_hosts: int = 0
 
 
 @message
--- a/src/chicoryhold/membership/presence_actor.py
+++ b/src/chicoryhold/membership/presence_actor.py
@@ -34,7 +34,7 @@
 @attrs.frozen(kw_only=True)
 class _Answered:
     name: str
-    hosts: tuple[ControlHost, ...]
+    answer: ControlHosts
 
 
 class ControlHostList:
@@ -53,6 +53,12 @@
         self._clock = clock
         self._hosts: tuple[ControlHost, ...] = ()
         self._heard: dict[str, float] = {}
+        self._entry_hosts = 0
+
+    @property
+    def entry_hosts(self) -> int:
+        """How many entry hosts there are, as last heard; 0 before that."""
+        return self._entry_hosts
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -79,11 +85,12 @@
     def domain_of(self, name: str) -> str:
         return next((host.domain for host in self._hosts if host.name == name), "")
 
-    def hear(self, name: str, hosts: tuple[ControlHost, ...]) -> bool:
+    def hear(self, name: str, answer: ControlHosts) -> bool:
         """Take an answer; returns whether the list of hosts has changed."""
         self._heard[name] = self._clock.now()
+        self._entry_hosts = answer.entry_hosts
         merged = {host.name: host for host in self._hosts}
-        merged.update({host.name: host for host in hosts})
+        merged.update({host.name: host for host in answer.hosts})
         sorted_hosts = by_nearness(
             merged.values(), domain=self._domain, region=self._region
         )
@@ -116,7 +123,7 @@
             case Announce():
                 self._report()
             case _Answered():
-                if self._controls.hear(message.name, message.hosts):
+                if self._controls.hear(message.name, message.answer):
                     logger.bind(hosts=list(self._controls.names)).info(
                         "presence: the control hosts changed."
                     )
@@ -147,7 +154,7 @@
         def deliver(done: Future) -> None:
             answer = done.result()
             if isinstance(answer, ControlHosts):
-                self.actor_ref.tell(_Answered(name=name, hosts=answer.hosts))
+                self.actor_ref.tell(_Answered(name=name, answer=answer))
 
         future.add_done_callback(deliver)
         return future
--- a/src/chicoryhold/membership/roster.py
+++ b/src/chicoryhold/membership/roster.py
@@ -55,6 +55,11 @@
         """Every control host heard in the last while, also if it is silent now."""
         return (self._own, *(host for host, _ in tuple(self._controls.values())))
 
+    @property
+    def known_entry_hosts(self) -> int:
+        """How many entry hosts were heard in the last while, silent ones included."""
+        return len(self._entries)
+
     def hear_entry(self, host: EntryHost) -> bool:
         """Take a report of the host itself; returns whether it changes anything."""
         known = self._entries.get(host.name)
--- a/src/chicoryhold/membership/roster_actor.py
+++ b/src/chicoryhold/membership/roster_actor.py
@@ -57,7 +57,12 @@
 
     def _on_entry(self, presence: EntryPresence, asked: Asked) -> None:
         changed = self._roster.hear_entry(presence.host)
-        asked.reply.set_result(ControlHosts(hosts=self._roster.control_hosts))
+        asked.reply.set_result(
+            ControlHosts(
+                hosts=self._roster.control_hosts,
+                entry_hosts=self._roster.known_entry_hosts,
+            )
+        )
         if changed:
             logger.bind(
                 host=presence.host.name,
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -146,7 +146,11 @@
         controls = ControlHostList(
             seeds=seeds, domain=settings.domain, region=settings.region, clock=clock
         )
-        chooser = TargetChooser(place=_place(settings), clock=clock)
+        chooser = TargetChooser(
+            place=_place(settings),
+            clock=clock,
+            entry_hosts=lambda: controls.entry_hosts,
+        )
         connections = TargetConnections(
             clock=clock, dialect=dialect, connect_timeout=CONNECT_TIMEOUT
         )
@@ -182,6 +186,7 @@
 
 def _place(settings: GatewaySettings) -> Place:
     return Place(
+        host=settings.name,
         domain=settings.domain,
         region=settings.region,
         regions=settings.regions,
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -22,10 +22,12 @@
 HOMES_OF_AN_OBJECT = 2
 FAILING_SHARE = 0.3  # of failures from which a target is taken last
 LEAST_GOOD_SHARE = 0.5
-OVERLOAD = 1.3  # requests for each slot, from which a late answer is refused instead
+OVERLOAD = 1.15  # requests for each slot, from which a late answer is refused instead
 LEAST_PATIENCE = 0.2  # of the latency objective, where the work alone takes as long
 PATIENCE_BY_RANK = 0.85  # for each rank, so that the least urgent is refused first
 LAST_RANK = 4  # ranks after it are treated alike
+COLD_SHARE = 0.8  # of the rate that a cold target bears
+COLD_SLOWNESS = 2.0  # times the work of a target that isn't cold
 FAILURE_COST = 1.0  # seconds that a certain failure is worth
 
 
@@ -61,6 +63,7 @@
     work: float
     is_known: bool
     is_far: bool = False
+    is_cold: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -78,6 +81,7 @@
 class Place:
     """Where this host is, and how far the others are (seconds, there and back)."""
 
+    host: str
     domain: str
     region: str
     regions: Mapping[str, str]
@@ -93,10 +97,18 @@
 
 
 class TargetChooser:
-    """Keeps beliefs about targets and picks one. Safe to use from many threads."""
+    """Keeps beliefs about targets and picks one. Safe to use from many threads.
 
-    def __init__(self, *, place: Place, clock: Clock) -> None:
+    ``entry_hosts`` returns how many hosts send requests, 0 if that isn't known: a
+    cold target bears few requests from all of them together, and each host sends its
+    part of them without asking anybody.
+    """
+
+    def __init__(
+        self, *, place: Place, clock: Clock, entry_hosts: Callable[[], int]
+    ) -> None:
         self._place = place
+        self._entry_hosts = entry_hosts
         self._clock = clock
         self._views: dict[str, TargetView] = {}
         self._services: dict[str, list[TargetView]] = {}
@@ -122,9 +134,14 @@
             views = {}
             for record in records:
                 if record.state is not TargetState.GONE:
+                    rule = service_rule(record.service)
                     view = self._updated(record, now)
+                    view.cold_rate = self._cold_part(rule)
                     if record.domain in readmitted:
-                        _expect_cold(view, service_rule(record.service), now)
+                        # It may have been restarted without a word of it.
+                        left = max(rule.cold_seconds, view.cold_until - now)
+                        self._turn_cold(view, now, left)
+                        view.objects.clear()
                     views[record.instance] = view
             self._views = views
             self._services = {}
@@ -145,7 +162,7 @@
             load = _load_of(views, now)
             if load > OVERLOAD and best.wait > self._patience(wanted, best):
                 return Overloaded(wait=best.wait, load=load)
-            best.view.sent()
+            best.view.sent(now)
             return best
 
     def finished(
@@ -161,7 +178,7 @@
             view.objects.add(wanted.object_name)
             work = max(0.001, seconds - self._place.distance(view.record))
             waited = load is not None and load.waiting > 0
-            if not waited:
+            if not waited and not choice.is_cold:
                 expected = self._work_time(wanted)
                 view.succeeded(ratio=work / max(0.001, choice.work))
                 expected.learn(work, was_known=choice.is_known)
@@ -190,10 +207,12 @@
             view = TargetView(
                 record=record,
                 region=self._place.regions.get(record.domain, ""),
-                cold_until=now + record.cold_seconds,
+                cold_until=now,
             )
+            self._turn_cold(view, now, record.cold_seconds)
         elif record != view.record:
-            view.cold_until = now + record.cold_seconds
+            if not view.is_cold(now) or record.cold_seconds <= 0:
+                self._turn_cold(view, now, record.cold_seconds)
             if record.cold_seconds > 0:
                 view.objects.clear()
             view.record = record
@@ -207,18 +226,31 @@
             and view.record.domain not in self._evacuated
             and view.record.instance not in wanted.avoid
             and (not wanted.homes or view.region in wanted.homes)
-            and now >= view.cold_until
+            and (not view.is_cold(now) or view.bears_one(now))
         ]
 
+    def _turn_cold(self, view: TargetView, now: float, seconds: float) -> None:
+        name = hash_of(self._place.host)
+        level = share_of(name, hash_of(view.record.instance))
+        view.turned_cold(now, until=now + seconds, level=level)
+
+    def _cold_part(self, rule: ServiceRule) -> float:
+        """Return this host's part of the requests per second a cold target bears."""
+        hosts = self._entry_hosts()
+        return COLD_SHARE * rule.cold_rate / hosts if hosts else 0.0
+
     def _best(
         self, wanted: Wanted, allowed: list[TargetView], now: float
     ) -> tuple[list[TargetView], Choice | None]:
         """Return the targets of the region that was chosen, and the best of them."""
         region = self._place.region
-        near = _without_bad([v for v in allowed if v.region == region], now)
-        far = _without_bad([v for v in allowed if v.region != region], now)
+        warm = [view for view in allowed if not view.is_cold(now)]
+        cold = [view for view in allowed if view.is_cold(now)]
+        near = _without_bad([v for v in warm if v.region == region], now)
+        far = _without_bad([v for v in warm if v.region != region], now)
         if far and (not near or self._moves(wanted, near, far, now)):
             return far, self._quickest_home(wanted, far, now)
+        near += [view for view in cold if view.region == region or not near]
         return near, self._quickest(wanted, near, now)
 
     def _moves(
@@ -234,9 +266,8 @@
         objective = wanted.route.objective
         in_time = float("inf")
         if objective > 0:
-            others = self._work_time(wanted).known
-            others += self._place.distance(choice.view.record)
-            in_time = max(LEAST_PATIENCE * objective, objective - others)
+            without_wait = choice.expected - choice.wait
+            in_time = max(LEAST_PATIENCE * objective, objective - without_wait)
             in_time *= PATIENCE_BY_RANK ** min(wanted.rank, LAST_RANK)
         return min(in_time, wanted.left - choice.expected + choice.wait)
 
@@ -245,7 +276,8 @@
     ) -> Choice | None:
         if not views:
             return None
-        home = self._by_rank(wanted, views)[0]
+        steady = [view for view in views if not view.is_cold(now)]
+        home = self._by_rank(wanted, steady or views)[0]
         choices = [
             self._expect(wanted, view, now, is_home=view is home) for view in views
         ]
@@ -281,8 +313,9 @@
         self, wanted: Wanted, view: TargetView, now: float, *, is_home: bool
     ) -> Choice:
         times = self._work_time(wanted)
-        known = is_home or wanted.object_name in view.objects
-        work = times.of(is_known=known)
+        cold = view.is_cold(now)
+        known = not cold and (is_home or wanted.object_name in view.objects)
+        work = times.of(is_known=known) * (COLD_SLOWNESS if cold else 1)
         slots = max(1, view.slots)
         ahead = max(0.0, view.occupancy(now) + 1 - slots)
         slowness = max(0.3, view.slowness)
@@ -296,6 +329,7 @@
             work=work,
             is_known=known,
             is_far=view.region != self._place.region,
+            is_cold=cold,
         )
 
     def _work_time(self, wanted: Wanted) -> WorkTime:
@@ -328,9 +362,3 @@
     if now < view.ejected_until or view.record.state is TargetState.SILENT:
         return False
     return view.failure_share < FAILING_SHARE or view.in_flight == 0
-
-
-def _expect_cold(view: TargetView, rule: ServiceRule, now: float) -> None:
-    """Take a target as cold that may have been restarted without a word of it."""
-    view.cold_until = max(view.cold_until, now + rule.cold_seconds)
-    view.objects.clear()
--- a/src/chicoryhold/routing/target_view.py
+++ b/src/chicoryhold/routing/target_view.py
@@ -13,7 +13,8 @@
 EJECT_FIRST_SECONDS = 0.5
 EJECT_LAST_SECONDS = 8.0
 LOAD_SECONDS = 0.4  # over which the load that others put on a target is smoothed
-NEWS_SECONDS = 1.0  # over which what a target said of its load loses its meaning
+NEWS_SECONDS = 0.5  # for which what a target said of its load is believed
+FADING_SECONDS = 0.7  # over which it loses its meaning then
 SLOWNESS_WEIGHT = 0.15
 
 
@@ -47,6 +48,9 @@
     ejected_until: float = float("-inf")
     eject_seconds: float = EJECT_FIRST_SECONDS
     objects: RecentObjects = attrs.field(factory=RecentObjects)
+    cold_rate: float = 0.0  # requests per second that this host may send while cold
+    cold_level: float = 0.0
+    cold_at: float = float("inf")
 
     @property
     def slots(self) -> int:
@@ -61,10 +65,30 @@
         return self.in_flight + self.others * self._news(now)
 
     def _news(self, now: float) -> float:
-        return math.exp(-max(0.0, now - self.load_at) / NEWS_SECONDS)
+        return math.exp(-max(0.0, now - self.load_at - NEWS_SECONDS) / FADING_SECONDS)
 
-    def sent(self) -> None:
+    def is_cold(self, now: float) -> bool:
+        return now < self.cold_until
+
+    def bears_one(self, now: float) -> bool:
+        """Whether this host may send a request to the target while it is cold."""
+        return self._cold_allowance(now) >= 1
+
+    def sent(self, now: float) -> None:
         self.in_flight += 1
+        if self.is_cold(now):
+            self.cold_level = self._cold_allowance(now) - 1
+            self.cold_at = now
+
+    def turned_cold(self, now: float, *, until: float, level: float) -> None:
+        """Start with ``level`` of a request, other on each host: not all at once."""
+        self.cold_until = until
+        self.cold_level = level
+        self.cold_at = now
+
+    def _cold_allowance(self, now: float) -> float:
+        earned = max(0.0, now - self.cold_at) * self.cold_rate
+        return min(1.0, self.cold_level + earned)
 
     def told(self, load: Load, now: float) -> None:
         """Take the load that came with the answer to one of our requests."""
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -33,9 +33,12 @@
 )
 
 
-def a_chooser(*domains: str, clock: FakeClock | None = None) -> TargetChooser:
+def a_chooser(
+    *domains: str, clock: FakeClock | None = None, hosts: int = 0, host: str = "own"
+) -> TargetChooser:
     chooser = TargetChooser(
         place=Place(
+            host=host,
             domain="north-a",
             region="north",
             regions=REGIONS,
@@ -43,6 +46,7 @@
             region_distance=0.11,
         ),
         clock=clock or FakeClock(),
+        entry_hosts=lambda: hosts,
     )
     apply(chooser, [target(n, domain) for n, domain in enumerate(domains)])
     return chooser
@@ -58,7 +62,9 @@
     chooser.update(
         records,
         evacuated=evacuated,
-        service_rule=lambda name: ServiceRule(name=name, cold_seconds=3.0),
+        service_rule=lambda name: ServiceRule(
+            name=name, cold_seconds=3.0, cold_rate=16.0
+        ),
     )
 
 
@@ -273,3 +279,32 @@
     assert isinstance(chooser.choose(wanted()), Overloaded)
     clock.advance(2.0)
     assert isinstance(chooser.choose(wanted()), Choice)
+
+
+def test_cold_targets_get_less_than_they_bear_from_all_hosts_together():
+    # A service whose targets were all cold refused every request for three seconds.
+    clock = FakeClock()
+    choosers = [a_chooser(clock=clock, hosts=27, host=f"h{n}") for n in range(27)]
+    for chooser in choosers:
+        apply(chooser, [target(0, "north-a", cold_seconds=3.0)])
+    in_each_second = []
+    for _ in range(2):
+        sent = 0
+        for _ in range(100):
+            clock.advance(0.01)
+            for chooser in choosers:
+                choice = chooser.choose(wanted())
+                if isinstance(choice, Choice):
+                    chooser.dropped(choice)
+                    sent += 1
+        in_each_second.append(sent)
+    assert sum(in_each_second) >= 16
+    assert max(in_each_second) <= 29
+
+
+def test_a_cold_target_gets_nothing_while_nobody_knows_how_many_hosts_there_are():
+    clock = FakeClock()
+    chooser = a_chooser(clock=clock, hosts=0)
+    apply(chooser, [target(0, "north-a", cold_seconds=3.0)])
+    clock.advance(2.0)
+    assert chooser.choose(wanted()) is None
