--- a/src/chicoryhold/callers/forwarding.py
+++ b/src/chicoryhold/callers/forwarding.py
@@ -12,11 +12,8 @@
 from chicoryhold.steering.admission_client import AdmissionClient
 from chicoryhold.steering.retry_budget import RetryBudget
 from chicoryhold.steering.shifts import ShiftChooser
-from chicoryhold.targets.connections import (
-    OutgoingRequest,
-    TargetAnswer,
-    TargetConnections,
-)
+from chicoryhold.targets.connections import TargetConnections
+from chicoryhold.targets.exchange import OutgoingRequest, TargetAnswer
 
 MOST_TRIES = 3
 RAN_HEADER = "Chicoryhold-Ran"
--- a/src/chicoryhold/callers/service.py
+++ b/src/chicoryhold/callers/service.py
@@ -21,7 +21,7 @@
 from chicoryhold.control.follower import Follower
 from chicoryhold.hosts.messages import StoredAnswer
 from chicoryhold.state.table import Route
-from chicoryhold.targets.connections import OutgoingRequest, TargetAnswer
+from chicoryhold.targets.exchange import OutgoingRequest, TargetAnswer
 
 ORGANISATION_HEADER = "Chicoryhold-Organisation"
 DEADLINE_HEADER = "Chicoryhold-Deadline-Ms"
--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -26,11 +26,8 @@
     TargetChooser,
     Wanted,
 )
-from chicoryhold.targets.connections import (
-    OutgoingRequest,
-    TargetAnswer,
-    TargetConnections,
-)
+from chicoryhold.targets.connections import TargetConnections
+from chicoryhold.targets.exchange import OutgoingRequest, TargetAnswer
 
 NO_TARGET_RETRY_AFTER = 0.3  # seconds
 SHED_RETRY_AFTER = 0.2  # seconds
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -17,7 +17,7 @@
 from chicoryhold.metrics import Metrics
 from chicoryhold.routing.configuration import OrganisationRule, RouteRule
 from chicoryhold.routing.route_index import RouteIndex
-from chicoryhold.targets.connections import TargetAnswer
+from chicoryhold.targets.exchange import TargetAnswer
 
 Outcome = Result[TargetAnswer, Refusal]
 
--- a/src/chicoryhold/hosts/actors.py
+++ b/src/chicoryhold/hosts/actors.py
@@ -58,10 +58,11 @@
 
 @contextmanager
 def running_actor(actor: pykka.ActorRef, *, interval: float) -> Iterator[None]:
-    """Send ``actor`` a tick every ``interval`` seconds, and stop it at the end."""
+    """Send ``actor`` a tick now and every ``interval`` seconds; stop it at the end."""
     stopping = threading.Event()
 
     def run() -> None:
+        actor.tell(Tick())
         while not stopping.wait(interval):
             actor.tell(Tick())
 
--- a/src/chicoryhold/programs/control.py
+++ b/src/chicoryhold/programs/control.py
@@ -32,7 +32,8 @@
 from chicoryhold.logs import set_up_logs
 from chicoryhold.metrics import create_meter, serve_metrics
 from chicoryhold.operators.api import AdministrationApi
-from chicoryhold.programs.running import run_program, stop_signals
+from chicoryhold.programs.running import run_program
+from chicoryhold.programs.signals import stop_signals
 from chicoryhold.settings import ControlSettings, load_settings
 from chicoryhold.state.control_state import ControlState
 
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -50,7 +50,8 @@
 from chicoryhold.limits.domain_limits import DomainLimits
 from chicoryhold.logs import set_up_logs
 from chicoryhold.metrics import create_meter, serve_metrics
-from chicoryhold.programs.running import run_program, stop_signals
+from chicoryhold.programs.running import run_program
+from chicoryhold.programs.signals import stop_signals
 from chicoryhold.settings import EntrySettings, load_settings
 from chicoryhold.steering.admission_client import AdmissionClient
 from chicoryhold.steering.coordinator import Coordinator
--- a/src/chicoryhold/programs/running.py
+++ b/src/chicoryhold/programs/running.py
@@ -1,13 +1,9 @@
-"""What every long-running program shares: flags, errors, signals."""
+"""What every program of the command line shares: flags and errors."""
 
 from __future__ import annotations
 
-import os
-import signal
 import sys
-import threading
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 
 from absl import flags
 
@@ -46,43 +42,3 @@
 def _fail(message: str, code: int) -> None:
     print(f"{sys.argv[0].rpartition('/')[2]}: {message}", file=sys.stderr)
     sys.exit(code)
-
-
-@contextmanager
-def stop_signals() -> Iterator[threading.Event]:
-    """Yield an event that is set by SIGTERM or SIGINT."""
-    stopping = threading.Event()
-
-    def on_signal(number: int, frame: object) -> None:
-        stopping.set()
-
-    previous = {
-        number: signal.signal(number, on_signal)
-        for number in (signal.SIGTERM, signal.SIGINT)
-    }
-    try:
-        yield stopping
-    finally:
-        for number, handler in previous.items():
-            signal.signal(number, handler)
-
-
-@contextmanager
-def on_hangup(reload: Callable[[], None]) -> Iterator[None]:
-    """Call ``reload`` at each SIGHUP, which would end the process otherwise."""
-    previous = signal.signal(signal.SIGHUP, lambda number, frame: reload())
-    try:
-        yield
-    finally:
-        signal.signal(signal.SIGHUP, previous)
-
-
-def end_soon(seconds: float) -> None:
-    """End this process after ``seconds`` even if a part of it can't stop.
-
-    For a process whose work is done: a thread that waits for a disk or a peer must
-    not keep it until the platform kills it.
-    """
-    timer = threading.Timer(seconds, os._exit, args=(0,))
-    timer.daemon = True
-    timer.start()
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -5,7 +5,6 @@
 import http.client
 import socket
 import threading
-from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 
 import attrs
@@ -24,6 +23,7 @@
 )
 from chicoryhold.targets.cancellation import NEVER_CANCELLED, Cancellation
 from chicoryhold.targets.dialect import OWN_DIALECT, TargetDialect
+from chicoryhold.targets.exchange import OutgoingRequest, TargetAnswer
 
 IDLE_SECONDS = 5.0  # for targets that don't say how long they wait
 LONGEST_IDLE_SECONDS = 60.0
@@ -49,32 +49,6 @@
 )
 
 
-@attrs.frozen(kw_only=True)
-class OutgoingRequest:
-    """What is sent to a target. ``once`` means that it must not run twice.
-
-    ``far`` targets are so distant that opening a connection costs as much as the
-    request, so a connection may have been idle for longer, even for ``once``.
-    """
-
-    request_id: str
-    method: str
-    path: str
-    headers: Mapping[str, str]
-    body: bytes
-    once: bool
-    far: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class TargetAnswer:
-    """A whole answer that belongs to the request it was given for."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
 class _CheckedResponse(http.client.HTTPResponse):
     """Notices bytes that follow the end of the answer.
 
@@ -177,6 +151,10 @@
         with self._lock:
             return len(self._idle.get(address, ()))
 
+    def finish_opening(self) -> None:
+        """Return once no connection is being opened ahead; none will be after that."""
+        self._spares.shutdown()
+
     def prepare(self, address: str) -> None:
         """Open a connection in the background, unless an idle one is there.
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -6,7 +6,8 @@
 import threading
 
 from chicoryhold.clock import BootClock
-from chicoryhold.targets.connections import OutgoingRequest, TargetConnections
+from chicoryhold.targets.connections import TargetConnections
+from chicoryhold.targets.exchange import OutgoingRequest
 from chicoryhold.trial.fleet import wait_until
 
 WAIT = 5.0  # seconds
@@ -75,8 +76,10 @@
 
 
 def test_a_target_that_can_not_be_reached_leaves_no_connection_behind():
-    target = CountingTarget()
-    target.close()
     connections = TargetConnections(clock=BootClock())
-    connections.prepare(target.address)
-    assert connections.idle_to(target.address) == 0
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))  # nobody listens there
+        address = f"127.0.0.1:{bound.getsockname()[1]}"
+        connections.prepare(address)
+        connections.finish_opening()
+    assert connections.idle_to(address) == 0
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -17,7 +17,7 @@
 from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.routing.configuration import RouteRule, WeightedService
 from chicoryhold.targets.cancellation import Cancellation
-from chicoryhold.targets.connections import TargetAnswer
+from chicoryhold.targets.exchange import TargetAnswer
 from tests.conftest import FakeClock
 from tests.test_target_choice import a_chooser, full
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,7 +14,7 @@
 from chicoryhold.http_server import ARRIVED_AT, CANCELLATION
 from chicoryhold.state.targets import TargetState
 from chicoryhold.targets.cancellation import Cancellation
-from chicoryhold.targets.connections import TargetAnswer
+from chicoryhold.targets.exchange import TargetAnswer
 
 CONFIGURATION = {
     "version": "0000000c",
