Let a small burst pass, and hold no scarce permits ahead

Change: each domain's bucket holds three permits at least (18 in all, within the 20 that the tolerance allows a window), and while a bucket is low a host gets what waits and nothing ahead.

--- a/src/chicoryhold/limits/permits.py
+++ b/src/chicoryhold/limits/permits.py
@@ -18,7 +18,9 @@
 DEMAND_SECONDS = 1.0  # over which demand is smoothed
 LOW_WATER_SECONDS = 0.6  # of demand left in a bucket before others are asked
 BORROWED_SECONDS = 1.0  # of demand asked for at a time
-KEPT_SECONDS = 0.8  # of its own demand that a giver keeps
+SCARCE_SECONDS = 0.5  # of demand left in a bucket below which none are held ahead
+LEAST_BUCKET = 3.0  # permits
+KEPT_SECONDS = 1.0  # of its own demand that a giver keeps
 
 
 @attrs.frozen(kw_only=True)
@@ -71,6 +73,9 @@
         if bucket is None:
             return None
         bucket.ask(needed)
+        if bucket.level < bucket.demand * SCARCE_SECONDS:
+            # Permits held ahead by one host are missing at another one.
+            wanted = min(wanted, needed)
         given = min(wanted, int(bucket.level))
         bucket.level -= given
         return given
@@ -116,8 +121,15 @@
         return bucket
 
     def _burst(self, name: str) -> float:
+        """Return the most permits that this domain's bucket holds.
+
+        A small burst divided between the domains would leave less than one permit
+        for each, and requests don't come as evenly as permits do.
+        """
         allowance = self._allowance_of(name)
-        return allowance.burst / self._domains if allowance else 0.0
+        if allowance is None:
+            return 0.0
+        return max(LEAST_BUCKET, allowance.burst / self._domains)
 
 
 @attrs.define(kw_only=True)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -101,3 +101,30 @@
     limit = (rule.rate * WINDOW + rule.burst) * 1.1 + 20
     assert allowance.rate * (WINDOW + PERMIT_LIFETIME) + allowance.burst <= limit
     assert allowance.rate * WINDOW >= 0.95 * (rule.rate * WINDOW + 0.8 * rule.burst)
+
+
+def test_a_burst_smaller_than_the_number_of_domains_still_lets_the_rate_pass():
+    # Five requests of burst in six domains left less than one permit in each bucket,
+    # and every request was refused.
+    clock = FakeClock()
+    allowance = Allowance(rate=10.0, burst=5.0)
+    all_offices = [
+        PermitOffice(domains=6, allowance_of=lambda _: allowance, clock=clock)
+        for _ in range(6)
+    ]
+    random = Random(1)
+    granted = 0
+    for _ in range(270):
+        clock.advance(random.expovariate(9.0))
+        granted += random.choice(all_offices).take("a", wanted=1, needed=1)
+    assert granted > 200
+
+
+def test_hosts_hold_no_permits_ahead_while_they_are_scarce():
+    clock = FakeClock()
+    office = offices(clock)[0]
+    clock.advance(0.3)
+    for _ in range(20):
+        office.take("a", wanted=1, needed=1)
+    clock.advance(0.3)
+    assert office.take("a", wanted=3, needed=1) == 1
