Show hosts, targets, evacuations and the configuration on the command line

The grown state could only be changed and read through the platform's calls. host list, target list, evacuation list, start and end, configuration get; the configuration is shown without keys. tests/test_administration.py asks the API over a leader's state without processes.

--- a/src/chicoryhold/control/in_force.py
+++ b/src/chicoryhold/control/in_force.py
@@ -23,6 +23,17 @@
     silent: tuple[str, ...]
 
 
+@attrs.frozen(kw_only=True)
+class HostInForce:
+    """The revision in force at a host, told ``age`` seconds ago."""
+
+    host: str
+    domain: str
+    revision: int
+    age: float
+    silent: bool
+
+
 @attrs.frozen(kw_only=True)
 class _Known:
     report: HostReport
@@ -53,6 +64,21 @@
                 rows.setdefault(known.report.domain, []).append(known)
         return tuple(self._row(name, rows[name], now) for name in sorted(rows))
 
+    def hosts(self) -> tuple[HostInForce, ...]:
+        """Return each host that has reported within a day, by name."""
+        now = self._clock.now()
+        return tuple(
+            HostInForce(
+                host=name,
+                domain=known.report.domain,
+                revision=known.report.revision,
+                age=round(now - known.at, 1),
+                silent=now - known.at > REPORT_STALE_AFTER,
+            )
+            for name, known in sorted(self._known.items())
+            if now - known.at < REPORT_FORGOTTEN_AFTER
+        )
+
     def _row(self, domain: str, hosts: list[_Known], now: float) -> DomainInForce:
         silent = [k.report.host for k in hosts if now - k.at > REPORT_STALE_AFTER]
         return DomainInForce(
--- a/src/chicoryhold/operators/api.py
+++ b/src/chicoryhold/operators/api.py
@@ -18,13 +18,16 @@
 from chicoryhold.codec import encode
 from chicoryhold.control.replica_actor import ControlView, Propose, Read
 from chicoryhold.errors import NotLeader, ResultUnknown
+from chicoryhold.routing.configuration import Configuration
 from chicoryhold.settings import OperatorSettings
 from chicoryhold.state.changes import (
     Body,
     Change,
     CreateOrganisation,
+    EndEvacuation,
     EndShift,
     EndStop,
+    EvacuateDomain,
     GiveKey,
     PlanStop,
     PutTable,
@@ -34,6 +37,7 @@
 )
 from chicoryhold.state.control_state import text_difference
 from chicoryhold.state.table import check_table
+from chicoryhold.state.targets import TargetRecord
 
 ANSWER_TIMEOUT = 5.0
 REQUEST_ID_HEADER = "Chicoryhold-Request-Id"
@@ -59,6 +63,13 @@
         Rule("/v1/stops/<host>", endpoint="plan_stop", methods=["PUT"]),
         Rule("/v1/stops/<host>", endpoint="end_stop", methods=["DELETE"]),
         Rule("/v1/in-force", endpoint="in_force", methods=["GET"]),
+        Rule("/v1/hosts", endpoint="list_hosts", methods=["GET"]),
+        Rule("/v1/targets", endpoint="list_targets", methods=["GET"]),
+        Rule("/v1/evacuations", endpoint="list_evacuations", methods=["GET"]),
+        Rule("/v1/evacuations/<domain>", endpoint="evacuate", methods=["PUT"]),
+        Rule("/v1/evacuations/<domain>", endpoint="end_evacuation",
+             methods=["DELETE"]),
+        Rule("/v1/configuration", endpoint="get_configuration", methods=["GET"]),
         Rule("/v1/replicas", endpoint="replicas", methods=["GET"]),
     ]
 )  # fmt: skip
@@ -172,6 +183,27 @@
             }
         )
 
+    def _list_hosts(self, request: Request, operator: str) -> Answer:
+        return self._read(
+            lambda view: {
+                "hosts": [attrs.asdict(host) for host in view.in_force.hosts()]
+            }
+        )
+
+    def _list_targets(self, request: Request, operator: str) -> Answer:
+        return self._read(
+            lambda view: {
+                "targets": [_target_fields(record) for record in view.state.targets]
+            }
+        )
+
+    def _list_evacuations(self, request: Request, operator: str) -> Answer:
+        return self._read(lambda view: {"evacuated": sorted(view.state.evacuated)})
+
+    def _get_configuration(self, request: Request, operator: str) -> Answer:
+        """Return what is in force, without the organisations' keys."""
+        return self._read(lambda view: _configuration_fields(view.state.configuration))
+
     def _replicas(self, request: Request, operator: str) -> Answer:
         return self._read(lambda view: {"leader": attrs.asdict(view.status)})
 
@@ -224,6 +256,12 @@
     def _end_stop(self, request: Request, operator: str, host: str) -> Answer:
         return self._change(request, operator, EndStop(host=host))
 
+    def _evacuate(self, request: Request, operator: str, domain: str) -> Answer:
+        return self._change(request, operator, EvacuateDomain(domain=domain))
+
+    def _end_evacuation(self, request: Request, operator: str, domain: str) -> Answer:
+        return self._change(request, operator, EndEvacuation(domain=domain))
+
     def _change(self, request: Request, operator: str, body: Body) -> Answer:
         based_on = request.headers.get(BASED_ON_HEADER)
         change = Change(
@@ -246,6 +284,25 @@
             return Err(Problem(status=504, error="unknown", message=message))
 
 
+def _target_fields(record: TargetRecord) -> Mapping[str, object]:
+    return {**attrs.asdict(record), "state": record.state.value}
+
+
+def _configuration_fields(configuration: Configuration) -> Mapping[str, object]:
+    organisations = []
+    for rule in configuration.organisations:
+        fields = attrs.asdict(rule)
+        fields["keys"] = len(rule.keys)
+        organisations.append(fields)
+    return {
+        "version": configuration.version,
+        "routes": [attrs.asdict(rule) for rule in configuration.routes],
+        "services": [attrs.asdict(rule) for rule in configuration.services],
+        "organisations": organisations,
+        "limits": attrs.asdict(configuration.limits),
+    }
+
+
 def _json_response(answer: Answer) -> Response:
     match answer:
         case Ok(fields):
--- a/src/chicoryhold/operators/commands.py
+++ b/src/chicoryhold/operators/commands.py
@@ -146,6 +146,24 @@
     def show_in_force(self) -> Fields:
         return self._get("/v1/in-force")
 
+    def list_hosts(self) -> Fields:
+        return self._get("/v1/hosts")
+
+    def list_targets(self) -> Fields:
+        return self._get("/v1/targets")
+
+    def list_evacuations(self) -> Fields:
+        return self._get("/v1/evacuations")
+
+    def start_evacuation(self, domain: str) -> Fields:
+        return self._change("PUT", f"/v1/evacuations/{quote(domain)}")
+
+    def end_evacuation(self, domain: str) -> Fields:
+        return self._change("DELETE", f"/v1/evacuations/{quote(domain)}")
+
+    def get_configuration(self) -> Fields:
+        return self._get("/v1/configuration")
+
     def show_replicas(self) -> Fields:
         return self._get("/v1/replicas")
 
@@ -240,6 +258,14 @@
     _command("stop list", "", _C.list_stops, "list planned stops"),
     _command("stop plan", "HOST", _C.plan_stop, "drain an entry host before a stop"),
     _command("stop end", "HOST", _C.end_stop, "take an entry host back"),
+    _command("host list", "", _C.list_hosts, "show hosts and what is in force there"),
+    _command("target list", "", _C.list_targets, "show targets and their states"),
+    _command("evacuation list", "", _C.list_evacuations, "list evacuated domains"),
+    _command("evacuation start", "DOMAIN", _C.start_evacuation,
+             "send no more requests to a domain's targets"),
+    _command("evacuation end", "DOMAIN", _C.end_evacuation, "take a domain back"),
+    _command("configuration get", "", _C.get_configuration,
+             "show routes, services and organisations, without keys"),
     _command("in-force", "", _C.show_in_force, "show the revision in each domain"),
     _command("wait", "REVISION", _C.wait, "return when a revision is everywhere"),
     _command("replicas", "", _C.show_replicas, "show the leader and the members"),
--- /dev/null
+++ b/tests/test_administration.py
@@ -0,0 +1,103 @@
+"""The administration API over what a leader knows, without processes."""
+
+from __future__ import annotations
+
+import hashlib
+
+import attrs
+import pytest
+from werkzeug.test import Client
+
+from chicoryhold.codec import decode
+from chicoryhold.control.in_force import InForceReports
+from chicoryhold.control.messages import HostReport
+from chicoryhold.control.replica_actor import ControlView, Propose, Read
+from chicoryhold.operators.api import AdministrationApi
+from chicoryhold.routing.configuration import Configuration, OrganisationRule
+from chicoryhold.settings import OperatorSettings
+from chicoryhold.state.changes import (
+    Change,
+    EvacuateDomain,
+    PutConfiguration,
+    RecordTargets,
+)
+from chicoryhold.state.control_state import ControlState
+from tests.conftest import FakeClock
+from tests.test_control_state import change
+from tests.test_targets_state import a_record
+
+TOKEN = "an operator's token"
+
+
+@attrs.define(kw_only=True)
+class Leader:
+    """Applies at once what is proposed."""
+
+    state: ControlState
+    in_force: InForceReports
+    proposed: list[Change] = attrs.field(factory=list)
+
+    def tell(self, message: Read | Propose) -> None:
+        if isinstance(message, Propose):
+            self.proposed.append(message.change)
+            message.reply.set_result(self.state.apply(message.change))
+        else:
+            view = ControlView(state=self.state, in_force=self.in_force, status=None)
+            message.reply.set_result(view)
+
+
+@pytest.fixture
+def leader() -> Leader:
+    reports = InForceReports(clock=FakeClock())
+    reports.record([HostReport(host="h1", domain="d", revision=3, age=7.0)])
+    return Leader(state=ControlState(), in_force=reports)
+
+
+def ask(leader: Leader, method: str, path: str, **headers: str):
+    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+    api = AdministrationApi(
+        replica=leader,
+        operators=(OperatorSettings(name="ana", token_sha256=digest),),
+    )
+    headers = {"Authorization": f"Bearer {TOKEN}", **headers}
+    return Client(api).open(path, method=method, headers=headers)
+
+
+def test_hosts_are_shown_with_the_age_of_what_they_told(leader):
+    (host,) = ask(leader, "GET", "/v1/hosts").json["hosts"]
+    assert host == {
+        "host": "h1", "domain": "d", "revision": 3, "age": 7.0, "silent": True,
+    }  # fmt: skip
+
+
+def test_targets_are_shown_with_their_state_as_a_word(leader):
+    leader.state.apply(change("t", RecordTargets(records=(a_record(instance="i-1"),))))
+    (target,) = ask(leader, "GET", "/v1/targets").json["targets"]
+    assert (target["instance"], target["state"]) == ("i-1", "ready")
+
+
+def test_a_domain_is_evacuated_and_taken_back(leader):
+    id_header = {"Chicoryhold-Request-Id": "r1"}
+    assert ask(leader, "PUT", "/v1/evacuations/d", **id_header).json["accepted"]
+    assert isinstance(decode(leader.proposed[0].body), EvacuateDomain)
+    assert ask(leader, "GET", "/v1/evacuations").json == {"evacuated": ["d"]}
+    id_header = {"Chicoryhold-Request-Id": "r2"}
+    assert ask(leader, "DELETE", "/v1/evacuations/d", **id_header).json["accepted"]
+    assert ask(leader, "GET", "/v1/evacuations").json == {"evacuated": []}
+
+
+def test_the_configuration_is_shown_without_keys(leader):
+    rule = OrganisationRule(name="clinic", keys=("secret-key", "other"), rate=5.0)
+    configuration = Configuration(version=4, organisations=(rule,))
+    body = PutConfiguration(configuration=configuration, text=b"")
+    leader.state.apply(change("c", body))
+    answer = ask(leader, "GET", "/v1/configuration")
+    assert answer.json["version"] == 4
+    assert answer.json["organisations"][0]["keys"] == 2
+    assert "secret-key" not in answer.text
+
+
+def test_a_stranger_sees_nothing(leader):
+    for path in ("/v1/configuration", "/v1/targets", "/v1/hosts", "/v1/evacuations"):
+        answer = ask(leader, "GET", path, Authorization="Bearer guessed")
+        assert answer.status_code == 401
