Find control hosts and the configuration at once after a start

The bus drops messages to a peer without an open connection; the follower's first fetch went to the first seed before that, was lost, ran into its timeout of 0.9 s, and the next try waited for a tick. Far hosts asked the first seed alone, in another region. After a start of all the first votes were lost in the same way.

Ruled out: making the image for each asker (it is kept by revision), and a busy control host (its roster answered in 0.24 s).

Change: connections to seeds and members are opened at the start; a host that reaches no control host asks all it knows each 0.1 s; the follower fetches as soon as one has answered, and not before; first elections come 0.4 to 0.9 s after a start, when connections between regions are open. Tests of the presence actor, seen failing first.

--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -38,7 +38,7 @@
 from chicoryhold.errors import NotLeader
 
 ENTRIES_PER_MESSAGE = 256
-FIRST_ELECTION = (0.2, 0.7)  # of the election timeout, after a start
+FIRST_ELECTION = (0.4, 0.9)  # of the election timeout, after a start
 
 
 class Role(enum.Enum):
--- a/src/chicoryhold/hosts/bus.py
+++ b/src/chicoryhold/hosts/bus.py
@@ -52,6 +52,11 @@
     payload: bytes
 
 
+@attrs.frozen(kw_only=True)
+class _Connect:
+    peer: str
+
+
 class Bus:
     """Sends typed messages to named peers and answers theirs."""
 
@@ -62,7 +67,9 @@
         self._address = address
         self._transport = transport
         self._handlers: dict[type, Handler] = {}
-        self._outbox: collections.deque[_Outgoing | _Answer] = collections.deque()
+        self._outbox: collections.deque[_Outgoing | _Answer | _Connect] = (
+            collections.deque()
+        )
         self._waiting: dict[int, Future] = {}
         self._next_number = 1
         self._lock = threading.Lock()
@@ -80,6 +87,10 @@
         """Answer messages of ``kind`` by ``handler(sender_name, message)``."""
         self._handlers[kind] = handler
 
+    def connect(self, peer: str) -> None:
+        """Open a connection to ``peer``, so that the first message finds it open."""
+        self._post(_Connect(peer=peer))
+
     def tell(self, peer: str, message: object) -> None:
         """Send without waiting for an answer; the message may be lost."""
         self._post(_Outgoing(peer=peer, number=_NO_REPLY, payload=encode(message)))
@@ -143,7 +154,7 @@
         os.close(self._wake_read)
         os.close(self._wake_write)
 
-    def _post(self, item: _Outgoing | _Answer) -> None:
+    def _post(self, item: _Outgoing | _Answer | _Connect) -> None:
         self._outbox.append(item)
         self._wake()
 
@@ -246,7 +257,10 @@
                 # A full queue or a gone peer: the asker's timeout covers the loss.
                 continue
 
-    def _send(self, item: _Outgoing | _Answer) -> None:
+    def _send(self, item: _Outgoing | _Answer | _Connect) -> None:
+        if isinstance(item, _Connect):
+            self._dealer(item.peer)
+            return
         if isinstance(item, _Answer):
             frames = [item.route, item.number, item.payload]
             self._router.send_multipart(frames, zmq.NOBLOCK)
--- a/src/chicoryhold/membership/presence_actor.py
+++ b/src/chicoryhold/membership/presence_actor.py
@@ -20,7 +20,7 @@
 from chicoryhold.membership.roster import by_nearness
 
 PRESENCE_INTERVAL = 0.5  # seconds
-FIRST_INTERVAL = 0.2  # seconds, while no control host has answered yet
+FIRST_INTERVAL = 0.05  # seconds, while no control host answers
 HEARD_RECENTLY = 1.2  # seconds
 SECOND_EVERY = 2  # reports of which one also goes to a second control host
 OTHERS_EVERY = 8  # reports of which one also goes to another one in turn
@@ -100,13 +100,17 @@
 
 
 class PresenceActor(OwningActor):
-    """Reports every half second to the nearest control host that answers."""
+    """Reports every half second to the nearest control host that answers.
+
+    ``reached`` is called when one answers after none did for a while.
+    """
 
     def __init__(
         self, *, controls: ControlHostList, bus: Bus, clock: Clock,
-        describe: Callable[[], EntryHost],
+        describe: Callable[[], EntryHost], reached: Callable[[], None] = lambda: None,
     ) -> None:  # fmt: skip
         super().__init__()
+        self._reached = reached
         self._controls = controls
         self._bus = bus
         self._clock = clock
@@ -123,10 +127,13 @@
             case Announce():
                 self._report()
             case _Answered():
+                was_alone = not self._controls.reachable
                 if self._controls.hear(message.name, message.answer):
                     logger.bind(hosts=list(self._controls.names)).info(
                         "presence: the control hosts changed."
                     )
+                if was_alone:
+                    self._reached()
 
     def _report(self) -> None:
         known = bool(self._controls.reachable)
@@ -140,6 +147,8 @@
     def _chosen(self) -> tuple[str, ...]:
         names = self._controls.live_names
         self._turn += 1
+        if not self._controls.reachable:
+            return names
         chosen = list(names[:1])
         if self._turn % SECOND_EVERY == 0:
             chosen += names[1:2]
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -81,6 +81,9 @@
         def peers() -> tuple[str, ...]:
             return _peers(replica, roster, seeds())
 
+        for peer in peers():
+            # Votes that are asked for before a connection is open are lost.
+            bus.connect(peer)
         actor = ReplicaActor.start(
             replica=replica,
             storage=storage,
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -16,7 +16,7 @@
 from chicoryhold.gateway.delivery import Delivery, TargetWords
 from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.gateway.service import GatewayService
-from chicoryhold.hosts.actors import running_actor
+from chicoryhold.hosts.actors import Tick, running_actor
 from chicoryhold.hosts.bus import Bus, running_bus
 from chicoryhold.limits.permit_client import PermitClient
 from chicoryhold.membership.messages import EntryHost
@@ -35,6 +35,7 @@
 from chicoryhold.targets.dialect import TargetDialect
 
 TICK = 0.25  # seconds
+PRESENCE_TICK = 0.1  # seconds
 FETCH_TIMING = FetchTiming(timeout=0.9, stale=1.2, pause=0.05)
 CONNECT_TIMEOUT = 0.4  # seconds; two round trips to the farthest region and some
 DOMAIN_DISTANCE = 0.001  # seconds there and back
@@ -224,21 +225,27 @@
     stack: ExitStack, settings: GatewaySettings, gateway: Gateway, follower: Follower,
     controls: ControlHostList, bus: Bus,
 ) -> None:  # fmt: skip
-    presence = PresenceActor.start(
-        controls=controls, bus=bus, clock=gateway.clock, describe=gateway.describe
-    )
-    gateway.on_change(lambda: presence.tell(Announce()))
     follower_actor = FollowerActor.start(
         follower=follower,
-        sources=lambda: controls.live_names,
+        sources=lambda: controls.live_names if controls.reachable else (),
         bus=bus,
         clock=gateway.clock,
         domain=settings.domain,
         timing=FETCH_TIMING,
         applied=gateway.apply,
     )
-    for actor in (presence, follower_actor):
-        stack.enter_context(running_actor(actor, interval=TICK))
+    presence = PresenceActor.start(
+        controls=controls,
+        bus=bus,
+        clock=gateway.clock,
+        describe=gateway.describe,
+        reached=lambda: follower_actor.tell(Tick()),
+    )
+    gateway.on_change(lambda: presence.tell(Announce()))
+    for seed in controls.names:
+        bus.connect(seed)
+    stack.enter_context(running_actor(follower_actor, interval=TICK))
+    stack.enter_context(running_actor(presence, interval=PRESENCE_TICK))
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/tests/test_presence.py
@@ -0,0 +1,74 @@
+"""How an entry host finds its control hosts after a start."""
+
+from __future__ import annotations
+
+import queue
+from concurrent.futures import Future
+
+import attrs
+
+from chicoryhold.hosts.actors import Tick
+from chicoryhold.membership.messages import ControlHost, ControlHosts, EntryHost
+from chicoryhold.membership.presence_actor import ControlHostList, PresenceActor
+from tests.conftest import FakeClock
+
+SEEDS = ("10.1.0.1", "10.2.0.1", "10.3.0.1")
+OWN = EntryHost(name="own", domain="b", region="r", address="10.2.0.9:80", ready=False)
+
+
+@attrs.define(kw_only=True)
+class FakeBus:
+    asked: dict[str, Future] = attrs.field(factory=dict)
+
+    def ask(self, peer: str, message: object) -> Future:
+        self.asked[peer] = Future()
+        return self.asked[peer]
+
+    def forget(self, future: Future) -> None:
+        return
+
+
+def pump(actor: PresenceActor) -> None:
+    while True:
+        try:
+            actor.on_receive(actor.actor_inbox.get_nowait().message)
+        except queue.Empty:
+            return
+
+
+def test_a_host_that_knows_nobody_asks_all_seeds_and_says_when_one_answers():
+    # It asked the first seed alone, and its first fetch of the configuration went to
+    # that seed before a connection was open: lost, and repeated 1.2 s later.
+    clock = FakeClock()
+    bus = FakeBus()
+    controls = ControlHostList(seeds=lambda: SEEDS, domain="b", region="r", clock=clock)
+    reached = []
+    actor = PresenceActor(
+        controls=controls,
+        bus=bus,
+        clock=clock,
+        describe=lambda: OWN,
+        reached=lambda: reached.append(controls.reachable),
+    )
+    actor.on_receive(Tick())
+    assert tuple(bus.asked) == SEEDS
+    assert reached == []
+    host = ControlHost(name="10.2.0.1", domain="b", region="r")
+    bus.asked["10.2.0.1"].set_result(ControlHosts(hosts=(host,), entry_hosts=3))
+    pump(actor)
+    assert reached == [("10.2.0.1",)]
+    assert controls.entry_hosts == 3
+
+
+def test_a_host_that_lost_all_control_hosts_asks_each_of_them_again():
+    clock = FakeClock()
+    bus = FakeBus()
+    controls = ControlHostList(seeds=lambda: SEEDS, domain="b", region="r", clock=clock)
+    actor = PresenceActor(controls=controls, bus=bus, clock=clock, describe=lambda: OWN)
+    actor.on_receive(Tick())
+    bus.asked["10.1.0.1"].set_result(ControlHosts(hosts=(), entry_hosts=1))
+    pump(actor)
+    clock.advance(5.0)
+    bus.asked.clear()
+    actor.on_receive(Tick())
+    assert set(bus.asked) == set(SEEDS)
