--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -38,7 +38,8 @@
 from chicoryhold.errors import NotLeader
 
 ENTRIES_PER_MESSAGE = 256
-FIRST_ELECTION = (0.4, 0.9)  # of the election timeout, after a start
+FIRST_ELECTION = (0.3, 1.0)  # of the election timeout, until a leader was heard
+LATER_ELECTION = (1.0, 2.0)  # of the election timeout
 
 
 class Role(enum.Enum):
@@ -313,6 +314,10 @@
             self._save_vote(Vote(term=term))
         self._postpone_election()
 
+    @property
+    def _has_heard_leader(self) -> bool:
+        return self._role is Role.LEADER or self._heard_leader > float("-inf")
+
     def _hears_a_leader(self) -> bool:
         now = self._clock.now()
         if self._role is Role.LEADER:
@@ -320,8 +325,11 @@
         return now - self._heard_leader < self._timing.election
 
     def _postpone_election(self) -> None:
-        factor = 1 + self._random.random()
-        self._election_due = self._clock.now() + self._timing.election * factor
+        # After a start of all, no leader is disturbed by trying again soon, and a
+        # split vote would cost everybody a timeout or two.
+        span = LATER_ELECTION if self._has_heard_leader else FIRST_ELECTION
+        wait = self._timing.election * self._random.uniform(*span)
+        self._election_due = self._clock.now() + wait
 
     # Replication by the leader
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,7 +9,7 @@
 from chicoryhold.consensus.effects import Apply, SaveEntries, SaveSnapshot, Send
 from chicoryhold.consensus.log import Log
 from chicoryhold.consensus.messages import Entry, Members, Snapshot, Vote
-from chicoryhold.consensus.replica import Replica, Role
+from chicoryhold.consensus.replica import Replica, Role, Timing
 from tests.conftest import FakeClock
 
 
@@ -31,7 +31,10 @@
 class Group:
     """Replicas joined by a network that loses, delays and cuts."""
 
-    def __init__(self, *, seed: int, voters: tuple[str, ...]) -> None:
+    def __init__(
+        self, *, seed: int, voters: tuple[str, ...], timing: Timing | None = None
+    ) -> None:
+        self.timing = timing or Timing()
         self.random = Random(seed)
         self.clock = FakeClock()
         self.disks: dict[str, Disk] = {}
@@ -56,6 +59,7 @@
             vote=copy.vote,
             clock=self.clock,
             random=Random(self.random.random()),
+            timing=self.timing,
         )
         self.applied[name] = []
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -315,3 +315,42 @@
         group = Group(seed=seed, voters=VOTERS)
         group.run(Timing().election + 0.2)
         assert group.leader() is not None, f"seed {seed}"
+
+
+class SlowStart(Group):
+    """Messages take a twentieth of a second or more; none arrive in the first third."""
+
+    WAY = 0.055
+    OPEN = 0.35
+    TIMING = Timing(heartbeat=0.25, election=1.0)
+
+    def __init__(self, *, seed: int, voters: tuple[str, ...]) -> None:
+        self.underway: list[tuple[float, object]] = []
+        super().__init__(seed=seed, voters=voters, timing=self.TIMING)
+        self.opened = self.clock.now() + self.OPEN
+
+    def deliver(self) -> None:
+        now = self.clock.now()
+        if now >= self.opened:
+            self.underway += [(now + self.WAY, sent) for sent in self._network]
+        self._network = []
+        due = [sent for at, sent in self.underway if at <= now]
+        self.underway = [(at, sent) for at, sent in self.underway if at > now]
+        for sent in due:
+            self._deliver_one(sent)
+
+
+def test_a_split_first_election_is_repeated_soon():
+    # All machines had lost power; votes split, each candidate waited for a whole
+    # timeout or two, and for 2.4 s no host had a configuration.
+    voters = tuple(f"c{number}" for number in range(5))
+    took = []
+    for seed in range(300):
+        group = SlowStart(seed=seed, voters=voters)
+        started = group.clock.now()
+        while group.leader() is None:
+            group.run(0.05)
+        took.append(group.clock.now() - started)
+    took.sort()
+    assert took[270] <= 1.5
+    assert took[-1] <= 2.5
