--- a/features/environment.py
+++ b/features/environment.py
@@ -54,6 +54,13 @@
     mend(context.fleet)
 
 
+def after_step(context, step):
+    """Show what the callers got, where a step fails that looks at something else."""
+    if step.status == "failed":
+        for reply in context.replies:
+            print(f"reply: {reply.status} {reply.body[:200]}")
+
+
 def mend(fleet: Fleet) -> None:
     """Wake and restart whatever a scenario broke, and wait until all serve."""
     for member in fleet.members.values():
