Log which copy of the configuration a refusal was decided with

A 401 or 404 in the log named the version of the configuration, but not how old the copy was, which key or path was checked, nor where the copy came from. So a host that is still catching up, a source that doesn't know the newest state, and a lost configuration looked alike. Refusals now carry host, path, the start of the key's digest and the copy's age; a host logs each batch until it has caught up once, with the source's revision and age; a metric holds the age.

--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -88,6 +88,7 @@
         self._fetch_in_flight = False
         self._next_fetch_at = 0.0
         self._needs_image = False
+        self._has_caught_up = False
 
     def on_receive(self, message: object) -> None:
         match message:
@@ -164,6 +165,7 @@
 
     def _on_batch(self, batch: ChangeBatch) -> None:
         result = self._follower.on_batch(batch, sent_at=self._sent_at)
+        self._log_catching_up(batch, result)
         if result is BatchResult.MISMATCH:
             logger.error(
                 "follower: state diverged from the source; loading a full image."
@@ -177,6 +179,22 @@
         ):
             self._back_off("the source is stale")
 
+    def _log_catching_up(self, batch: ChangeBatch, result: BatchResult) -> None:
+        """Log each batch until the copy has first caught up with a source."""
+        if self._has_caught_up:
+            return
+        self._has_caught_up = self._has_caught_up_with(batch)
+        logger.bind(
+            source=self._source,
+            result=result.value,
+            changes=len(batch.changes),
+            revision=self._follower.state.revision,
+            source_revision=batch.revision,
+            source_age=round(batch.confirmed_age, 2),
+            version=self._follower.state.configuration.version,
+            seconds=round(self._clock.now() - self._sent_at, 3),
+        ).info("follower: received a batch while catching up.")
+
     def _has_caught_up_with(self, batch: ChangeBatch) -> bool:
         """Return whether the copy has every change that the source of ``batch`` has.
 
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -13,6 +13,7 @@
 from chicoryhold.clock import Clock
 from chicoryhold.gateway.delivery import Delivery, RoutedRequest
 from chicoryhold.gateway.request import GatewayRequest
+from chicoryhold.keys import key_digest
 from chicoryhold.limits.permit_client import Permission, PermitClient
 from chicoryhold.metrics import Metrics
 from chicoryhold.routing.configuration import OrganisationRule, RouteRule
@@ -23,6 +24,7 @@
 
 RATE_RETRY_AFTER_SECONDS = 0.5
 NOT_READY_RETRY_AFTER_SECONDS = 0.3
+LOGGED_DIGEST_CHARACTERS = 8  # enough to tell keys apart, not to find one
 
 
 @attrs.frozen(kw_only=True)
@@ -38,13 +40,16 @@
     """Serves requests. Thread-safe.
 
     ``index`` returns the index of the current configuration; version 0 means that no
-    configuration has been received yet.
+    configuration has been received yet. ``copy_age`` returns how many seconds ago the
+    copy that it comes from was confirmed to be the newest.
     """
 
     def __init__(
-        self, *, index: Callable[[], RouteIndex], permits: PermitClient,
-        delivery: Delivery, clock: Clock, random: Random, metrics: Metrics,
+        self, *, index: Callable[[], RouteIndex], copy_age: Callable[[], float],
+        permits: PermitClient, delivery: Delivery, clock: Clock, random: Random,
+        metrics: Metrics,
     ) -> None:  # fmt: skip
+        self._copy_age = copy_age
         self._metrics = metrics
         self._index = index
         self._permits = permits
@@ -146,7 +151,13 @@
             ran=refusal.ran.value,
             route=result.route.name if result.route else "",
             organisation=result.organisation,
+            key=key_digest(request.key)[:LOGGED_DIGEST_CHARACTERS]
+            if request.key
+            else "",
+            host=request.host,
+            path=request.path,
             version=index.version,
+            age=round(self._copy_age(), 2),
             seconds=round(self._clock.now() - request.arrived_at, 3),
             left=round(request.deadline - self._clock.now(), 3),
             reason=refusal.message,
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from chicoryhold.clock import BootClock
+from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.control.follower import Follower
 from chicoryhold.control.follower_actor import FetchTiming, FollowerActor
 from chicoryhold.gateway.delivery import Delivery, TargetHeaderTranslator
@@ -60,6 +61,7 @@
         self._announce: Callable[[], None] = lambda: None
         self._metrics = Metrics(process=settings.name)
         self._metrics.gauge("chicoryhold_revision", lambda: follower.state.revision)
+        self._metrics.gauge("chicoryhold_copy_age_seconds", lambda: self.copy_age)
         self.service: GatewayService | None = None
 
     @property
@@ -75,6 +77,14 @@
     def metrics(self) -> Metrics:
         return self._metrics
 
+    @property
+    def copy_age(self) -> float:
+        """Seconds since the copy of the control state was confirmed to be the newest.
+
+        At most ``UNCONFIRMED_AGE_SECONDS``, which it also is before the first time.
+        """
+        return min(self._follower.age, UNCONFIRMED_AGE_SECONDS)
+
     @property
     def draining(self) -> bool:
         return self._draining
@@ -106,6 +116,7 @@
             logger.bind(
                 version=state.configuration.version,
                 revision=state.revision,
+                age=round(self.copy_age, 2),
                 routes=len(state.configuration.routes),
             ).info("gateway: configuration applied.")
         self._chooser.update(
@@ -220,6 +231,7 @@
     )
     return GatewayService(
         index=lambda: gateway.route_index,
+        copy_age=lambda: gateway.copy_age,
         permits=permits,
         delivery=delivery,
         clock=clock,
