Decide by a copy only once a confirmed source had no more than it

Callers of a large deployment got 401 and 404 for proper requests, and requests ran in the wrong region, after hosts had restarted.

Cause: a restarted entry host replays accepted changes in batches. Each batch was put in force when it arrived, so the host checked routes, keys and homes with configurations superseded long ago. A source that had restarted itself and knew no leader yet had the same effect. Class of fault: a copy used as if it were whole while it is being loaded.

Deployments with fewer targets fit in one batch, which is why they never showed it.

Change: Follower.state stays empty until a batch has brought the copy level with a source whose own copy was confirmed by a leader. Both request paths refuse with not_ready (503) until then. A host reports no revision before, so the revisions in force don't fall back when a host restarts.

The new tests failed on the code before: applied versions [0, 200, 400, 600] instead of [0, 600]; ready with a configuration that lacks the newest route; NO_ROUTE instead of NOT_READY on the callers' path; revision 200 used from a source with age 1e9; revisions 0, 200 and 400 reported. tests/test_control_state: the divergence test wrote into Follower.state; it now loads the copy through a batch, and the history test also checks that the copy itself never goes back.

--- a/src/chicoryhold/control/follower.py
+++ b/src/chicoryhold/control/follower.py
@@ -5,6 +5,7 @@
 import enum
 
 from chicoryhold.clock import Clock
+from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.control.feed import ChangeFeed
 from chicoryhold.control.messages import ChangeBatch, ImagePiece
 from chicoryhold.state.control_state import ControlState
@@ -22,6 +23,10 @@
 class Follower:
     """Applies batches and images in order; the revision never decreases.
 
+    ``state`` stays empty until the copy has once held everything that a source held
+    whose own copy had been confirmed. Until then it may lack changes that were accepted
+    long ago, so routes and keys would seem unknown that are not.
+
     ``confirmed_at`` is the latest time on the local clock at which this copy was
     confirmed to be the newest accepted state. It is computed from the time at which
     the fetch was sent, not from the arrival of the reply, so that a delayed reply
@@ -30,16 +35,28 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
+        self._copy = ControlState(max_request_records=0)
         self._state = ControlState(max_request_records=0)
-        self._feed = ChangeFeed(state=self._state)
+        self._feed = ChangeFeed(state=self._copy)
         self._confirmed_at = float("-inf")
         self._image = bytearray()
         self._image_revision = 0
 
     @property
     def state(self) -> ControlState:
+        """The state to decide by; revision 0 until the copy was first confirmed."""
         return self._state
 
+    @property
+    def fetched_revision(self) -> int:
+        """The revision of the copy, which may still be catching up."""
+        return self._copy.revision
+
+    @property
+    def fetched_version(self) -> int:
+        """The version of the configuration in the copy."""
+        return self._copy.configuration.version
+
     @property
     def feed(self) -> ChangeFeed:
         return self._feed
@@ -64,18 +81,19 @@
 
     def on_batch(self, batch: ChangeBatch, *, sent_at: float) -> BatchResult:
         """Apply the reply to the fetch that was sent at ``sent_at``."""
-        if batch.revision < self._state.revision:
+        if batch.revision < self._copy.revision:
             return BatchResult.BEHIND
-        if batch.after != self._state.revision:
+        if batch.after != self._copy.revision:
             return BatchResult.OUT_OF_ORDER
         for change in batch.changes:
-            self._state.apply(change)
+            self._copy.apply(change)
             self._feed.record(change)
-        if self._state.revision < batch.revision:
+        if self._copy.revision < batch.revision:
             return BatchResult.APPLIED
-        if self._state.digest != batch.digest:
+        if self._copy.digest != batch.digest:
             return BatchResult.MISMATCH
-        self._confirm(sent_at - batch.confirmed_age)
+        if batch.confirmed_age < UNCONFIRMED_AGE_SECONDS:
+            self._confirm(sent_at - batch.confirmed_age)
         return BatchResult.APPLIED
 
     def on_piece(self, piece: ImagePiece) -> bool:
@@ -96,11 +114,12 @@
     def _load_image(self) -> bool:
         data = bytes(self._image)
         self._image = bytearray()
-        if self._image_revision < self._state.revision:
+        if self._image_revision < self._copy.revision:
             return False
-        self._state.load(data)
+        self._copy.load(data)
         self._feed.clear()
         return True
 
     def _confirm(self, confirmed_at: float) -> None:
+        self._state = self._copy
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -61,7 +61,7 @@
 
     ``sources`` returns process names in order of preference. If a source doesn't
     answer, is behind the copy or is stale, the next one is used. ``on_applied`` is
-    called after the revision of the copy has changed.
+    called after the revision of the follower's state has changed.
     """
 
     def __init__(
@@ -88,7 +88,7 @@
         self._fetch_in_flight = False
         self._next_fetch_at = 0.0
         self._needs_image = False
-        self._has_caught_up = False
+        self._is_confirmed = False
 
     def on_receive(self, message: object) -> None:
         match message:
@@ -144,7 +144,7 @@
                 revision=self._follower.image_revision,
                 offset=self._follower.image_offset,
             )
-        revision = self._follower.state.revision
+        revision = self._follower.fetched_revision
         return FetchChanges(after=revision, reports=self._current_reports())
 
     def _on_reply(self, message: _FetchReplied) -> None:
@@ -180,18 +180,18 @@
             self._back_off("the source is stale")
 
     def _log_catching_up(self, batch: ChangeBatch, result: BatchResult) -> None:
-        """Log each batch until the copy has first caught up with a source."""
-        if self._has_caught_up:
+        """Log each batch until the copy was first confirmed."""
+        if self._is_confirmed:
             return
-        self._has_caught_up = self._has_caught_up_with(batch)
+        self._is_confirmed = self._follower.state.revision > 0
         logger.bind(
             source=self._source,
             result=result.value,
             changes=len(batch.changes),
-            revision=self._follower.state.revision,
+            revision=self._follower.fetched_revision,
             source_revision=batch.revision,
             source_age=round(batch.confirmed_age, 2),
-            version=self._follower.state.configuration.version,
+            version=self._follower.fetched_version,
             seconds=round(self._clock.now() - self._sent_at, 3),
         ).info("follower: received a batch while catching up.")
 
@@ -200,10 +200,10 @@
 
         Until then even a stale source is useful.
         """
-        return self._follower.state.revision >= batch.revision
+        return self._follower.fetched_revision >= batch.revision
 
     def _on_snapshot_needed(self, revision: int) -> None:
-        if revision < self._follower.state.revision:
+        if revision < self._follower.fetched_revision:
             self._back_off(BatchResult.BEHIND.value)
         else:
             self._needs_image = True
@@ -215,7 +215,7 @@
         """
         logger.bind(
             source=self._source,
-            revision=self._follower.state.revision,
+            revision=self._follower.fetched_revision,
             age=round(min(self._follower.age, UNCONFIRMED_AGE_SECONDS), 2),
             reason=reason,
         ).info("follower: backing off from the source.")
@@ -251,6 +251,9 @@
             attrs.evolve(timed.report, age=now - timed.reported_at)
             for timed in self._reports.values()
         )
+        if self._follower.state.revision == 0:
+            # Earlier reports of this host stay valid: it refuses callers until then.
+            return others
         own = HostReport(
             host=self._bus.name,
             domain=self._domain,
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -281,11 +281,11 @@
 
 
 def _create_coordinator(context: _HostContext, epoch: int) -> Coordinator:
-    state = context.follower.state
+    follower = context.follower
     limits = DomainLimits(
         domain=context.settings.domain,
         domains=tuple(context.settings.domains),
-        limits_of=lambda organisation: state.table.limits(organisation),
+        limits_of=lambda organisation: follower.state.table.limits(organisation),
         clock=context.clock,
         epoch=epoch,
     )
@@ -293,8 +293,8 @@
         epoch=epoch,
         limits=limits,
         targets=TargetRegistry(clock=context.clock),
-        shifts=ShiftLimiter(clock=context.clock, shifts=lambda: state.shifts),
-        weight_of=lambda organisation: state.table.limits(organisation).weight,
+        shifts=ShiftLimiter(clock=context.clock, shifts=lambda: follower.state.shifts),
+        weight_of=lambda organisation: follower.state.table.limits(organisation).weight,
         clock=context.clock,
     )
 
--- /dev/null
+++ b/tests/test_catching_up.py
@@ -0,0 +1,204 @@
+"""Decisions of a host that has just started and still catches up with the state."""
+
+from __future__ import annotations
+
+import queue
+from collections.abc import Iterator
+from concurrent.futures import Future
+
+import attrs
+
+from chicoryhold.callers.authentication import Authenticator
+from chicoryhold.callers.refusals import RefusalKind
+from chicoryhold.callers.request import CallerRequest
+from chicoryhold.callers.service import CallerService
+from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
+from chicoryhold.control.follower import Follower
+from chicoryhold.control.follower_actor import FollowerActor
+from chicoryhold.control.messages import ChangeBatch, FetchChanges
+from chicoryhold.hosts.actors import Tick
+from chicoryhold.hosts.domain_view import DomainView
+from chicoryhold.programs.gateway import Gateway
+from chicoryhold.programs.host_settings import GatewaySettings
+from chicoryhold.routing.configuration import (
+    Configuration,
+    RouteRule,
+    WeightedService,
+)
+from chicoryhold.routing.target_choice import HostLocation, TargetChooser
+from chicoryhold.state.changes import Change, PutConfiguration, PutTable
+from chicoryhold.state.control_state import ControlState
+from chicoryhold.targets.connections import TargetConnections
+from tests.conftest import FakeClock
+from tests.test_control_state import HEADING, change
+
+REPLIES = 6
+CHANGES_PER_BATCH = 200
+NEWEST_VERSION = 3 * CHANGES_PER_BATCH
+ADDED_ROUTE = "/added-last/"
+
+
+@attrs.define(kw_only=True)
+class BatchBus:
+    """A bus to one source, which answers with batches of ``CHANGES_PER_BATCH``."""
+
+    changes: list[Change]
+    digest: bytes
+    confirmed_age: float
+    name: str = "own"
+    requests: list[FetchChanges] = attrs.field(factory=list)
+
+    def ask(self, peer: str, request: FetchChanges) -> Future:
+        self.requests.append(request)
+        batch = ChangeBatch(
+            after=request.after,
+            revision=len(self.changes),
+            digest=self.digest,
+            confirmed_age=self.confirmed_age,
+            changes=tuple(
+                self.changes[request.after : request.after + CHANGES_PER_BATCH]
+            ),
+        )
+        future: Future = Future()
+        future.set_result(batch)
+        return future
+
+
+def configuration(version: int) -> Configuration:
+    """Return a version of which only the newest one has the route ``ADDED_ROUTE``."""
+    prefixes = ["/first/"] + [ADDED_ROUTE] * (version == NEWEST_VERSION)
+    parts = (WeightedService(service="s", weight=1.0),)
+    return Configuration(
+        version=version,
+        routes=tuple(
+            RouteRule(name=prefix, host="shop.example", prefix=prefix, parts=parts)
+            for prefix in prefixes
+        ),
+    )
+
+
+def bus_of(bodies: list[object], *, confirmed_age: float) -> BatchBus:
+    state = ControlState()
+    changes = [
+        change(str(number), body, based_on=number) for number, body in enumerate(bodies)
+    ]
+    assert all(state.apply(each).accepted for each in changes)
+    return BatchBus(changes=changes, digest=state.digest, confirmed_age=confirmed_age)
+
+
+def configuration_bus(*, confirmed_age: float = 0.1) -> BatchBus:
+    bodies = [
+        PutConfiguration(configuration=configuration(version), text=b"")
+        for version in range(1, NEWEST_VERSION + 1)
+    ]
+    return bus_of(bodies, confirmed_age=confirmed_age)
+
+
+def table_bus() -> BatchBus:
+    first = HEADING + "service,s,deadline,2,s\nroute,/first/,service,s,\n"
+    newest = first + f"route,{ADDED_ROUTE},service,s,\n"
+    older = [PutTable(text=first)] * (NEWEST_VERSION - 1)
+    return bus_of([*older, PutTable(text=newest)], confirmed_age=0.1)
+
+
+def start(bus: BatchBus, *, on_applied=None) -> tuple[Follower, FollowerActor]:
+    clock = FakeClock()
+    follower = Follower(clock=clock)
+    actor = FollowerActor(
+        follower=follower,
+        sources=lambda: ("control",),
+        bus=bus,
+        clock=clock,
+        domain="d",
+        on_applied=on_applied and (lambda: on_applied(follower)),
+    )
+    return follower, actor
+
+
+def replies(actor: FollowerActor) -> Iterator[None]:
+    """Start the actor and yield after each of the first replies that it handles."""
+    actor.on_receive(Tick())
+    for _ in range(REPLIES):
+        try:
+            actor.on_receive(actor.actor_inbox.get_nowait().message)
+        except queue.Empty:
+            return
+        yield
+
+
+def create_gateway(follower: Follower) -> Gateway:
+    clock = FakeClock()
+    settings = GatewaySettings(
+        name="h", domain="d", region="r", regions={"d": "r"}, seeds=(), bus_port=1,
+        metrics_port=2, callers_address="h:3",
+    )  # fmt: skip
+    location = HostLocation(
+        host="h", domain="d", region="r", regions={"d": "r"}, domain_round_trip=0.001,
+        region_round_trip=0.1,
+    )  # fmt: skip
+    return Gateway(
+        settings=settings,
+        follower=follower,
+        chooser=TargetChooser(location=location, clock=clock, entry_hosts=lambda: 1),
+        connections=TargetConnections(clock=clock),
+        clock=clock,
+    )
+
+
+def test_restarted_host_never_applies_a_superseded_configuration():
+    applied = []
+    _, actor = start(
+        configuration_bus(),
+        on_applied=lambda follower: applied.append(follower.state.configuration),
+    )
+    for _ in replies(actor):
+        pass
+    assert [each.version for each in applied] == [0, NEWEST_VERSION]
+
+
+def test_gateway_is_not_ready_before_its_copy_has_the_newest_route():
+    follower, actor = start(configuration_bus())
+    gateway = create_gateway(follower)
+    for _ in replies(actor):
+        gateway.apply()
+        route = gateway.route_index.route(host="shop.example", path=ADDED_ROUTE)
+        assert gateway.ready == (route is not None)
+    assert gateway.ready
+
+
+def test_copy_of_a_source_that_was_never_confirmed_itself_is_not_used():
+    follower, actor = start(configuration_bus(confirmed_age=UNCONFIRMED_AGE_SECONDS))
+    for _ in replies(actor):
+        assert follower.state.revision == 0
+    assert follower.fetched_revision == NEWEST_VERSION
+
+
+def test_host_does_not_report_revisions_while_it_catches_up():
+    bus = configuration_bus()
+    _, actor = start(bus)
+    for _ in replies(actor):
+        pass
+    reported = {r.revision for request in bus.requests for r in request.reports}
+    assert reported == {NEWEST_VERSION}
+
+
+def test_restarted_host_does_not_answer_callers_that_a_known_route_is_missing():
+    follower, actor = start(table_bus())
+    clock = FakeClock()
+    view = DomainView(replicas=("h",), clock=clock)
+    service = CallerService(
+        follower=follower,
+        authenticator=Authenticator(follower=follower, view=view, clock=clock),
+        claims=None,
+        forwarder=None,
+        clock=clock,
+        observe=lambda completed: None,
+    )
+    request = CallerRequest(
+        method="GET", path=ADDED_ROUTE, request_target="", headers={},
+        body=b"", key=None, idempotency_key=None, deadline=None,
+    )  # fmt: skip
+    kinds = [service.serve(request).unwrap_err().kind for _ in replies(actor)]
+    assert RefusalKind.NO_ROUTE not in kinds
+    assert kinds[0] is RefusalKind.NOT_READY
+    assert kinds[-1] is RefusalKind.KEY_MISSING
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings, strategies as st
 
 from chicoryhold.codec import encode
+from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.control.feed import ChangeFeed
 from chicoryhold.control.follower import BatchResult, Follower
 from chicoryhold.control.messages import FetchChanges, FetchImage, SnapshotNeeded
@@ -128,10 +129,11 @@
             digests[source.revision] = source.digest
         if random.random() < 0.1:
             feed.clear()
-        request = FetchChanges(after=follower.state.revision)
+        request = FetchChanges(after=follower.fetched_revision)
         pending.append((clock.now(), feed.answer(request, confirmed_age=0.0)))
         random.shuffle(pending)
         previous_revision = follower.state.revision
+        previous_fetched = follower.fetched_revision
         if random.random() < 0.7:
             sent_at, reply = pending.pop()
             if isinstance(reply, SnapshotNeeded):
@@ -139,17 +141,26 @@
             else:
                 follower.on_batch(reply, sent_at=sent_at)
         assert follower.state.revision >= previous_revision
+        assert follower.fetched_revision >= previous_fetched
         assert follower.state.digest == digests[follower.state.revision]
 
 
 def test_copy_whose_state_has_diverged_is_detected():
     clock = FakeClock()
     follower = Follower(clock=clock)
-    for name, state in (("x", follower.state), ("y", ControlState())):
-        state.apply(change(name, CreateOrganisation(name=name)))
-    other = ControlState()
-    other.apply(change("y", CreateOrganisation(name="y")))
-    batch = ChangeFeed(state=other).answer(FetchChanges(after=1), confirmed_age=0.0)
+    feeds = {}
+    for name in ("x", "y"):
+        state = ControlState()
+        feed = ChangeFeed(state=state)
+        accepted = change(name, CreateOrganisation(name=name))
+        state.apply(accepted)
+        feed.record(accepted)
+        feeds[name] = feed
+    first = feeds["x"].answer(
+        FetchChanges(after=0), confirmed_age=UNCONFIRMED_AGE_SECONDS
+    )
+    assert follower.on_batch(first, sent_at=0) is BatchResult.APPLIED
+    batch = feeds["y"].answer(FetchChanges(after=1), confirmed_age=0.0)
     assert follower.on_batch(batch, sent_at=0) is BatchResult.MISMATCH
     assert follower.confirmed_at == float("-inf")
 
