Bound the bytes of a reply to a copy, and send an image where it is smaller

After a restart of many hosts, callers waited for hosts whose copies took long to load: a source sent up to 200 changes in one reply, each superseded configuration with its text among them. And an image was renewed with each change, so hosts that were fetching one in pieces had to start again.

Replies have 32 KiB at most (or one change). If the missing changes are larger than an image, the image is sent, without the configuration's text, which entry hosts don't need. An image is kept while the changes after it fit one reply.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -179,7 +179,7 @@
     for size in sizes:
         memory_bytes, state = allocate_traced(lambda n=size: filled_state(100, n, 0))
         memory_by_size.append(memory_bytes)
-        image_bytes = len(state.image(with_requests=False))
+        image_bytes = len(state.image(for_replica=False))
         label = f"{size:,} keys"
         rows += [
             Row(quantity="held", size=label, value=memory_bytes / 1e6, unit="MB"),
@@ -255,7 +255,7 @@
         state = filled_state(100, size, 0)
         feed = ChangeFeed(state=state)
         follower = Follower(clock=BootClock())
-        follower.state.load(state.image(with_requests=False))
+        follower.state.load(state.image(for_replica=False))
         # Above the numbers that filled_state() used for request IDs.
         number = size + 1000
 
--- a/src/chicoryhold/control/feed.py
+++ b/src/chicoryhold/control/feed.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import collections
+import itertools
+from collections.abc import Iterator
 
 from chicoryhold.control.messages import (
     ChangeBatch,
@@ -16,7 +18,9 @@
 
 MAX_RECENT_CHANGES = 2_000
 MAX_CHANGES_PER_BATCH = 200
-IMAGE_PIECE_BYTES = 65_536
+# A larger reply could take longer than a follower waits on a slow link, and would be
+# sent again and again.
+MAX_REPLY_BYTES = 32_768
 
 
 class ChangeFeed:
@@ -27,8 +31,7 @@
         self._recent: collections.deque[Change] = collections.deque(
             maxlen=MAX_RECENT_CHANGES
         )
-        self._image_revision = 0
-        self._image = b""
+        self._images: dict[int, bytes] = {}
 
     def record(self, change: Change) -> None:
         """Add ``change``, which has just created a new revision of the state."""
@@ -37,6 +40,7 @@
     def clear(self) -> None:
         """Discard all changes, as needed when an image has replaced the state."""
         self._recent.clear()
+        self._images.clear()
 
     def has_update_for(self, request: FetchChanges) -> bool:
         return request.after != self._state.revision
@@ -46,40 +50,81 @@
     ) -> ChangeBatch | SnapshotNeeded:
         """Return the changes after ``request.after``.
 
-        Returns ``SnapshotNeeded`` if they are no longer stored.
+        Returns ``SnapshotNeeded`` if they are no longer stored, or if an image takes
+        fewer bytes.
         """
         revision = self._state.revision
         missing = revision - request.after
-        if missing < 0 or missing > len(self._recent):
+        if missing < 0 or missing > len(self._recent) or self._prefers_image(missing):
             return SnapshotNeeded(revision=revision)
-        start = len(self._recent) - missing
-        stop = min(start + MAX_CHANGES_PER_BATCH, len(self._recent))
-        changes = tuple(self._recent[position] for position in range(start, stop))
         return ChangeBatch(
             after=request.after,
             revision=revision,
             digest=self._state.digest,
             confirmed_age=confirmed_age,
-            changes=changes,
+            changes=self._first_of_newest(missing),
         )
 
     def piece(self, request: FetchImage) -> ImagePiece:
         """Return one piece of an image.
 
         A request for the first piece, or for an image that is no longer stored, gets
-        a piece of an image of the current state.
+        the first piece of the newest image.
         """
-        if request.offset == 0 or request.revision != self._image_revision:
-            self._update_image()
-        offset = request.offset if request.revision == self._image_revision else 0
+        revision, offset = request.revision, request.offset
+        if offset == 0 or revision not in self._images:
+            revision, offset = self._renew_image(), 0
+        image = self._images[revision]
         return ImagePiece(
-            revision=self._image_revision,
+            revision=revision,
             offset=offset,
-            total=len(self._image),
-            data=self._image[offset : offset + IMAGE_PIECE_BYTES],
+            total=len(image),
+            data=image[offset : offset + MAX_REPLY_BYTES],
         )
 
-    def _update_image(self) -> None:
-        if self._image_revision != self._state.revision:
-            self._image = self._state.image(with_requests=False)
-            self._image_revision = self._state.revision
+    def _first_of_newest(self, count: int) -> tuple[Change, ...]:
+        """Return the first of the newest ``count`` changes, as many as one reply takes.
+
+        That is at least one, if ``count`` isn't 0.
+        """
+        changes: list[Change] = []
+        size = 0
+        for change in self._newest(count):
+            size += len(change.body)
+            if changes and size > MAX_REPLY_BYTES:
+                break
+            changes.append(change)
+        return tuple(changes[:MAX_CHANGES_PER_BATCH])
+
+    def _newest(self, count: int) -> Iterator[Change]:
+        return itertools.islice(self._recent, len(self._recent) - count, None)
+
+    def _fits_one_reply(self, count: int) -> bool:
+        """Return whether one reply can hold the newest ``count`` changes."""
+        if count > MAX_CHANGES_PER_BATCH:
+            return False
+        return sum(len(each.body) for each in self._newest(count)) <= MAX_REPLY_BYTES
+
+    def _prefers_image(self, missing: int) -> bool:
+        """Return whether the newest ``missing`` changes are larger than an image."""
+        if self._fits_one_reply(missing):
+            return False
+        size = sum(len(change.body) for change in self._newest(missing))
+        revision = self._renew_image()
+        return size > len(self._images[revision])
+
+    def _renew_image(self) -> int:
+        """Store a new image unless the changes after the newest one fit one reply.
+
+        Returns the revision of the newest image. It isn't renewed with each change,
+        since followers that are fetching it would have to start again.
+        """
+        newest = max(self._images, default=None)
+        if newest is not None:
+            later = self._state.revision - newest
+            if later <= len(self._recent) and self._fits_one_reply(later):
+                return newest
+        kept = {} if newest is None else {newest: self._images[newest]}
+        current = {self._state.revision: self._state.image(for_replica=False)}
+        self._images = kept | current
+        return self._state.revision
--- a/src/chicoryhold/state/control_state.py
+++ b/src/chicoryhold/state/control_state.py
@@ -189,11 +189,12 @@
             self._store_outcome(change.request_id, body_digest, outcome)
         return outcome
 
-    def image(self, *, with_requests: bool = True) -> bytes:
+    def image(self, *, for_replica: bool = True) -> bytes:
         """Return the encoded state for a snapshot.
 
-        Entry hosts receive only accepted changes and never a resend, so images for
-        them omit the request records.
+        Entry hosts receive only accepted changes and never a resend, and nobody reads
+        the configuration back from them, so images for them omit the request records
+        and the configuration's text.
         """
         return encode(
             StateImage(
@@ -205,9 +206,9 @@
                 keys=self._keys,
                 shifts=self._shifts,
                 stops=tuple(sorted(self._stops)),
-                requests=self._requests if with_requests else {},
+                requests=self._requests if for_replica else {},
                 configuration=self._configuration,
-                configuration_text=self._configuration_text,
+                configuration_text=self._configuration_text if for_replica else b"",
                 targets=tuple(self._targets),
                 evacuated=tuple(sorted(self._evacuated)),
             )
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,136 @@
+"""What a source sends to copies that are behind, in bytes and in messages."""
+
+from __future__ import annotations
+
+from random import Random
+
+from chicoryhold.codec import encode
+from chicoryhold.control.feed import ChangeFeed
+from chicoryhold.control.follower import Follower
+from chicoryhold.control.messages import FetchChanges, FetchImage, SnapshotNeeded
+from chicoryhold.routing.configuration import Configuration, OrganisationRule
+from chicoryhold.state.changes import CreateOrganisation, PutConfiguration
+from chicoryhold.state.control_state import ControlState
+from tests.conftest import FakeClock
+from tests.test_control_state import change
+
+ORGANISATIONS = 80
+KEY_CHARACTERS = 20
+CONFIGURATIONS = 40
+# A link of 1.8 Mbit/s carries this in the 0.9 s after which an entry host gives up.
+LINK_BYTES_PER_FETCH = 200_000
+OVERHEAD_BYTES = 1_000
+
+
+class Source:
+    """A control state with its feed."""
+
+    def __init__(self) -> None:
+        self._random = Random(7)
+        self._version = 0
+        self.state = ControlState()
+        self.feed = ChangeFeed(state=self.state)
+
+    def accept(self, body: object) -> None:
+        accepted = change(f"request-{self.state.revision}", body)
+        assert self.state.apply(accepted).accepted
+        self.feed.record(accepted)
+
+    def put_configuration(self) -> None:
+        """Accept a new version, as large as that of 80 organisations is."""
+        self._version += 1
+        organisations = tuple(
+            OrganisationRule(
+                name=f"organisation-{number}",
+                keys=(self._random.randbytes(KEY_CHARACTERS // 2).hex(),),
+            )
+            for number in range(ORGANISATIONS)
+        )
+        configuration = Configuration(
+            version=self._version, organisations=organisations
+        )
+        text = encode(configuration)
+        self.accept(PutConfiguration(configuration=configuration, text=text))
+
+    def create_organisation(self) -> None:
+        self.accept(CreateOrganisation(name=f"o{self.state.revision}"))
+
+
+def replies_until_confirmed(
+    source: Source, follower: Follower, *, max_replies: int, between=lambda: None
+) -> list[int]:
+    """Return the bytes of each reply until the follower has caught up."""
+    sizes: list[int] = []
+    request = FetchChanges(after=0)
+    while follower.confirmed_at == float("-inf"):
+        assert len(sizes) < max_replies, "the copy does not catch up"
+        if isinstance(request, FetchChanges):
+            reply = source.feed.answer(request, confirmed_age=0.0)
+        else:
+            reply = source.feed.piece(request)
+        sizes.append(len(encode(reply)))
+        between()
+        request = _next_request(follower, reply)
+    return sizes
+
+
+def _next_request(follower: Follower, reply) -> FetchChanges | FetchImage:
+    if isinstance(reply, SnapshotNeeded):
+        return FetchImage(revision=0, offset=0)
+    if hasattr(reply, "changes"):
+        follower.on_batch(reply, sent_at=0.0)
+    elif not follower.on_piece(reply):
+        return FetchImage(
+            revision=follower.image_revision, offset=follower.image_offset
+        )
+    return FetchChanges(after=follower.fetched_revision)
+
+
+def test_no_reply_is_too_large_for_a_slow_link_to_carry_before_the_fetch_times_out():
+    source = Source()
+    for _ in range(CONFIGURATIONS):
+        source.put_configuration()
+    sizes = replies_until_confirmed(
+        source, Follower(clock=FakeClock()), max_replies=200
+    )
+    # Four fetches of other hosts may share the link.
+    assert max(sizes) <= LINK_BYTES_PER_FETCH / 4
+
+
+def test_restarted_host_does_not_fetch_configurations_that_were_superseded():
+    source = Source()
+    for _ in range(CONFIGURATIONS):
+        source.put_configuration()
+    image_bytes = len(source.state.image())
+    sizes = replies_until_confirmed(
+        source, Follower(clock=FakeClock()), max_replies=200
+    )
+    assert sum(sizes) <= image_bytes + OVERHEAD_BYTES
+
+
+def test_copy_catches_up_while_other_copies_start_and_the_state_changes():
+    source = Source()
+    for _ in range(15_000):
+        source.create_organisation()
+    for _ in range(CONFIGURATIONS):
+        source.put_configuration()
+
+    def another_host_starts() -> None:
+        source.create_organisation()
+        source.feed.piece(FetchImage(revision=0, offset=0))
+
+    replies_until_confirmed(
+        source,
+        Follower(clock=FakeClock()),
+        max_replies=60,
+        between=another_host_starts,
+    )
+
+
+def test_copy_that_is_a_few_changes_behind_is_sent_just_these():
+    source = Source()
+    source.put_configuration()
+    for _ in range(3):
+        source.create_organisation()
+    reply = source.feed.answer(FetchChanges(after=1), confirmed_age=0.0)
+    assert len(reply.changes) == 3
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -10,7 +10,7 @@
 from chicoryhold.control.feed import ChangeFeed
 from chicoryhold.control.follower import Follower
 from chicoryhold.control.follower_actor import FollowerActor
-from chicoryhold.control.messages import FetchChanges
+from chicoryhold.control.messages import FetchChanges, FetchImage
 from chicoryhold.hosts.actors import Tick
 from chicoryhold.state.changes import CreateOrganisation
 from chicoryhold.state.control_state import ControlState
@@ -33,12 +33,16 @@
     name: str = "own"
     asked: list[str] = attrs.field(factory=list)
 
-    def ask(self, peer: str, request: FetchChanges) -> Future:
+    def reply_to(self, request: FetchChanges | FetchImage) -> object:
+        if isinstance(request, FetchImage):
+            return self.feed.piece(request)
+        return self.feed.answer(request, confirmed_age=self.confirmed_age)
+
+    def ask(self, peer: str, request: FetchChanges | FetchImage) -> Future:
         self.asked.append(peer)
         future: Future = Future()
         if peer == self.answering:
-            age = self.confirmed_age
-            future.set_result(self.feed.answer(request, confirmed_age=age))
+            future.set_result(self.reply_to(request))
         return future
 
 
