--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -162,7 +162,7 @@
         which the message arrived, so it doesn't account for the network delay.
         """
         if self._role is Role.LEADER:
-            return self.confirmed_at
+            return max(self.confirmed_at, self._copy_confirmed_at)
         return self._copy_confirmed_at
 
     def silent_members(self, *, longer_than: float) -> tuple[str, ...]:
--- a/src/chicoryhold/limits/messages.py
+++ b/src/chicoryhold/limits/messages.py
@@ -35,6 +35,11 @@
     counts: tuple[int, ...]
 
 
+@message
+class PermitsUnavailable:
+    """The control host doesn't know the current limits yet: ask another one."""
+
+
 @message
 class PermitLoanRequest:
     """A domain that runs short of permits asks another domain for ``count``."""
--- a/src/chicoryhold/limits/permit_actor.py
+++ b/src/chicoryhold/limits/permit_actor.py
@@ -15,6 +15,7 @@
     PermitLoan,
     PermitLoanRequest,
     PermitRequest,
+    PermitsUnavailable,
     PermitWant,
 )
 from chicoryhold.limits.permits import PermitAllocator
@@ -27,15 +28,19 @@
 class PermitActor(CriticalActor):
     """Owns the allocator. ``peers`` names the control hosts of other domains.
 
+    While ``knows_limits`` returns false, every request is answered with
+    ``PermitsUnavailable``: an organisation without a known limit has no limit.
+
     Loans are requested before the bucket is empty, from two peers at a time, in
     rotation. If a loan is lost on the way, its permits are lost, never duplicated.
     """
 
     def __init__(
         self, *, allocator: PermitAllocator, bus: Bus, clock: Clock,
-        peers: Callable[[], tuple[str, ...]],
+        peers: Callable[[], tuple[str, ...]], knows_limits: Callable[[], bool],
     ) -> None:  # fmt: skip
         super().__init__()
+        self._knows_limits = knows_limits
         self._allocator = allocator
         self._bus = bus
         self._clock = clock
@@ -45,6 +50,8 @@
 
     def on_receive(self, message: object) -> None:
         match message:
+            case PeerRequest(message=PermitRequest()) if not self._knows_limits():
+                message.reply.set_result(PermitsUnavailable())
             case PeerRequest(message=PermitRequest() as request):
                 counts = tuple(self._grant(want) for want in request.wants)
                 message.reply.set_result(PermitGrant(counts=counts))
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -124,7 +124,7 @@
         stack.enter_context(
             running_actor(registry_actor, interval=REGISTRY_TICK_SECONDS)
         )
-        permit_actor = _start_permits(stack, settings, state, registry, bus, clock)
+        permit_actor = _start_permits(settings, replica, state, registry, bus, clock)
         _register_handlers(bus, actor, registry_actor, permit_actor, plane)
         metrics = Metrics(process=settings.name)
         metrics.gauge("chicoryhold_control_revision", lambda: state.revision)
@@ -180,7 +180,7 @@
 
 
 def _start_permits(
-    stack: ExitStack, settings: ControlHostSettings, state: ControlState,
+    settings: ControlHostSettings, replica: Replica, state: ControlState,
     registry: HostRegistry, bus: Bus, clock: BootClock,
 ) -> pykka.ActorRef:  # fmt: skip
     allocator = PermitAllocator(
@@ -194,7 +194,13 @@
             host.name for host in registry.control_hosts if host.name != settings.name
         )
 
-    return PermitActor.start(allocator=allocator, bus=bus, clock=clock, peers=lenders)
+    return PermitActor.start(
+        allocator=allocator,
+        bus=bus,
+        clock=clock,
+        peers=lenders,
+        knows_limits=lambda: replica.copy_confirmed_at > float("-inf"),
+    )
 
 
 def allowance_lookup(
--- a/tests/test_permit_client.py
+++ b/tests/test_permit_client.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from chicoryhold.errors import PeerTimeout
-from chicoryhold.limits.messages import UNLIMITED, PermitGrant, PermitRequest
+from chicoryhold.limits.messages import (
+    UNLIMITED,
+    PermitGrant,
+    PermitRequest,
+    PermitsUnavailable,
+)
 from chicoryhold.limits.permit_client import (
     MAX_HOSTS_ASKED,
     Permission,
@@ -13,19 +18,27 @@
 
 
 class FakeBus:
-    """Grants permits while some remain, or lets each call time out if ``silent``."""
+    """Grants permits while some remain, or lets each call time out if ``silent``.
+
+    Control hosts in ``unready`` don't know the limits yet.
+    """
 
     def __init__(self, clock: FakeClock) -> None:
         self.clock = clock
         self.remaining = 0
         self.silent = False
+        self.unready: set[str] = set()
         self.requests: list[PermitRequest] = []
 
-    def call(self, peer: str, message: PermitRequest, *, timeout: float) -> PermitGrant:
+    def call(
+        self, peer: str, message: PermitRequest, *, timeout: float
+    ) -> PermitGrant | PermitsUnavailable:
         self.requests.append(message)
         if self.silent:
             self.clock.advance(timeout)
             raise PeerTimeout("silent")
+        if peer in self.unready:
+            return PermitsUnavailable()
         counts = []
         for want in message.wants:
             granted = min(self.remaining, want.wanted)
@@ -104,3 +117,18 @@
         counts=(UNLIMITED,) * len(message.wants)
     )
     assert ask(client, clock) is Permission.GRANTED
+
+
+def test_another_control_host_is_asked_when_one_does_not_know_the_limits_yet():
+    clock = FakeClock()
+    bus = FakeBus(clock)
+    bus.remaining = 1
+    bus.unready = {"c1"}
+    client = PermitClient(
+        bus=bus,
+        clock=clock,
+        control_hosts=lambda: ("c1", "c2"),
+        is_same_region=lambda host: True,
+    )
+    assert ask(client, clock) is Permission.GRANTED
+    assert bus.remaining == 0
