Drop malformed messages instead of ending the bus thread

Cause: the bus unpacked the frames and the request id of a message, and decoded a reply, without catching. A peer could therefore end the bus thread of a process, which then went on without being able to talk. A message nested too deeply raised RecursionError, which isn't a DecodeError, so even requests could do it.

Change: messages are checked first; a malformed one is dropped with a log line. A reply is decoded before its future is taken, so the future stays pending as after a lost reply, and callers time out as they already do.

--- a/src/chicoryhold/codec.py
+++ b/src/chicoryhold/codec.py
@@ -36,12 +36,12 @@
     """Decode a message from ``data``.
 
     Raises ``UnknownMessage`` if this version doesn't define the message's kind, or if
-    the body doesn't match the schema of that kind.
+    the body doesn't match the schema of that kind or is nested too deeply.
     """
     try:
         name, body = _ENVELOPE_DECODER.decode(data)
         return _decoder(name).decode(body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise UnknownMessage(f"message can't be decoded: {error}") from error
 
 
--- a/src/chicoryhold/errors.py
+++ b/src/chicoryhold/errors.py
@@ -24,7 +24,7 @@
 
 
 class UnknownMessage(ChicoryholdError):
-    """Raised when a peer sends a message kind that this version doesn't know."""
+    """Raised when a peer sends a message that this version can't read."""
 
 
 class PeerTimeout(ChicoryholdError):
--- a/src/chicoryhold/hosts/bus.py
+++ b/src/chicoryhold/hosts/bus.py
@@ -206,7 +206,7 @@
         elif ready is self._router:
             self._drain(self._router, self._on_request)
         else:
-            self._drain(ready, self._on_reply)
+            self._drain(ready, lambda frames: self._on_reply(ready, frames))
 
     def _drain(
         self, socket: zmq.Socket, action: Callable[[list[zmq.Frame]], None]
@@ -219,9 +219,10 @@
             action(frames)
 
     def _on_request(self, frames: list[zmq.Frame]) -> None:
-        routing_id, request_id, payload = frames
-        sender = self._transport.sender_of(routing_id, payload)
+        sender = self._transport.sender_of(frames[0], frames[-1])
         try:
+            _check_frames(frames, count=3)
+            routing_id, request_id, payload = frames
             message = decode(payload.bytes)
         except UnknownMessage as error:
             logger.warning("bus: dropped a message from {}: {}", sender, error)
@@ -258,12 +259,23 @@
             return
         self._send_reply(routing_id, request_id, done.result())
 
-    def _on_reply(self, frames: list[zmq.Frame]) -> None:
-        request_id, payload = frames
+    def _on_reply(self, dealer: zmq.Socket, frames: list[zmq.Frame]) -> None:
+        try:
+            _check_frames(frames, count=2)
+            request_id, payload = frames
+            message = decode(payload.bytes)
+        except UnknownMessage as error:
+            # The future stays pending, as it does after a lost reply.
+            peer = self._peer_of(dealer)
+            logger.warning("bus: dropped a reply from {}: {}", peer, error)
+            return
         with self._lock:
             future = self._pending.pop(_REQUEST_ID.unpack(request_id.bytes)[0], None)
         if future is not None:
-            future.set_result(decode(payload.bytes))
+            future.set_result(message)
+
+    def _peer_of(self, dealer: zmq.Socket) -> str:
+        return next(name for name, other in self._dealers.items() if other is dealer)
 
     def _flush(self) -> None:
         while self._outbox:
@@ -303,6 +315,20 @@
         return dealer
 
 
+def _check_frames(frames: list[zmq.Frame], *, count: int) -> None:
+    """Raise ``UnknownMessage`` unless there are ``count`` frames with a request id."""
+    if len(frames) != count:
+        raise UnknownMessage(
+            f"it has {len(frames)} frames, not {count}: run the same version everywhere"
+        )
+    request_id = frames[-2]
+    if len(request_id) != _REQUEST_ID.size:
+        raise UnknownMessage(
+            f"its request id has {len(request_id)} bytes, not {_REQUEST_ID.size}: run "
+            "the same version everywhere"
+        )
+
+
 @contextmanager
 def running_bus(bus: Bus) -> Iterator[Bus]:
     """Run ``bus`` for the duration of the block."""
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -1,21 +1,47 @@
-"""The bus between hosts during and after a network partition."""
+"""The bus between hosts: network partitions, malformed messages, failed handlers."""
 
 from __future__ import annotations
 
 import socket
+import struct
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 import pytest
+import zmq
+from loguru import logger
 
+from chicoryhold.codec import encode
 from chicoryhold.control.messages import FetchChanges
 from chicoryhold.errors import PeerTimeout
 from chicoryhold.hosts.bus import Bus, running_bus
 from chicoryhold.hosts.transport import PlaintextTransport
 
+
+def pack_id(request_id: int) -> bytes:
+    return struct.pack("<Q", request_id)
+
+
 OUTAGE_SECONDS = 7.5  # by then the kernel retransmits SYN packets rarely
 RECOVERY_SECONDS = 2.5
+REPLY_TIMEOUT_MS = 5_000
+DEEP_MESSAGE = b"\x92\xabJoinRequest" + b"\x91" * 200_000
+MALFORMED_REQUESTS = (
+    [b"\xff" * 8],
+    [pack_id(5), encode(FetchChanges(after=0)), b"one frame too many"],
+    [b"short", encode(FetchChanges(after=0))],
+    [pack_id(5), b"undecodable"],
+    [pack_id(5), DEEP_MESSAGE],
+)
+ASKED = b"the id of the request"  # replaced in the test
+MALFORMED_REPLIES = (
+    [b"a single frame"],
+    [ASKED, b"\x00", b"one frame too many"],
+    [b"short", encode(FetchChanges(after=0))],
+    [ASKED, b"undecodable"],
+    [ASKED, DEEP_MESSAGE],
+)
 
 
 def free_port(ip: str) -> int:
@@ -98,3 +124,83 @@
                 except PeerTimeout:
                     continue
     assert set(received) == {2}
+
+
+@contextmanager
+def plain_socket(kind: int) -> Iterator[zmq.Socket]:
+    """Yield a ZeroMQ socket of a peer that doesn't run a bus."""
+    context = zmq.Context()
+    try:
+        yield context.socket(kind)
+    finally:
+        context.destroy(linger=0)
+
+
+@pytest.fixture
+def log() -> Iterator[list[str]]:
+    """Yield the log lines, each with its level, that are written during the test."""
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{level} {message}", backtrace=False)
+    yield lines
+    logger.remove(sink)
+
+
+def echo(sender: str, message: FetchChanges) -> FetchChanges:
+    return message
+
+
+def request_from(peer: zmq.Socket, after: int) -> bytes | None:
+    """Send a request from ``peer``; return the reply's request id and payload."""
+    request = FetchChanges(after=after)
+    peer.send_multipart([pack_id(after), encode(request)])
+    return peer.recv_multipart() if peer.poll(REPLY_TIMEOUT_MS) else None
+
+
+def test_a_malformed_request_does_not_stop_the_bus(log):
+    port = free_port("127.0.0.1")
+    bus = make_bus("127.0.0.1", port)
+    bus.handle(FetchChanges, echo)
+    with running_bus(bus), plain_socket(zmq.DEALER) as peer:
+        peer.connect(f"tcp://127.0.0.1:{port}")
+        for frames in MALFORMED_REQUESTS:
+            peer.send_multipart(frames)
+        reply = request_from(peer, after=7)
+    assert reply == [pack_id(7), encode(FetchChanges(after=7))]
+    dropped = [line for line in log if "bus: dropped a message from" in line]
+    assert len(dropped) == len(MALFORMED_REQUESTS)
+
+
+def test_a_malformed_reply_does_not_stop_the_bus_nor_complete_its_future(log):
+    own, peer_name = "127.0.0.1", "127.0.7.4"
+    port = free_port(peer_name)
+    with running_bus(make_bus(own, port)) as bus, plain_socket(zmq.ROUTER) as peer:
+        peer.bind(f"tcp://{peer_name}:{port}")
+        bus.connect(peer_name)
+        future = ask_until_received(bus, peer_name, peer)
+        for frames in MALFORMED_REPLIES:
+            reply = [pack_id(future.request_id) if f == ASKED else f for f in frames]
+            peer.send_multipart([own.encode(), *reply])
+        other = bus.ask(peer_name, FetchChanges(after=2))
+        answer = encode(FetchChanges(after=3))
+        peer.send_multipart([own.encode(), pack_id(other.request_id), answer])
+        assert other.result(REPLY_TIMEOUT_MS / 1000) == FetchChanges(after=3)
+        assert not future.done()
+        peer.send_multipart([own.encode(), pack_id(future.request_id), answer])
+        assert future.result(REPLY_TIMEOUT_MS / 1000) == FetchChanges(after=3)
+    dropped = [line for line in log if "bus: dropped a reply" in line]
+    assert len(dropped) == len(MALFORMED_REPLIES)
+
+
+def ask_until_received(bus: Bus, name: str, peer: zmq.Socket) -> object:
+    """Ask ``name`` until a request arrives at ``peer``; return its future.
+
+    A message to a peer without an open connection is dropped.
+    """
+    for _ in range(REPLY_TIMEOUT_MS // 50):
+        future = bus.ask(name, FetchChanges(after=1))
+        if peer.poll(50):
+            received = peer.recv_multipart()
+            assert received[1] == pack_id(future.request_id)
+            return future
+        bus.forget(future)
+    raise AssertionError("no request arrived")
