Drop a message whose handler fails instead of ending the bus thread

Cause: an exception in a handler escaped the bus thread's loop and ended the thread, not the process.

Change: the exception is logged with its traceback and the message is dropped; its sender times out as after a lost message. The process isn't ended, unlike after the failure of an actor: a handler runs on what a peer sent, so a message that one handler can't bear would let a single peer stop every process that it reaches, again after each restart. A handler has no state of its own that could be left half changed: it passes the message to an actor, whose failure does end the process, or to a future. The failure of a reply's future was dropped without a log line; it now has one.

Measured: before, the new test failed after 5.1 s with "assert None == [...]" (no reply to the next request); now it passes.

--- a/src/chicoryhold/hosts/bus.py
+++ b/src/chicoryhold/hosts/bus.py
@@ -234,10 +234,18 @@
                 type(message).__name__,
             )
             return
-        reply = handler(sender, message)
         wants_reply = _REQUEST_ID.unpack(request_id.bytes)[0] != _NO_REPLY
-        if wants_reply:
-            self._send_reply(routing_id.bytes, request_id.bytes, reply)
+        try:
+            reply = handler(sender, message)
+            if wants_reply:
+                self._send_reply(routing_id.bytes, request_id.bytes, reply)
+        except Exception as error:
+            # Ending the process here would let a peer stop it by what it sends.
+            logger.opt(exception=error).error(
+                "bus: the handler of {} failed; dropped the message from {}.",
+                type(message).__name__,
+                sender,
+            )
 
     def _send_reply(self, routing_id: bytes, request_id: bytes, reply: object) -> None:
         if isinstance(reply, Future):
@@ -254,10 +262,11 @@
     def _send_reply_when_done(
         self, routing_id: bytes, request_id: bytes, done: Future
     ) -> None:
-        if done.cancelled() or done.exception() is not None:
+        try:
+            self._send_reply(routing_id, request_id, done.result())
+        except Exception as error:
             # The sender of the request times out, as it does after a lost message.
-            return
-        self._send_reply(routing_id, request_id, done.result())
+            logger.opt(exception=error).error("bus: a reply could not be sent.")
 
     def _on_reply(self, dealer: zmq.Socket, frames: list[zmq.Frame]) -> None:
         try:
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from chicoryhold.codec import encode
-from chicoryhold.control.messages import FetchChanges
+from chicoryhold.control.messages import FetchChanges, JoinRequest
 from chicoryhold.errors import PeerTimeout
 from chicoryhold.hosts.bus import Bus, running_bus
 from chicoryhold.hosts.transport import PlaintextTransport
@@ -204,3 +204,22 @@
             return future
         bus.forget(future)
     raise AssertionError("no request arrived")
+
+
+def test_a_handler_that_raises_loses_its_message_and_not_the_bus(log):
+    port = free_port("127.0.0.1")
+
+    def fail(sender: str, message: JoinRequest) -> None:
+        raise KeyError(message.identity)
+
+    bus = make_bus("127.0.0.1", port)
+    bus.handle(JoinRequest, fail)
+    bus.handle(FetchChanges, echo)
+    with running_bus(bus), plain_socket(zmq.DEALER) as peer:
+        peer.connect(f"tcp://127.0.0.1:{port}")
+        peer.send_multipart([pack_id(5), encode(JoinRequest(identity="x"))])
+        reply = request_from(peer, after=7)
+    assert reply == [pack_id(7), encode(FetchChanges(after=7))]
+    failed = [line for line in log if "bus: the handler of JoinRequest failed" in line]
+    assert len(failed) == 1
+    assert failed[0].startswith("ERROR") and "KeyError: 'x'" in failed[0]
