Drop messages to a peer whose name is no address

Cause: without configured peers, names come from the peers themselves (the sender of a message, the hosts in a presence message). For a name that ZeroMQ can't parse as an address, connect raised EINVAL on the bus thread and ended it.

Change: the message is dropped with a log line, as for a peer without an address.

Measured: before, the new test failed after 5.1 s with "assert None == [...]" (no reply to the next request) and "ZMQError: Invalid argument (addr='tcp://not an address:...')" in the thread; now it passes.

--- a/src/chicoryhold/hosts/bus.py
+++ b/src/chicoryhold/hosts/bus.py
@@ -316,11 +316,21 @@
             if address is None:
                 logger.warning("bus: peer {} has no key or address.", peer)
                 return None
-            dealer = self._socket(zmq.DEALER)
+            dealer = self._open_dealer(peer, address)
+        return dealer
+
+    def _open_dealer(self, peer: str, address: str) -> zmq.Socket | None:
+        dealer = self._socket(zmq.DEALER)
+        try:
             self._transport.prepare_connecting(dealer, peer)
             dealer.connect(f"tcp://{address}")
-            self._poller.register(dealer, zmq.POLLIN)
-            self._dealers[peer] = dealer
+        except zmq.ZMQError as error:
+            # Peers report each other's names, so a name may be no address.
+            logger.warning("bus: can't connect to {}: {}", peer, error)
+            dealer.close()
+            return None
+        self._poller.register(dealer, zmq.POLLIN)
+        self._dealers[peer] = dealer
         return dealer
 
 
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -223,3 +223,16 @@
     failed = [line for line in log if "bus: the handler of JoinRequest failed" in line]
     assert len(failed) == 1
     assert failed[0].startswith("ERROR") and "KeyError: 'x'" in failed[0]
+
+
+def test_a_peer_name_that_is_no_address_does_not_stop_the_bus(log):
+    # A name comes from the peer itself, as the sender of a message.
+    port = free_port("127.0.0.1")
+    bus = make_bus("127.0.0.1", port)
+    bus.handle(FetchChanges, echo)
+    with running_bus(bus), plain_socket(zmq.DEALER) as peer:
+        bus.tell("not an address", FetchChanges(after=1))
+        peer.connect(f"tcp://127.0.0.1:{port}")
+        reply = request_from(peer, after=7)
+    assert reply == [pack_id(7), encode(FetchChanges(after=7))]
+    assert any("bus: can't connect to not an address" in line for line in log)
