End the process when its bus thread or a ticker fails

Cause: an exception in the loop of the bus thread or of an actor's ticker ended only that thread. The process went on, ready by its own account, without being able to talk or without its actors' periodic work.

Change: both are critical threads, which log the failure and exit with the code of a failed actor (70), so that the supervisor restarts the process.

--- a/src/chicoryhold/hosts/actors.py
+++ b/src/chicoryhold/hosts/actors.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import threading
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future
@@ -10,9 +9,8 @@
 
 import attrs
 import pykka
-from loguru import logger
 
-CRASH_EXIT_CODE = 70
+from chicoryhold.crash import create_critical_thread, exit_after_failure
 
 
 @attrs.frozen(kw_only=True)
@@ -39,10 +37,7 @@
     use_daemon_thread = True
 
     def on_failure(self, exception_type, exception_value, traceback) -> None:
-        logger.opt(exception=exception_value).critical(
-            "actor: {} failed; the process exits.", type(self).__name__
-        )
-        os._exit(CRASH_EXIT_CODE)
+        exit_after_failure("actor", type(self).__name__, exception_value)
 
 
 def forward_to(actor: pykka.ActorRef) -> Callable[[str, object], Future]:
@@ -66,7 +61,7 @@
         while not stopping.wait(interval):
             actor.tell(Tick())
 
-    thread = threading.Thread(target=run, name="ticker", daemon=True)
+    thread = create_critical_thread(run, name="ticker")
     thread.start()
     try:
         yield
--- a/src/chicoryhold/hosts/bus.py
+++ b/src/chicoryhold/hosts/bus.py
@@ -20,6 +20,7 @@
 from loguru import logger
 
 from chicoryhold.codec import decode, encode
+from chicoryhold.crash import create_critical_thread
 from chicoryhold.errors import AddressInUse, PeerTimeout, UnknownMessage, UnknownPeer
 from chicoryhold.hosts.transport import Transport
 
@@ -77,7 +78,7 @@
         self._dealers: dict[str, zmq.Socket] = {}
         self._stopping = False
         self._context = zmq.Context()
-        self._thread = threading.Thread(target=self._run, name="bus", daemon=True)
+        self._thread = create_critical_thread(self._run, name="bus")
 
     @property
     def name(self) -> str:
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import struct
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import pytest
@@ -149,6 +150,13 @@
     return message
 
 
+def wait_until(condition: Callable[[], bool]) -> None:
+    deadline = time.monotonic() + REPLY_TIMEOUT_MS / 1000
+    while not condition():
+        assert time.monotonic() < deadline, "the condition didn't become true in time"
+        time.sleep(0.01)
+
+
 def request_from(peer: zmq.Socket, after: int) -> bytes | None:
     """Send a request from ``peer``; return the reply's request id and payload."""
     request = FetchChanges(after=after)
@@ -236,3 +244,25 @@
         reply = request_from(peer, after=7)
     assert reply == [pack_id(7), encode(FetchChanges(after=7))]
     assert any("bus: can't connect to not an address" in line for line in log)
+
+
+class FailingTransport(PlaintextTransport):
+    """Raises when the bus opens a connection."""
+
+    def prepare_connecting(self, socket: zmq.Socket, peer: str) -> None:
+        raise RuntimeError("a programming error")
+
+
+def test_a_bus_thread_that_fails_ends_the_process(log, monkeypatch):
+    exit_codes: list[int] = []
+    monkeypatch.setattr(os, "_exit", exit_codes.append)
+    port = free_port("127.0.0.1")
+    transport = FailingTransport(name="127.0.0.1", port=port)
+    bus = Bus(name="127.0.0.1", address=f"127.0.0.1:{port}", transport=transport)
+    with running_bus(bus):
+        bus.connect("127.0.7.5")
+        wait_until(lambda: bool(exit_codes))
+    assert exit_codes == [70]
+    failed = [line for line in log if "thread: bus failed; the process exits." in line]
+    assert len(failed) == 1
+    assert failed[0].startswith("CRITICAL") and "a programming error" in failed[0]
