End the process when the thread of an HTTP server fails

Cause: an exception that escaped waitress's loop ended its thread only. The process went on without accepting connections there.

Change: it is a critical thread. Errors while the server is being closed by another thread end nothing; they are logged at DEBUG.

Measured: before, the first new test failed with "assert [] == [70]"; now both pass. The second guards against a stop that would be taken for a failure; it passed before too.

--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -6,11 +6,13 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+from loguru import logger
 from waitress.channel import HTTPChannel
-from waitress.server import create_server
+from waitress.server import BaseWSGIServer, create_server
 from waitress.task import WSGITask
 
 from chicoryhold.clock import BootClock
+from chicoryhold.crash import create_critical_thread
 from chicoryhold.errors import AddressInUse
 from chicoryhold.targets.cancellation import Cancellation
 
@@ -119,9 +121,21 @@
             "change the address in the settings"
         ) from error
     server.channel_class = _channel_class(should_close)
-    thread = threading.Thread(target=server.run, name="http", daemon=True)
-    thread.start()
+    closing = threading.Event()
+    create_critical_thread(lambda: _run_server(server, closing), name="http").start()
     try:
         yield server.effective_port
     finally:
+        closing.set()
         server.close()
+
+
+def _run_server(server: BaseWSGIServer, closing: threading.Event) -> None:
+    """Serve until ``server`` is closed; raise if that fails before ``closing``."""
+    try:
+        server.run()
+    except Exception as error:
+        if not closing.is_set():
+            raise
+        # Another thread closes the sockets that this one polls.
+        logger.debug("http: the server stopped with an error: {!r}", error)
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,58 @@
+"""The HTTP server's own thread."""
+
+from __future__ import annotations
+
+import os
+import threading
+from collections.abc import Callable
+
+import pytest
+from waitress.server import BaseWSGIServer
+
+from chicoryhold.http_server import serve_http
+
+EXIT_TIMEOUT_SECONDS = 5.0
+
+
+@pytest.fixture
+def exits(monkeypatch) -> list[int]:
+    """Return the exit codes with which the process would have ended."""
+    codes: list[int] = []
+    monkeypatch.setattr(os, "_exit", codes.append)
+    return codes
+
+
+def app(environ: dict, start_response: Callable) -> list[bytes]:
+    start_response("204 No Content", [])
+    return []
+
+
+def threads_named_http() -> list[threading.Thread]:
+    return [thread for thread in threading.enumerate() if thread.name == "http"]
+
+
+def test_a_server_thread_that_fails_ends_the_process(monkeypatch, exits):
+    def fail(server: BaseWSGIServer) -> None:
+        raise RuntimeError("the loop failed")
+
+    monkeypatch.setattr(BaseWSGIServer, "run", fail)
+    with serve_http(app, "127.0.0.1:0", threads=1):
+        for thread in threads_named_http():
+            thread.join(EXIT_TIMEOUT_SECONDS)
+        assert exits == [70]
+
+
+def test_an_error_of_a_server_that_is_being_closed_ends_nothing(monkeypatch, exits):
+    closed = threading.Event()
+
+    def fail_when_closed(server: BaseWSGIServer) -> None:
+        closed.wait()
+        raise OSError("bad file descriptor")
+
+    monkeypatch.setattr(BaseWSGIServer, "run", fail_when_closed)
+    with serve_http(app, "127.0.0.1:0", threads=1):
+        threads = threads_named_http()
+    closed.set()
+    for thread in threads:
+        thread.join(EXIT_TIMEOUT_SECONDS)
+    assert exits == []
