Drop replies of an unexpected kind, and messages to stopped actors

Cause: five actors passed a reply on to themselves, each in its own callback, and four of them didn't check its kind. A heartbeat reply of another kind ended the process; a fetch reply of another kind was followed by the next fetch at once, without a back-off. While a process stops, its actors stop before its bus, so a late message raised ActorDeadError: in a handler it ended the bus thread, in a callback it was written to standard error by the standard library.

Change: one function, tell_reply, checks the kind and drops other replies with a log line, like a lost reply. Messages to a stopped actor are dropped, logged at DEBUG.

--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from concurrent.futures import Future
 
 import attrs
 from loguru import logger
@@ -21,7 +20,7 @@
     SourceUnavailable,
 )
 from chicoryhold.control.pending_fetches import PendingFetches
-from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick
+from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick, tell_reply
 from chicoryhold.hosts.bus import Bus
 
 FETCH_TIMEOUT_SECONDS = 1.5
@@ -30,11 +29,13 @@
 SOURCE_BACKOFF_SECONDS = 10.0
 REPORT_EXPIRY_SECONDS = 10.0
 
+FetchReply = ChangeBatch | SnapshotNeeded | ImagePiece | SourceUnavailable
+
 
 @attrs.frozen(kw_only=True)
 class _FetchReplied:
     number: int
-    reply: object
+    reply: FetchReply
 
 
 @attrs.frozen(kw_only=True)
@@ -119,7 +120,12 @@
         self._fetch_in_flight = True
         future = self._bus.ask(self._source, self._request())
         number = self._fetch_number
-        future.add_done_callback(lambda done: self._deliver_reply(number, done))
+        tell_reply(
+            future,
+            self.actor_ref,
+            kinds=FetchReply,
+            message=lambda reply: _FetchReplied(number=number, reply=reply),
+        )
 
     def _choose_source(self) -> str:
         """Return the first source that has no back-off, preferring a suggested one."""
@@ -134,9 +140,6 @@
         # If every source has a back-off, use the one whose back-off ends first.
         return min(sources, key=lambda s: max(now, self._backoff_until.get(s, 0.0)))
 
-    def _deliver_reply(self, number: int, done: Future) -> None:
-        self.actor_ref.tell(_FetchReplied(number=number, reply=done.result()))
-
     def _request(self) -> FetchChanges | FetchImage:
         if self._needs_image:
             return FetchImage(
--- a/src/chicoryhold/hosts/actors.py
+++ b/src/chicoryhold/hosts/actors.py
@@ -6,9 +6,12 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future
 from contextlib import contextmanager
+from types import UnionType
+from typing import Any
 
 import attrs
 import pykka
+from loguru import logger
 
 from chicoryhold.crash import create_critical_thread, exit_after_failure
 
@@ -45,12 +48,50 @@
 
     def handler(sender: str, message: object) -> Future:
         reply: Future = Future()
-        actor.tell(PeerRequest(sender=sender, message=message, reply=reply))
+        _tell(actor, PeerRequest(sender=sender, message=message, reply=reply))
         return reply
 
     return handler
 
 
+def tell_reply(
+    future: Future, actor: pykka.ActorRef, *, kinds: type | UnionType,
+    message: Callable[[Any], object],
+) -> None:  # fmt: skip
+    """Tell ``actor`` the result of ``message(reply)`` once ``future`` has a reply.
+
+    A reply that isn't one of ``kinds`` is dropped, as if it had been lost on the way.
+    """
+
+    def deliver(done: Future) -> None:
+        reply = done.result()
+        if isinstance(reply, kinds):
+            _tell(actor, message(reply))
+        else:
+            logger.warning(
+                "actor: dropped a reply of the unexpected kind {} for {}.",
+                type(reply).__name__,
+                actor.actor_class.__name__,
+            )
+
+    future.add_done_callback(deliver)
+
+
+def _tell(actor: pykka.ActorRef, message: object) -> None:
+    """Tell ``actor`` a message; drop it if the actor has stopped.
+
+    Messages arrive while a process stops, because its bus stops after its actors.
+    """
+    try:
+        actor.tell(message)
+    except pykka.ActorDeadError:
+        logger.debug(
+            "actor: dropped {} because {} has stopped.",
+            type(message).__name__,
+            actor.actor_class.__name__,
+        )
+
+
 @contextmanager
 def running_actor(actor: pykka.ActorRef, *, interval: float) -> Iterator[None]:
     """Send ``actor`` a tick now and every ``interval`` seconds; stop it on exit."""
--- a/src/chicoryhold/hosts/heartbeat_actor.py
+++ b/src/chicoryhold/hosts/heartbeat_actor.py
@@ -8,7 +8,7 @@
 import attrs
 
 from chicoryhold.clock import Clock
-from chicoryhold.hosts.actors import CriticalActor, Tick
+from chicoryhold.hosts.actors import CriticalActor, Tick, tell_reply
 from chicoryhold.hosts.bus import Bus
 from chicoryhold.hosts.domain_view import HELLO_INTERVAL_SECONDS, DomainView
 from chicoryhold.hosts.messages import HeldSlots, Hello, HelloReply
@@ -65,12 +65,12 @@
         sent_at = self._clock.now()
         hello = attrs.evolve(hello, known=self._view.known_digest(replica))
         future = self._bus.ask(replica, hello)
-
-        def deliver(done: Future) -> None:
-            received = _ReplyReceived(
-                replica=replica, reply=done.result(), sent_at=sent_at
-            )
-            self.actor_ref.tell(received)
-
-        future.add_done_callback(deliver)
+        tell_reply(
+            future,
+            self.actor_ref,
+            kinds=HelloReply,
+            message=lambda reply: _ReplyReceived(
+                replica=replica, reply=reply, sent_at=sent_at
+            ),
+        )
         return future
--- a/src/chicoryhold/membership/presence_actor.py
+++ b/src/chicoryhold/membership/presence_actor.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from chicoryhold.clock import Clock
-from chicoryhold.hosts.actors import CriticalActor, Tick
+from chicoryhold.hosts.actors import CriticalActor, Tick, tell_reply
 from chicoryhold.hosts.bus import Bus
 from chicoryhold.membership.messages import (
     ControlHost,
@@ -166,11 +166,10 @@
 
     def _send_report(self, name: str, presence: EntryPresence) -> Future:
         future = self._bus.ask(name, presence)
-
-        def deliver(done: Future) -> None:
-            reply = done.result()
-            if isinstance(reply, ControlHosts):
-                self.actor_ref.tell(_ReplyReceived(name=name, reply=reply))
-
-        future.add_done_callback(deliver)
+        tell_reply(
+            future,
+            self.actor_ref,
+            kinds=ControlHosts,
+            message=lambda reply: _ReplyReceived(name=name, reply=reply),
+        )
         return future
--- a/src/chicoryhold/steering/coordinator_actor.py
+++ b/src/chicoryhold/steering/coordinator_actor.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from chicoryhold.clock import Clock
-from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick
+from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick, tell_reply
 from chicoryhold.hosts.bus import Bus
 from chicoryhold.hosts.domain_view import DomainView
 from chicoryhold.hosts.messages import (
@@ -55,7 +55,7 @@
     epoch: int
     number: int
     domain: str
-    reply: object
+    reply: BorrowReply | NotCoordinator
 
 
 class CoordinatorActor(CriticalActor):
@@ -174,14 +174,14 @@
 
     def _ask_voter(self, voter: str, request: LeaseRequest) -> Future:
         future = self._bus.ask(voter, request)
-
-        def deliver(done: Future) -> None:
-            reply = done.result()
-            self.actor_ref.tell(
-                _LeaseReplied(voter=voter, reply=reply, request=request)
-            )
-
-        future.add_done_callback(deliver)
+        tell_reply(
+            future,
+            self.actor_ref,
+            kinds=LeaseReply,
+            message=lambda reply: _LeaseReplied(
+                voter=voter, reply=reply, request=request
+            ),
+        )
         return future
 
     def _on_lease_reply(self, message: _LeaseReplied) -> None:
@@ -244,14 +244,14 @@
         host = self._coordinator_of(domain)
         epoch = self._candidate.epoch
         future = self._bus.ask(host, effect.request)
-
-        def deliver(done: Future) -> None:
-            replied = _BorrowReplied(
-                epoch=epoch, number=effect.number, domain=domain, reply=done.result()
-            )
-            self.actor_ref.tell(replied)
-
-        future.add_done_callback(deliver)
+        tell_reply(
+            future,
+            self.actor_ref,
+            kinds=BorrowReply | NotCoordinator,
+            message=lambda reply: _BorrowReplied(
+                epoch=epoch, number=effect.number, domain=domain, reply=reply
+            ),
+        )
 
     def _coordinator_of(self, domain: str) -> str:
         """Return the last known coordinator of another domain, or its first replica."""
