Drop malformed messages between control replicas

Cause: a consensus message travels as bytes inside another message and was decoded without catching, so a malformed one ended the process. The body of a forwarded change was first decoded when the change was applied, so a malformed one would have ended every replica, and again at each start.

Change: the first is dropped with a log line. The leader checks the second before it proposes the change, and answers that it has no outcome.

Measured: before, both new tests failed with "UnknownMessage: message can't be decoded: Expected `array`, got `int`" raised in ReplicaActor.on_receive; now both pass.

--- a/src/chicoryhold/control/plane.py
+++ b/src/chicoryhold/control/plane.py
@@ -12,10 +12,16 @@
 from result import Err, Ok, Result
 
 from chicoryhold.clock import Clock
-from chicoryhold.codec import encode
+from chicoryhold.codec import decode, encode
 from chicoryhold.consensus.replica import Replica, Role
 from chicoryhold.control.replica_actor import Propose, Read, process_name
-from chicoryhold.errors import NotLeader, PeerTimeout, ResultUnknown, Unavailable
+from chicoryhold.errors import (
+    NotLeader,
+    PeerTimeout,
+    ResultUnknown,
+    Unavailable,
+    UnknownMessage,
+)
 from chicoryhold.hosts.bus import Bus
 from chicoryhold.membership.messages import (
     ConfigurationRead,
@@ -148,6 +154,13 @@
 
     def on_forwarded(self, sender: str, message: ForwardedChange) -> Future:
         answer: Future = Future()
+        try:
+            decode(message.change.body)
+        except UnknownMessage as error:
+            # In the log it would stop every replica that applies it.
+            logger.warning("control: dropped a change from {}: {}", sender, error)
+            answer.set_result(ForwardedOutcome(outcome=None))
+            return answer
         reply: Future = Future()
         reply.add_done_callback(
             lambda done: answer.set_result(
--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -36,7 +36,7 @@
 )
 from chicoryhold.control.pending_fetches import MAX_FETCH_WAIT_SECONDS, PendingFetches
 from chicoryhold.control.storage import Storage
-from chicoryhold.errors import NotLeader, ResultUnknown
+from chicoryhold.errors import NotLeader, ResultUnknown, UnknownMessage
 from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick
 from chicoryhold.hosts.bus import Bus
 from chicoryhold.state.changes import Change
@@ -176,8 +176,14 @@
         trusted = is_member or self._policy.accept_any_sender
         # A replica that hasn't joined yet doesn't know the members.
         has_no_members = not self._replica.members.voters
-        if message.to == self._replica.identity and (trusted or has_no_members):
-            self._replica.receive(decode(message.body))
+        if message.to != self._replica.identity or not (trusted or has_no_members):
+            return
+        try:
+            body = decode(message.body)
+        except UnknownMessage as error:
+            logger.warning("control: dropped a message from {}: {}", sender, error)
+            return
+        self._replica.receive(body)
 
     def _status(self) -> ReplicaStatus:
         return ReplicaStatus(
