Copy the control hosts and the revisions in force before iterating

Cause: the permit actor and the HTTP threads iterated over the control hosts, and the threads of the administration API over the revisions in force, while the actors that own these dictionaries add to them.

Change: both iterate over a copy, as the other readers of the registry already do.

Measured: before, both new tests failed with "RuntimeError: dictionary changed size during iteration"; now both pass. A hook makes the other thread's change at a fixed point, so the verdict doesn't depend on timing.

--- a/src/chicoryhold/control/in_force.py
+++ b/src/chicoryhold/control/in_force.py
@@ -45,7 +45,10 @@
 
 
 class InForceReports:
-    """The newest report of each entry host, in the leader's memory."""
+    """The newest report of each entry host, in the leader's memory.
+
+    Only one thread may change it; any thread may read.
+    """
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
@@ -65,7 +68,7 @@
         """Return each domain with an unexpired report, sorted by name."""
         now = self._clock.now()
         by_domain: dict[str, list[_TimedReport]] = {}
-        for timed in self._newest.values():
+        for timed in tuple(self._newest.values()):
             if now - timed.reported_at < REPORT_EXPIRY_SECONDS:
                 by_domain.setdefault(timed.report.domain, []).append(timed)
         return tuple(
@@ -84,7 +87,7 @@
                 age=round(now - timed.reported_at, 1),
                 silent=now - timed.reported_at > REPORT_STALE_SECONDS,
             )
-            for name, timed in sorted(self._newest.items())
+            for name, timed in sorted(tuple(self._newest.items()))
             if now - timed.reported_at < REPORT_EXPIRY_SECONDS
         )
 
--- a/src/chicoryhold/membership/registry.py
+++ b/src/chicoryhold/membership/registry.py
@@ -29,6 +29,8 @@
 class HostRegistry:
     """A control host's view of all hosts. It does no I/O; times come from ``clock``.
 
+    Only one thread may change it; any thread may read.
+
     Entry hosts report to one or two control hosts, which tell the other control
     hosts how old these reports are. The total number of hosts is not configured.
     """
@@ -49,7 +51,7 @@
         cutoff = self._clock.now() - CONTROL_HOST_TIMEOUT_SECONDS
         others = [
             host
-            for host, reported_at in self._control_records.values()
+            for host, reported_at in tuple(self._control_records.values())
             if reported_at >= cutoff
         ]
         return (self._own, *sorted(others, key=lambda host: host.name))
--- /dev/null
+++ b/tests/test_concurrent_reads.py
@@ -0,0 +1,94 @@
+"""Reads by one thread while another thread changes the same object.
+
+A hook at a fixed point of the read makes the change of the other thread.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from chicoryhold.control.in_force import InForceReports
+from chicoryhold.control.messages import HostReport
+from chicoryhold.membership.messages import ControlHost, ControlPresence
+from chicoryhold.membership.registry import HostRegistry
+from tests.conftest import FakeClock
+
+
+class HookedTime(float):
+    """A time that runs ``hook`` whenever it is compared."""
+
+    hook: Callable[[], None]
+
+    def __ge__(self, other: float) -> bool:
+        self.hook()
+        return super().__ge__(other)
+
+    def __lt__(self, other: float) -> bool:
+        self.hook()
+        return super().__lt__(other)
+
+    def __sub__(self, other: float) -> HookedTime:
+        difference = HookedTime(super().__sub__(other))
+        difference.hook = self.hook
+        return difference
+
+
+class HookedClock(FakeClock):
+    """A clock whose times run ``hook`` when they are compared."""
+
+    def __init__(self, hook: Callable[[], None]) -> None:
+        super().__init__()
+        self._hook = hook
+
+    def now(self) -> HookedTime:
+        time = HookedTime(super().now())
+        time.hook = self._hook
+        return time
+
+
+class Changes:
+    """Makes each of ``changes`` once, when called as a hook, after :meth:`start`."""
+
+    def __init__(self) -> None:
+        self._pending: list[Callable[[], None]] = []
+
+    def start(self, *changes: Callable[[], None]) -> None:
+        self._pending = list(changes)
+
+    def __call__(self) -> None:
+        pending, self._pending = self._pending, []
+        for change in pending:
+            change()
+
+
+def presence(name: str) -> ControlPresence:
+    host = ControlHost(name=name, domain="d", region="r")
+    return ControlPresence(host=host, entry_hosts=(), targets=())
+
+
+def test_control_hosts_are_read_while_another_one_is_added():
+    # The permit actor and the HTTP threads read them, the registry actor adds them.
+    changes = Changes()
+    own = ControlHost(name="own", domain="d", region="r")
+    registry = HostRegistry(own=own, clock=HookedClock(changes))
+    registry.merge_control_presence(presence("a"))
+    registry.merge_control_presence(presence("b"))
+    changes.start(lambda: registry.merge_control_presence(presence("c")))
+    assert [host.name for host in registry.control_hosts] == ["own", "a", "b"]
+    assert [host.name for host in registry.control_hosts] == ["own", "a", "b", "c"]
+
+
+def host_report(name: str) -> HostReport:
+    return HostReport(host=name, domain="d", revision=3, age=0.0)
+
+
+def test_revisions_in_force_are_read_while_another_host_reports():
+    # The threads of the administration API read them, the replica actor adds to them.
+    changes = Changes()
+    reports = InForceReports(clock=HookedClock(changes))
+    reports.record([host_report("a"), host_report("b")])
+    changes.start(lambda: reports.record([host_report("c")]))
+    assert [domain.hosts for domain in reports.domains()] == [2]
+    changes.start(lambda: reports.record([host_report("d")]))
+    assert [host.host for host in reports.hosts()] == ["a", "b", "c"]
+    assert [domain.hosts for domain in reports.domains()] == [4]
