Replace the index of targets as a whole when a record changes

Cause: to store a newer record of a target, its old one was removed first. HTTP threads read the records meanwhile; one that found none acknowledged the removal of a target without proposing it, or proposed a report that was known.

Change: records and addresses form one index that is replaced by each change.

Measured: before, the new test failed with "assert None not in [...]"; now it passes.

--- a/src/chicoryhold/state/targets.py
+++ b/src/chicoryhold/state/targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -50,25 +51,46 @@
     version: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class _Index:
+    """The records by instance, and the instance at each address. Never changed."""
+
+    records: Mapping[str, TargetRecord]
+    owners: Mapping[str, str]
+
+    @classmethod
+    def of(cls, records: Iterable[TargetRecord]) -> _Index:
+        by_instance = {record.instance: record for record in records}
+        owners = {
+            record.address: record.instance
+            for record in by_instance.values()
+            if record.state is not TargetState.GONE
+        }
+        return cls(records=by_instance, owners=owners)
+
+    def owner(self, address: str) -> TargetRecord | None:
+        """Return the record of the instance at ``address``."""
+        return self.records.get(self.owners.get(address, ""))
+
+
 class TargetRecords:
     """The newest record of each instance.
 
     Of the instances that are gone, the last ``MAX_GONE_RECORDS`` are kept, so that a
     delayed report can't bring them back.
+
+    Only one thread may call :meth:`put`. Any thread may read, since each change
+    replaces the whole index.
     """
 
     def __init__(self, records: tuple[TargetRecord, ...] = ()) -> None:
-        self._records = {record.instance: record for record in records}
-        self._owners: dict[str, str] = {}  # address -> instance
-        for record in records:
-            if record.state is not TargetState.GONE:
-                self._owners[record.address] = record.instance
+        self._index = _Index.of(records)
 
     def __iter__(self):
-        return iter(tuple(self._records.values()))
+        return iter(tuple(self._index.records.values()))
 
     def get(self, instance: str) -> TargetRecord | None:
-        return self._records.get(instance)
+        return self._index.records.get(instance)
 
     def is_newer(self, record: TargetRecord) -> bool:
         """Return whether ``record`` is newer than the stored records it concerns.
@@ -76,10 +98,11 @@
         These are the record of its instance and that of the instance which has its
         address.
         """
-        known = self._records.get(record.instance)
+        index = self._index
+        known = index.records.get(record.instance)
         if known is not None and not _supersedes(record, known):
             return False
-        owner = self._records.get(self._owners.get(record.address, ""))
+        owner = index.owner(record.address)
         if owner is None or owner.instance == record.instance:
             return True
         return record.born_ms > owner.born_ms
@@ -88,28 +111,35 @@
         """Store ``record`` if it is newer; return whether it was stored."""
         if not self.is_newer(record):
             return False
-        self._release_address(record)
-        self._records.pop(record.instance, None)
-        self._records[record.instance] = record
+        records = dict(self._index.records)
+        owners = dict(self._index.owners)
+        _release_address(records, owners, record)
+        records.pop(record.instance, None)
+        records[record.instance] = record
         if record.state is TargetState.GONE:
-            self._evict_oldest_gone()
+            _evict_oldest_gone(records)
         else:
-            self._owners[record.address] = record.instance
+            owners[record.address] = record.instance
+        self._index = _Index(records=records, owners=owners)
         return True
 
-    def _release_address(self, record: TargetRecord) -> None:
-        known = self._records.get(record.instance)
-        if known and self._owners.get(known.address) == record.instance:
-            del self._owners[known.address]
-        owner = self._records.get(self._owners.get(record.address, ""))
-        if owner is not None and owner.instance != record.instance:
-            self._records[owner.instance] = attrs.evolve(owner, state=TargetState.GONE)
-            del self._owners[record.address]
-
-    def _evict_oldest_gone(self) -> None:
-        gone = [r.instance for r in self if r.state is TargetState.GONE]
-        for instance in gone[: max(0, len(gone) - MAX_GONE_RECORDS)]:
-            del self._records[instance]
+
+def _release_address(
+    records: dict[str, TargetRecord], owners: dict[str, str], record: TargetRecord
+) -> None:
+    known = records.get(record.instance)
+    if known and owners.get(known.address) == record.instance:
+        del owners[known.address]
+    owner = records.get(owners.get(record.address, ""))
+    if owner is not None and owner.instance != record.instance:
+        records[owner.instance] = attrs.evolve(owner, state=TargetState.GONE)
+        del owners[record.address]
+
+
+def _evict_oldest_gone(records: dict[str, TargetRecord]) -> None:
+    gone = [r.instance for r in records.values() if r.state is TargetState.GONE]
+    for instance in gone[: max(0, len(gone) - MAX_GONE_RECORDS)]:
+        del records[instance]
 
 
 def _supersedes(record: TargetRecord, known: TargetRecord) -> bool:
--- a/tests/test_concurrent_reads.py
+++ b/tests/test_concurrent_reads.py
@@ -11,7 +11,9 @@
 from chicoryhold.control.messages import HostReport
 from chicoryhold.membership.messages import ControlHost, ControlPresence
 from chicoryhold.membership.registry import HostRegistry
+from chicoryhold.state.targets import TargetRecords
 from tests.conftest import FakeClock
+from tests.test_targets_state import a_record
 
 
 class HookedTime(float):
@@ -92,3 +94,27 @@
     changes.start(lambda: reports.record([host_report("d")]))
     assert [host.host for host in reports.hosts()] == ["a", "b", "c"]
     assert [domain.hosts for domain in reports.domains()] == [4]
+
+
+class HookedName(str):
+    """A name that runs ``hook`` whenever a dictionary looks it up."""
+
+    hook: Callable[[], None]
+
+    def __hash__(self) -> int:
+        self.hook()
+        return super().__hash__()
+
+
+def test_a_target_is_never_missing_while_its_record_is_replaced():
+    # Guards against a removal that is acknowledged without effect, because the target
+    # was unknown for a moment.
+    records = TargetRecords()
+    records.put(a_record(instance="i-1", sequence=1))
+    name = HookedName("i-1")
+    seen = []
+    name.hook = lambda: seen.append(records.get("i-1"))
+    records.put(a_record(instance=name, sequence=2))
+    assert seen
+    assert None not in seen
+    assert records.get("i-1").sequence == 2
