Set the revision of a loaded state after everything else

Cause: the loader of a full image set the revision first, then parsed the table and set the keys. An entry host counts as ready once its revision is above 0, so it could refuse a valid key as unknown for a moment while it started.

Change: digest and revision are set last.

Measured: before, the new test failed with "assert [1] == [0]"; now it passes.

--- a/src/chicoryhold/state/control_state.py
+++ b/src/chicoryhold/state/control_state.py
@@ -219,8 +219,6 @@
             self.__init__(max_request_records=self._max_request_records)
             return
         image: StateImage = decode(data)
-        self._revision = image.revision
-        self._digest = image.digest
         self._table_text = image.table
         self._table = parse_table(image.table)
         self._table_revision = image.table_revision
@@ -233,6 +231,9 @@
         self._configuration_text = image.configuration_text
         self._targets = TargetRecords(image.targets)
         self._evacuated = set(image.evacuated)
+        # Last: other threads take a revision above 0 to mean that the rest is there.
+        self._digest = image.digest
+        self._revision = image.revision
 
     def _outcome_of_resend(
         self, previous: RequestRecord, body_digest: bytes
--- a/tests/test_concurrent_reads.py
+++ b/tests/test_concurrent_reads.py
@@ -11,8 +11,13 @@
 from chicoryhold.control.messages import HostReport
 from chicoryhold.membership.messages import ControlHost, ControlPresence
 from chicoryhold.membership.registry import HostRegistry
+from chicoryhold.state import control_state
+from chicoryhold.state.changes import PutTable
+from chicoryhold.state.control_state import ControlState
+from chicoryhold.state.table import Table, parse_table
 from chicoryhold.state.targets import TargetRecords
 from tests.conftest import FakeClock
+from tests.test_control_state import HEADING, change
 from tests.test_targets_state import a_record
 
 
@@ -59,8 +64,8 @@
 
     def __call__(self) -> None:
         pending, self._pending = self._pending, []
-        for change in pending:
-            change()
+        for make_change in pending:
+            make_change()
 
 
 def presence(name: str) -> ControlPresence:
@@ -118,3 +123,22 @@
     assert seen
     assert None not in seen
     assert records.get("i-1").sequence == 2
+
+
+def test_a_state_that_is_being_loaded_has_a_revision_only_once_it_is_complete(
+    monkeypatch,
+):
+    # Guards against an entry host that accepts callers before it knows their keys.
+    loaded = ControlState()
+    loaded.apply(change("a", PutTable(text=HEADING), based_on=0))
+    state = ControlState()
+    revisions = []
+
+    def observed_parse(text: str) -> Table:
+        revisions.append(state.revision)
+        return parse_table(text)
+
+    monkeypatch.setattr(control_state, "parse_table", observed_parse)
+    state.load(loaded.image())
+    assert revisions == [0]
+    assert state.revision == 1
