Read the revision of a table before its text

Cause: the API read the table's text, then the revision, while the replica actor applies changes. If another operator's change came in between, the operator got the old text with the new revision, and an edit based on it undid that change unnoticed.

Change: the revision is read first; then such an edit is refused with the difference.

Measured: before, the new test failed with "assert not True" (the edit was accepted); now it passes.

--- a/src/chicoryhold/operators/api.py
+++ b/src/chicoryhold/operators/api.py
@@ -150,12 +150,7 @@
         )
 
     def _get_table(self, request: Request, operator: str) -> ApiResult:
-        return self._read(
-            lambda view: {
-                "table": view.state.table_text,
-                "revision": view.state.revision,
-            }
-        )
+        return self._read(_table_fields)
 
     def _check_table(self, request: Request, operator: str) -> ApiResult:
         faults = check_table(request.get_data(as_text=True))
@@ -286,6 +281,13 @@
             return Err(Problem(status=504, error="unknown", message=message))
 
 
+def _table_fields(view: ControlView) -> Mapping[str, object]:
+    # The revision is read first. If the table changes in between, an edit based on
+    # this revision is refused rather than undoing the change.
+    revision = view.state.revision
+    return {"table": view.state.table_text, "revision": revision}
+
+
 def _target_fields(record: TargetRecord) -> Mapping[str, object]:
     return {**attrs.asdict(record), "state": record.state.value}
 
--- a/tests/test_concurrent_reads.py
+++ b/tests/test_concurrent_reads.py
@@ -12,11 +12,12 @@
 from chicoryhold.membership.messages import ControlHost, ControlPresence
 from chicoryhold.membership.registry import HostRegistry
 from chicoryhold.state import control_state
-from chicoryhold.state.changes import PutTable
+from chicoryhold.state.changes import Outcome, PutTable
 from chicoryhold.state.control_state import ControlState
 from chicoryhold.state.table import Table, parse_table
 from chicoryhold.state.targets import TargetRecords
 from tests.conftest import FakeClock
+from tests.test_administration import FakeLeader, call_api
 from tests.test_control_state import HEADING, change
 from tests.test_targets_state import a_record
 
@@ -142,3 +143,40 @@
     state.load(loaded.image())
     assert revisions == [0]
     assert state.revision == 1
+
+
+def table_change(request_id: str, rate: int, *, based_on: int) -> object:
+    text = HEADING + f"organisation,o,rate,{rate},requests/s\n"
+    return change(request_id, PutTable(text=text), based_on=based_on)
+
+
+class ChangingState(ControlState):
+    """A state whose table another operator changes after the first of its reads."""
+
+    _was_changed = False
+
+    @property
+    def revision(self) -> int:
+        value = super().revision
+        self._change_table()
+        return value
+
+    @property
+    def table_text(self) -> str:
+        value = super().table_text
+        self._change_table()
+        return value
+
+    def _change_table(self) -> None:
+        if not self._was_changed:
+            self._was_changed = True
+            assert self.apply(table_change("other", 5, based_on=0)).accepted
+
+
+def test_an_edit_of_a_table_that_changes_while_it_is_read_is_refused():
+    # Guards against an edit that undoes another operator's change unnoticed.
+    state = ChangingState()
+    leader = FakeLeader(state=state, in_force=InForceReports(clock=FakeClock()))
+    based_on = call_api(leader, "GET", "/v1/table").json["revision"]
+    outcome: Outcome = state.apply(table_change("own", 6, based_on=based_on))
+    assert not outcome.accepted
