Keep a look-up's client blocks together with their table

Cause: the blocks and the table that they were built from were two attributes, set one after the other by any thread. Two threads that noticed different tables could leave the old table's blocks beside the new table; they were then used until the next change.

Change: both are one attribute, replaced as a whole.

Measured: before, the new test failed with "assert 'a' == 'b'"; now it passes.

--- a/src/chicoryhold/steering/lookup.py
+++ b/src/chicoryhold/steering/lookup.py
@@ -58,8 +58,8 @@
         self._view = view
         self._follower = follower
         self._domain_names = sorted(domains)
-        self._table: Table | None = None
-        self._blocks = ClientBlocks(())
+        # Replaced together, as several threads may notice a new table at once.
+        self._table_and_blocks = (Table(), ClientBlocks(()))
 
     def answer(self, client: str) -> LookupAnswer:
         """Return the ranked entry hosts for the address ``client``."""
@@ -76,19 +76,24 @@
         )
 
     def _domain_of(self, client: str) -> str:
-        table = self._follower.state.table
-        if table is not self._table:
-            self._blocks = self._build_blocks(table)
-            self._table = table
+        blocks = self._current_blocks()
         try:
             address = int(ipaddress.IPv4Address(client))
         except ValueError:
             return self._domain
-        domain_index = self._blocks.domain_index_of(address)
+        domain_index = blocks.domain_index_of(address)
         return (
             self._domain if domain_index is None else self._domain_names[domain_index]
         )
 
+    def _current_blocks(self) -> ClientBlocks:
+        table = self._follower.state.table
+        known_table, blocks = self._table_and_blocks
+        if table is not known_table:
+            blocks = self._build_blocks(table)
+            self._table_and_blocks = (table, blocks)
+        return blocks
+
     def _build_blocks(self, table: Table) -> ClientBlocks:
         return ClientBlocks(
             parse_block(network, self._domain_names.index(domain))
--- a/tests/test_concurrent_reads.py
+++ b/tests/test_concurrent_reads.py
@@ -7,15 +7,19 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from chicoryhold.control.in_force import InForceReports
 from chicoryhold.control.messages import HostReport
 from chicoryhold.membership.messages import ControlHost, ControlPresence
 from chicoryhold.membership.registry import HostRegistry
+from chicoryhold.settings import DomainSettings
 from chicoryhold.state import control_state
 from chicoryhold.state.changes import Outcome, PutTable
 from chicoryhold.state.control_state import ControlState
 from chicoryhold.state.table import Table, parse_table
 from chicoryhold.state.targets import TargetRecords
+from chicoryhold.steering.lookup import Lookup
 from tests.conftest import FakeClock
 from tests.test_administration import FakeLeader, call_api
 from tests.test_control_state import HEADING, change
@@ -180,3 +184,48 @@
     based_on = call_api(leader, "GET", "/v1/table").json["revision"]
     outcome: Outcome = state.apply(table_change("own", 6, based_on=based_on))
     assert not outcome.accepted
+
+
+@attrs.define(kw_only=True)
+class FollowedTable:
+    """Stands for a follower and its state: only the table is read."""
+
+    table: Table
+
+    @property
+    def state(self) -> FollowedTable:
+        return self
+
+
+class InterruptedLookup(Lookup):
+    """Runs ``interrupt`` once, after the next time that an attribute is set."""
+
+    interrupt: Callable[[], None] | None = None
+
+    def __setattr__(self, name: str, value: object) -> None:
+        super().__setattr__(name, value)
+        interrupt = self.interrupt
+        if interrupt is not None and name != "interrupt":
+            super().__setattr__("interrupt", None)
+            interrupt()
+
+
+def test_lookups_during_a_change_of_the_table_do_not_keep_the_old_blocks():
+    domains = {
+        name: DomainSettings(region="r", hosts={}, callers={}) for name in ("a", "b")
+    }
+    old = Table(blocks=(("10.0.0.0/8", "a"),))
+    new = Table(blocks=(("10.0.0.0/8", "b"),))
+    followed = FollowedTable(table=new)
+    lookup = InterruptedLookup(
+        domain="a", domains=domains, view=None, follower=followed
+    )
+
+    def look_up_with_old_table() -> None:
+        followed.table = old
+        lookup._domain_of("10.0.0.1")
+        followed.table = new
+
+    lookup.interrupt = look_up_with_old_table
+    lookup._domain_of("10.0.0.1")
+    assert lookup._domain_of("10.0.0.1") == "b"
