Log errors while opening a connection in advance

Cause: the pool's future was never read, so any error but a refused connection vanished.

Change: a callback logs it.

Measured: before, the new test failed with "assert 0 == 1" (no log line); now it passes.

--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -6,7 +6,7 @@
 import socket
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 
 import attrs
 import urllib3
@@ -186,7 +186,8 @@
             if self._idle.get(address) or address in self._connecting:
                 return
             self._connecting.add(address)
-        self._preconnect_pool.submit(self._preconnect, address)
+        future = self._preconnect_pool.submit(self._preconnect, address)
+        future.add_done_callback(lambda done: _log_failure(done, address))
 
     def _preconnect(self, address: str) -> None:
         try:
@@ -355,6 +356,14 @@
     return DEFAULT_IDLE_LIMIT_SECONDS
 
 
+def _log_failure(done: Future, address: str) -> None:
+    error = done.exception()
+    if error is not None:
+        logger.bind(address=address).opt(exception=error).error(
+            "connections: opening a connection in advance raised an error."
+        )
+
+
 def _header(response: TargetResponse, name: str) -> str:
     return next((v for k, v in response.headers if k.lower() == name), "")
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,6 +5,8 @@
 import socket
 import threading
 
+from loguru import logger
+
 from chicoryhold.clock import BootClock
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.exchange import OutgoingRequest
@@ -97,3 +99,17 @@
         connections.preconnect(address)
         connections.stop_preconnecting()
     assert connections.idle_count(address) == 0
+
+
+def test_an_error_while_preconnecting_is_logged():
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{level} {message} {extra[address]}")
+    connections = TargetConnections(clock=BootClock())
+    try:
+        connections.preconnect("an address without a port")
+        connections.stop_preconnecting()
+    finally:
+        logger.remove(sink)
+    assert len(lines) == 1
+    assert lines[0].startswith("ERROR connections:")
+    assert "an address without a port" in lines[0]
