Write errors that libraries log to our own log

Cause: an exception of an HTTP application or of a future's callback is caught by waitress or the standard library, which log it with Python's logging. That wasn't configured, so such errors were raw text on standard error and missing from the JSON log. Warnings of libraries were printed there too, such as waitress's line for each queued request.

Change: what libraries log from ERROR up is written to our log; lesser lines are not written any more.

--- a/src/chicoryhold/logs.py
+++ b/src/chicoryhold/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 import threading
 import time
@@ -23,6 +24,7 @@
     logger.remove()
     logger.configure(extra={"process": process})
     logger.add(sys.stderr, format=_text_format, level=level, backtrace=False)
+    forward_library_errors()
 
 
 def _text_format(record: dict) -> str:
@@ -38,6 +40,24 @@
     logger.configure(extra={"process": process})
     sink = JsonLogSink(output=sys.stdout, limiter=LogRateLimiter(now=time.monotonic))
     logger.add(sink.write, format="{message}", level=level, backtrace=False)
+    forward_library_errors()
+
+
+def forward_library_errors() -> None:
+    """Write what libraries log with Python's ``logging``, from ``ERROR`` up.
+
+    That includes exceptions of HTTP applications and of callbacks of futures.
+    """
+    handler = _LibraryErrorHandler(level=logging.ERROR)
+    logging.basicConfig(handlers=[handler], force=True)
+
+
+class _LibraryErrorHandler(logging.Handler):
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        logger.opt(exception=error).log(
+            record.levelname, "library: {}: {}", record.name, record.getMessage()
+        )
 
 
 @attrs.define(kw_only=True)
