Move followers' progress and the election timer out of the Raft replica

Measured: tests/test_consensus.py, test_storage.py, test_concurrent_reads.py and test_control_messages.py pass (34 tests).

--- /dev/null
+++ b/src/chicoryhold/consensus/progress.py
@@ -0,0 +1,106 @@
+"""What a leader knows of the other members' logs, and when they acknowledged it."""
+
+from __future__ import annotations
+
+import attrs
+
+from chicoryhold.consensus.messages import AppendReply, Members
+
+
+@attrs.define(kw_only=True)
+class MemberProgress:
+    """The leader's view of one follower.
+
+    ``acknowledged_at`` is when the latest broadcast that the follower answered was
+    sent.
+    """
+
+    next_index: int
+    match_index: int = 0
+    acknowledged_at: float = float("-inf")
+
+
+class Progress:
+    """The progress of each follower during one term of leadership.
+
+    Broadcasts are numbered; an answer to one acknowledges the leader as of the time
+    at which it was sent. Broadcasts older than ``round_lifetime`` are forgotten.
+    """
+
+    def __init__(self, *, identity: str, round_lifetime: float) -> None:
+        self._identity = identity
+        self._round_lifetime = round_lifetime
+        self._members: dict[str, MemberProgress] = {}
+        self._round = 0
+        self._round_sent_at: dict[int, float] = {}
+
+    @property
+    def round(self) -> int:
+        """The number of the latest broadcast."""
+        return self._round
+
+    def reset(self) -> None:
+        """Forget all followers, as a new term of leadership begins."""
+        self._round_sent_at = {}
+        self._members = {}
+
+    def start_round(self, now: float) -> None:
+        """Number the broadcast that is sent at ``now``."""
+        self._round += 1
+        self._round_sent_at[self._round] = now
+        oldest = now - self._round_lifetime
+        self._round_sent_at = {
+            number: sent_at
+            for number, sent_at in self._round_sent_at.items()
+            if sent_at > oldest
+        }
+
+    def of(self, member: str, *, last_index: int) -> MemberProgress:
+        """Return the progress of ``member``.
+
+        The log of a new one is assumed to match up to the leader's ``last_index``.
+        """
+        progress = self._members.get(member)
+        if progress is None:
+            progress = MemberProgress(next_index=last_index + 1)
+            self._members[member] = progress
+        return progress
+
+    def record_reply(self, reply: AppendReply, *, last_index: int) -> MemberProgress:
+        """Update and return the progress of the follower that sent ``reply``."""
+        progress = self.of(reply.follower, last_index=last_index)
+        sent_at = self._round_sent_at.get(reply.round, float("-inf"))
+        progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
+        if reply.accepted:
+            progress.match_index = max(progress.match_index, reply.match)
+            progress.next_index = max(progress.next_index, reply.match + 1)
+        else:
+            progress.next_index = max(1, min(progress.next_index - 1, reply.match + 1))
+        return progress
+
+    def match_index_of(self, member: str) -> int:
+        """Return the highest index up to which a follower's log is known to match."""
+        progress = self._members.get(member)
+        return progress.match_index if progress else 0
+
+    def acknowledged_at(self, member: str) -> float:
+        progress = self._members.get(member)
+        return progress.acknowledged_at if progress else float("-inf")
+
+    def quorum_match_index(self, members: Members, *, last_index: int) -> int:
+        """Return the highest index that a majority of the voters has stored."""
+        match_indices = [
+            last_index if voter == self._identity else self.match_index_of(voter)
+            for voter in members.voters
+        ]
+        match_indices.sort(reverse=True)
+        return match_indices[members.majority - 1]
+
+    def quorum_acknowledged_at(self, members: Members, *, now: float) -> float:
+        """Return the latest time as of which a majority acknowledged the leader."""
+        times = [
+            now if voter == self._identity else self.acknowledged_at(voter)
+            for voter in members.voters
+        ]
+        times.sort(reverse=True)
+        return times[members.majority - 1]
--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -22,6 +22,7 @@
     SaveVote,
     Send,
 )
+from chicoryhold.consensus.election_timer import ElectionTimer, Timing
 from chicoryhold.consensus.log import Log
 from chicoryhold.consensus.messages import (
     UNCONFIRMED_AGE_SECONDS,
@@ -35,12 +36,12 @@
     VoteReply,
     VoteRequest,
 )
+from chicoryhold.consensus.progress import Progress
 from chicoryhold.errors import NotLeader
 
 MAX_ENTRIES_PER_REQUEST = 256
-# Ranges of the random factor by which the minimum election timeout is multiplied.
-INITIAL_ELECTION_FACTORS = (0.3, 1.0)  # until a leader has been heard
-ELECTION_FACTORS = (1.0, 2.0)
+# Answers to older broadcasts don't count; in minimum election timeouts.
+ROUND_LIFETIME_FACTOR = 4
 
 
 class Role(enum.Enum):
@@ -49,31 +50,6 @@
     LEADER = "leader"
 
 
-@attrs.frozen(kw_only=True)
-class Timing:
-    """Intervals in seconds; ``election`` is the minimum election timeout.
-
-    Each timeout is drawn from [1, 2) times the minimum, and from a shorter range
-    until the replica has heard a leader.
-    """
-
-    heartbeat: float = 0.1
-    election: float = 0.6
-
-
-@attrs.define(kw_only=True)
-class _Progress:
-    """The leader's view of one follower.
-
-    ``acknowledged_at`` is when the latest broadcast that the follower answered was
-    sent.
-    """
-
-    next_index: int
-    match_index: int = 0
-    acknowledged_at: float = float("-inf")
-
-
 class Replica:
     """One member of a Raft group.
 
@@ -90,26 +66,24 @@
         self._log = log
         self._vote = vote
         self._clock = clock
-        self._random = random
         self._timing = timing or Timing()
         self._role = Role.FOLLOWER
         self._leader: str | None = None
         self._commit_index = log.snapshot.index
         self._effects: list[Effect] = []
-        self._progress: dict[str, _Progress] = {}
+        self._progress = Progress(
+            identity=identity,
+            round_lifetime=ROUND_LIFETIME_FACTOR * self._timing.election,
+        )
         self._votes_received: set[str] = set()
         self._pre_vote = False
-        self._round = 0
-        self._round_sent_at: dict[int, float] = {}
         self._leader_heard_at = float("-inf")
         self._copy_confirmed_at = float("-inf")
         self._leader_since = float("-inf")
         self._heartbeat_due = float("-inf")
-        # The first timeout is short because there is no leader if all replicas have
-        # just started. If there is one, its heartbeat ends the campaign, and the
-        # pre-vote keeps the campaign from disturbing it.
-        timeout = self._timing.election * random.uniform(*INITIAL_ELECTION_FACTORS)
-        self._election_due = clock.now() + timeout
+        self._election_timer = ElectionTimer(
+            timing=self._timing, clock=clock, random=random
+        )
 
     @property
     def identity(self) -> str:
@@ -177,7 +151,7 @@
             member
             for member in self.members.identities
             if member != self._identity
-            and now - self._acknowledged_at(member) > longer_than
+            and now - self._progress.acknowledged_at(member) > longer_than
         )
 
     def take_effects(self) -> list[Effect]:
@@ -191,7 +165,7 @@
         now = self._clock.now()
         if self._role is Role.LEADER:
             self._tick_leader(now)
-        elif now >= self._election_due:
+        elif self._election_timer.is_due(now):
             self._start_election(pre_vote=True)
 
     def propose(self, command: bytes) -> int:
@@ -220,8 +194,7 @@
 
     def match_index_of(self, identity: str) -> int:
         """Return the highest index up to which a follower's log is known to match."""
-        progress = self._progress.get(identity)
-        return progress.match_index if progress else 0
+        return self._progress.match_index_of(identity)
 
     def compact(self, *, index: int, data: bytes) -> Snapshot:
         """Replace the log up to ``index`` by a snapshot with ``data``.
@@ -325,8 +298,7 @@
         self._role = Role.LEADER
         self._leader = self._identity
         self._leader_since = now
-        self._round_sent_at = {}
-        self._progress = {}
+        self._progress.reset()
         # Entries of earlier terms are committed only through an entry of this term,
         # so append one without waiting for a proposal.
         self._append(Entry(index=0, term=0))
@@ -351,14 +323,7 @@
         return now - self._leader_heard_at < self._timing.election
 
     def _reset_election_timeout(self) -> None:
-        # Until a leader has been heard, as after all replicas have started at once,
-        # an early retry disturbs no leader. With the longer range, a split vote
-        # would delay the election by one or two minimum timeouts.
-        factors = (
-            ELECTION_FACTORS if self._has_heard_leader else INITIAL_ELECTION_FACTORS
-        )
-        timeout = self._timing.election * self._random.uniform(*factors)
-        self._election_due = self._clock.now() + timeout
+        self._election_timer.reset(has_heard_leader=self._has_heard_leader)
 
     # Replication by the leader
 
@@ -382,20 +347,13 @@
     def _broadcast(self) -> None:
         now = self._clock.now()
         self._heartbeat_due = now + self._timing.heartbeat
-        self._round += 1
-        self._round_sent_at[self._round] = now
-        oldest = now - 4 * self._timing.election
-        self._round_sent_at = {
-            number: sent_at
-            for number, sent_at in self._round_sent_at.items()
-            if sent_at > oldest
-        }
+        self._progress.start_round(now)
         for peer in self.members.identities:
             if peer != self._identity:
                 self._replicate_to(peer)
 
     def _replicate_to(self, peer: str) -> None:
-        progress = self._progress_of(peer)
+        progress = self._progress.of(peer, last_index=self._log.last_index)
         previous = progress.next_index - 1
         previous_term = self._log.term_at(previous)
         if previous_term is None:
@@ -409,7 +367,7 @@
             previous_term=previous_term,
             entries=entries,
             commit=self._commit_index,
-            round=self._round,
+            round=self._progress.round,
             confirmed_age=self._confirmed_age(),
         )
         # Requests are pipelined: the next one starts after these entries. If this one
@@ -426,7 +384,7 @@
             term=self.term,
             leader=self._identity,
             snapshot=self._log.snapshot,
-            round=self._round,
+            round=self._progress.round,
         )
         self._send(peer, request)
 
@@ -436,12 +394,8 @@
             return
         if self._role is not Role.LEADER or reply.term < self.term:
             return
-        progress = self._progress_of(reply.follower)
-        sent_at = self._round_sent_at.get(reply.round, float("-inf"))
-        progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
+        progress = self._progress.record_reply(reply, last_index=self._log.last_index)
         if reply.accepted:
-            progress.match_index = max(progress.match_index, reply.match)
-            progress.next_index = max(progress.next_index, reply.match + 1)
             previous_commit = self._commit_index
             self._advance_commit()
             if self._commit_index > previous_commit:
@@ -450,20 +404,14 @@
                 self._broadcast()
             behind = progress.next_index <= self._log.last_index
         else:
-            progress.next_index = max(1, min(progress.next_index - 1, reply.match + 1))
             behind = True
         if behind and self._role is Role.LEADER:
             self._replicate_to(reply.follower)
 
     def _advance_commit(self) -> None:
-        match_indices = [
-            self._log.last_index
-            if voter == self._identity
-            else self.match_index_of(voter)
-            for voter in self.members.voters
-        ]
-        match_indices.sort(reverse=True)
-        index = match_indices[self.members.majority - 1]
+        index = self._progress.quorum_match_index(
+            self.members, last_index=self._log.last_index
+        )
         # Counting replicas commits only entries of the leader's current term. An
         # entry of an earlier term on a majority may still be overwritten (Raft paper,
         # figure 8).
@@ -471,24 +419,9 @@
             self._commit_to(index)
 
     def _quorum_acknowledged_at(self) -> float:
-        now = self._clock.now()
-        times = [
-            now if voter == self._identity else self._acknowledged_at(voter)
-            for voter in self.members.voters
-        ]
-        times.sort(reverse=True)
-        return times[self.members.majority - 1]
-
-    def _acknowledged_at(self, voter: str) -> float:
-        progress = self._progress.get(voter)
-        return progress.acknowledged_at if progress else float("-inf")
-
-    def _progress_of(self, peer: str) -> _Progress:
-        progress = self._progress.get(peer)
-        if progress is None:
-            progress = _Progress(next_index=self._log.last_index + 1)
-            self._progress[peer] = progress
-        return progress
+        return self._progress.quorum_acknowledged_at(
+            self.members, now=self._clock.now()
+        )
 
     # Replication at a follower
 
--- a/src/chicoryhold/programs/control.py
+++ b/src/chicoryhold/programs/control.py
@@ -12,8 +12,9 @@
 from opentelemetry.metrics import Observation
 
 from chicoryhold.clock import BootClock
+from chicoryhold.consensus.election_timer import Timing
 from chicoryhold.consensus.messages import Members
-from chicoryhold.consensus.replica import Replica, Timing
+from chicoryhold.consensus.replica import Replica
 from chicoryhold.control.messages import (
     FetchChanges,
     FetchImage,
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -11,8 +11,9 @@
 from loguru import logger
 
 from chicoryhold.clock import BootClock
+from chicoryhold.consensus.election_timer import Timing
 from chicoryhold.consensus.messages import Members
-from chicoryhold.consensus.replica import Replica, Timing
+from chicoryhold.consensus.replica import Replica
 from chicoryhold.control.messages import (
     FetchChanges,
     FetchImage,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,9 +7,10 @@
 import attrs
 
 from chicoryhold.consensus.effects import Apply, SaveEntries, SaveSnapshot, Send
+from chicoryhold.consensus.election_timer import Timing
 from chicoryhold.consensus.log import Log
 from chicoryhold.consensus.messages import Entry, Members, Snapshot, Vote
-from chicoryhold.consensus.replica import Replica, Role, Timing
+from chicoryhold.consensus.replica import Replica, Role
 from tests.conftest import FakeClock
 
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, settings, strategies as st
 
+from chicoryhold.consensus.election_timer import Timing
 from chicoryhold.consensus.messages import (
     AppendReply,
     Entry,
@@ -12,7 +13,7 @@
     VoteReply,
     VoteRequest,
 )
-from chicoryhold.consensus.replica import Role, Timing
+from chicoryhold.consensus.replica import Role
 from chicoryhold.control.membership import next_members
 from chicoryhold.errors import NotLeader
 from tests.fakes import Group
