Move the committed log out of the Raft replica

Storing, committing and compacting entries, with the effects that this needs, is a job of its own beside elections and replication.

--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -13,12 +13,10 @@
 import attrs
 
 from chicoryhold.clock import Clock
+from chicoryhold.consensus.committed_log import CommittedLog
 from chicoryhold.consensus.effects import (
-    Apply,
     Effect,
     LeadershipLost,
-    SaveEntries,
-    SaveSnapshot,
     SaveVote,
     Send,
 )
@@ -69,8 +67,8 @@
         self._timing = timing or Timing()
         self._role = Role.FOLLOWER
         self._leader: str | None = None
-        self._commit_index = log.snapshot.index
         self._effects: list[Effect] = []
+        self._committed = CommittedLog(log=log, request=self._request)
         self._progress = Progress(
             identity=identity,
             round_lifetime=ROUND_LIFETIME_FACTOR * self._timing.election,
@@ -112,7 +110,7 @@
 
     @property
     def commit_index(self) -> int:
-        return self._commit_index
+        return self._committed.commit_index
 
     @property
     def confirmed_at(self) -> float:
@@ -124,7 +122,7 @@
         """
         if self._role is not Role.LEADER:
             return float("-inf")
-        if self._log.term_at(self._commit_index) != self.term:
+        if self._committed.committed_term != self.term:
             return float("-inf")
         return self._quorum_acknowledged_at()
 
@@ -184,8 +182,9 @@
         """
         if self._role is not Role.LEADER:
             raise NotLeader(leader=self._leader)
-        own_term_committed = self._log.term_at(self._commit_index) == self.term
-        if self._log.members_index > self._commit_index or not own_term_committed:
+        own_term_committed = self._committed.committed_term == self.term
+        has_pending_change = self._log.members_index > self._committed.commit_index
+        if has_pending_change or not own_term_committed:
             return None
         changed = set(members.voters) ^ set(self.members.voters)
         if len(changed) > 1:
@@ -201,13 +200,7 @@
 
         ``data`` must be the state after the entry at ``index`` was applied.
         """
-        term = self._log.term_at(index)
-        if term is None or index > self._commit_index:
-            raise ValueError(f"index {index} is not committed in this log")
-        members = self._members_at(index)
-        snapshot = Snapshot(index=index, term=term, members=members, data=data)
-        self._log.compact(snapshot)
-        return snapshot
+        return self._committed.compact(index=index, data=data)
 
     def receive(self, message: object) -> None:
         """Handle a message from another replica."""
@@ -305,7 +298,7 @@
 
     def _become_follower(self, term: int, *, leader: str | None) -> None:
         if self._role is Role.LEADER:
-            self._effects.append(LeadershipLost())
+            self._request(LeadershipLost())
         self._role = Role.FOLLOWER
         self._leader = leader
         if term > self.term:
@@ -339,7 +332,7 @@
         if self._role is not Role.LEADER:
             raise NotLeader(leader=self._leader)
         index = self._log.last_index + 1
-        self._store([attrs.evolve(entry, index=index, term=self.term)])
+        self._committed.store([attrs.evolve(entry, index=index, term=self.term)])
         self._broadcast()
         self._advance_commit()
         return index
@@ -366,7 +359,7 @@
             previous_index=previous,
             previous_term=previous_term,
             entries=entries,
-            commit=self._commit_index,
+            commit=self._committed.commit_index,
             round=self._progress.round,
             confirmed_age=self._confirmed_age(),
         )
@@ -396,9 +389,9 @@
             return
         progress = self._progress.record_reply(reply, last_index=self._log.last_index)
         if reply.accepted:
-            previous_commit = self._commit_index
+            previous_commit = self._committed.commit_index
             self._advance_commit()
-            if self._commit_index > previous_commit:
+            if self._committed.commit_index > previous_commit:
                 # Followers serve committed state, so the new commit index is sent now
                 # rather than with the next heartbeat.
                 self._broadcast()
@@ -415,8 +408,11 @@
         # Counting replicas commits only entries of the leader's current term. An
         # entry of an earlier term on a majority may still be overwritten (Raft paper,
         # figure 8).
-        if index > self._commit_index and self._log.term_at(index) == self.term:
-            self._commit_to(index)
+        if (
+            index > self._committed.commit_index
+            and self._log.term_at(index) == self.term
+        ):
+            self._committed.commit_to(index)
 
     def _quorum_acknowledged_at(self) -> float:
         return self._progress.quorum_acknowledged_at(
@@ -439,9 +435,9 @@
             match_index = min(self._log.last_index, request.previous_index - 1)
             self._reply_append(request.leader, False, match_index, request.round)
             return
-        self._store_missing(request.entries)
+        self._committed.store_missing(request.entries)
         match_index = request.previous_index + len(request.entries)
-        self._commit_to(min(request.commit, match_index))
+        self._committed.commit_to(min(request.commit, match_index))
         if (
             request.commit <= match_index
             and request.confirmed_age < UNCONFIRMED_AGE_SECONDS
@@ -450,22 +446,13 @@
             self._copy_confirmed_at = max(self._copy_confirmed_at, confirmed_at)
         self._reply_append(request.leader, True, match_index, request.round)
 
-    def _store_missing(self, entries: tuple[Entry, ...]) -> None:
-        for position, entry in enumerate(entries):
-            if self._log.term_at(entry.index) != entry.term:
-                self._store(entries[position:])
-                return
-
     def _on_snapshot(self, request: SnapshotRequest) -> None:
         if not self._accept_leader(request.term, request.leader):
             self._reply_append(request.leader, False, self._log.last_index, 0)
             return
-        snapshot = request.snapshot
-        if snapshot.index > self._commit_index:
-            self._log.compact(snapshot)
-            self._commit_index = snapshot.index
-            self._effects.append(SaveSnapshot(snapshot=snapshot))
-        self._reply_append(request.leader, True, snapshot.index, request.round)
+        self._committed.install(request.snapshot)
+        match_index = request.snapshot.index
+        self._reply_append(request.leader, True, match_index, request.round)
 
     def _accept_leader(self, term: int, leader: str) -> bool:
         if term < self.term:
@@ -491,28 +478,15 @@
 
     # Helpers
 
-    def _store(self, entries: tuple[Entry, ...] | list[Entry]) -> None:
-        self._log.write(entries)
-        self._effects.append(SaveEntries(entries=tuple(entries)))
-
-    def _commit_to(self, index: int) -> None:
-        while self._commit_index < index:
-            self._commit_index += 1
-            self._effects.append(Apply(entry=self._log.entry(self._commit_index)))
-
-    def _members_at(self, index: int) -> Members:
-        for position in range(index, self._log.snapshot.index, -1):
-            members = self._log.entry(position).members
-            if members is not None:
-                return members
-        return self._log.snapshot.members
-
     def _save_vote(self, vote: Vote) -> None:
         self._vote = vote
-        self._effects.append(SaveVote(vote=vote))
+        self._request(SaveVote(vote=vote))
 
     def _send(self, to: str, message: object) -> None:
-        self._effects.append(Send(to=to, message=message))
+        self._request(Send(to=to, message=message))
+
+    def _request(self, effect: Effect) -> None:
+        self._effects.append(effect)
 
     def _other_voters(self) -> list[str]:
         return [voter for voter in self.members.voters if voter != self._identity]
