Move borrow rounds and effects out of the coordinator

Measured: tests/test_steering.py and test_limits.py pass (26 tests); bench.capacity and bench.decisions import.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -49,7 +49,8 @@
 from chicoryhold.state.control_state import ControlState
 from chicoryhold.state.table import OrganisationLimits, check_table, parse_table
 from chicoryhold.steering.client_blocks import Block, ClientBlocks
-from chicoryhold.steering.coordinator import AnswerRequest, Coordinator
+from chicoryhold.steering.coordinator import Coordinator
+from chicoryhold.steering.effects import AnswerRequest
 from chicoryhold.steering.shifts import ShiftLimiter
 from chicoryhold.steering.targets import TargetRegistry
 from chicoryhold.trial.fleet import free_address
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -23,10 +23,10 @@
 from chicoryhold.limits.domain_limits import DomainLimits
 from chicoryhold.limits.token_bucket import TokenBucket
 from chicoryhold.state.table import OrganisationLimits
-from chicoryhold.steering.coordinator import (
+from chicoryhold.steering.coordinator import Coordinator
+from chicoryhold.steering.effects import (
     AnswerBorrower,
     AnswerRequest,
-    Coordinator,
     NotifyLender,
     SaveLedger,
     SendBorrowRequest,
--- a/src/chicoryhold/steering/coordinator.py
+++ b/src/chicoryhold/steering/coordinator.py
@@ -25,13 +25,20 @@
     Release,
 )
 from chicoryhold.limits.domain_limits import DomainLimits
+from chicoryhold.steering.borrow_rounds import BorrowRounds
+from chicoryhold.steering.effects import (
+    AnswerBorrower,
+    AnswerRequest,
+    Effect,
+    NotifyLender,
+    SaveLedger,
+)
 from chicoryhold.steering.fair_queue import FairQueue
 from chicoryhold.steering.shifts import ShiftLimiter
 from chicoryhold.steering.targets import TargetRegistry
 
 MAX_SLOT_QUEUE_REQUESTS = 256
 MAX_TOKEN_QUEUE_REQUESTS = 64
-BORROW_TIMEOUT_SECONDS = 0.25
 MAX_TOKEN_WAIT_SECONDS = 0.25
 GRANT_PATIENCE_FACTOR = 1.2  # above 1 / PATIENCE_FRACTION of the admission client
 GRANT_MARGIN_SECONDS = 1.0
@@ -43,54 +50,6 @@
 OVERLOADED = "overloaded"
 
 
-@attrs.frozen(kw_only=True)
-class AnswerRequest:
-    """Answer the admission request that was passed with ``ticket``."""
-
-    ticket: int
-    answer: Admitted | NotAdmitted
-
-
-@attrs.frozen(kw_only=True)
-class SendBorrowRequest:
-    """Send ``request`` to the coordinators of all other domains.
-
-    Pass each reply to :meth:`Coordinator.on_borrow_reply` with ``number``.
-    """
-
-    number: int
-    request: BorrowRequest
-
-
-@attrs.frozen(kw_only=True)
-class SaveLedger:
-    """Store the ledger on a majority of the domain's replicas.
-
-    Then call :meth:`Coordinator.on_ledger_saved`.
-    """
-
-    ledger: Ledger
-
-
-@attrs.frozen(kw_only=True)
-class AnswerBorrower:
-    """Answer the loan request that was passed with ``ticket``."""
-
-    ticket: int
-    answer: BorrowReply
-
-
-@attrs.frozen(kw_only=True)
-class NotifyLender:
-    """Send ``message`` to the coordinator of the domain ``lender``, without retries."""
-
-    lender: str
-    message: LoanGivenBack
-
-
-Effect = AnswerRequest | SendBorrowRequest | SaveLedger | AnswerBorrower | NotifyLender
-
-
 @attrs.define(kw_only=True)
 class _PendingRequest:
     ticket: int
@@ -118,19 +77,6 @@
     expires_at: float
 
 
-@attrs.define(kw_only=True)
-class _BorrowRound:
-    """A request for tokens that was sent to the coordinators of all other domains.
-
-    ``gained`` is whether any of them has lent some.
-    """
-
-    organisation: str
-    sent_at: float
-    unanswered: set[str]
-    gained: bool = False
-
-
 @attrs.frozen(kw_only=True)
 class _UnsavedLoan:
     """A loan that is answered once a majority has stored the ledger's ``version``."""
@@ -158,10 +104,10 @@
         self._slot_queues: dict[str, FairQueue[_PendingRequest]] = {}
         self._token_queues: dict[str, list[_PendingRequest]] = {}
         self._grants: dict[str, _Grant] = {}
-        self._borrow_rounds: dict[int, _BorrowRound] = {}
+        self._borrow_rounds = BorrowRounds(limits=limits, clock=clock)
         self._unsaved_loans: list[_UnsavedLoan] = []
         self._ledger_version = 0
-        self._next_number = 0
+        self._last_grant_number = 0
 
     @property
     def targets(self) -> TargetRegistry:
@@ -267,17 +213,12 @@
         self, number: int, lender: str, reply: BorrowReply | None
     ) -> None:
         """Process the reply of another domain, ``None`` if there is no usable reply."""
-        round_ = self._borrow_rounds.get(number)
-        if round_ is None or lender not in round_.unanswered:
+        organisation = self._borrow_rounds.record_reply(number, lender, reply)
+        if organisation is None:
             return
-        round_.unanswered.discard(lender)
         if reply is not None and reply.seconds > 0:
-            round_.gained = True
-            self._limits.borrow(
-                round_.organisation, lender=lender, reply=reply, sent_at=round_.sent_at
-            )
-            self._serve_token_queue(round_.organisation)
-        if not round_.unanswered:
+            self._serve_token_queue(organisation)
+        if self._borrow_rounds.is_complete(number):
             self._end_borrow_round(number)
 
     # Steps of admission
@@ -314,7 +255,7 @@
         """
         if not self._limits.other_domains:
             return False
-        has_open_round = self._has_open_round(organisation)
+        has_open_round = self._borrow_rounds.has_open(organisation)
         return has_open_round or not self._limits.is_above_rate(organisation)
 
     def _serve_token_queue(self, organisation: str) -> None:
@@ -364,8 +305,8 @@
         if target is None:
             return False
         now = self._clock.now()
-        self._next_number += 1
-        grant = f"{self._epoch}.{self._next_number}"
+        self._last_grant_number += 1
+        grant = f"{self._epoch}.{self._last_grant_number}"
         self._grants[grant] = _Grant(
             address=target.address, expires_at=pending.grant_expires_at
         )
@@ -428,32 +369,16 @@
         for lender, message in messages:
             self._effects.append(NotifyLender(lender=lender, message=message))
 
-    def _has_open_round(self, organisation: str) -> bool:
-        return any(r.organisation == organisation for r in self._borrow_rounds.values())
-
     def _start_borrow_round(self, organisation: str) -> None:
-        if self._has_open_round(organisation):
-            return
-        self._next_number += 1
-        number = self._next_number
-        self._borrow_rounds[number] = _BorrowRound(
-            organisation=organisation,
-            sent_at=self._clock.now(),
-            unanswered=set(self._limits.other_domains),
-        )
-        request = self._limits.create_borrow_request(organisation)
-        self._effects.append(SendBorrowRequest(number=number, request=request))
+        if not self._borrow_rounds.has_open(organisation):
+            self._effects.append(self._borrow_rounds.start(organisation))
 
     def _end_timed_out_rounds(self) -> None:
-        now = self._clock.now()
-        for number, round_ in list(self._borrow_rounds.items()):
-            if now - round_.sent_at > BORROW_TIMEOUT_SECONDS:
-                self._end_borrow_round(number)
+        for number in self._borrow_rounds.timed_out():
+            self._end_borrow_round(number)
 
     def _end_borrow_round(self, number: int) -> None:
-        round_ = self._borrow_rounds.pop(number)
-        organisation = round_.organisation
-        self._limits.borrow_ended(organisation, gained=round_.gained)
+        organisation = self._borrow_rounds.end(number)
         self._serve_token_queue(organisation)
         if not self._may_get_token_soon(organisation):
             for pending in self._token_queues.pop(organisation, []):
--- a/src/chicoryhold/steering/coordinator_actor.py
+++ b/src/chicoryhold/steering/coordinator_actor.py
@@ -26,10 +26,10 @@
     Release,
 )
 from chicoryhold.limits.token_bucket import LOAN_SECONDS, RECLAIM_MARGIN_SECONDS
-from chicoryhold.steering.coordinator import (
+from chicoryhold.steering.coordinator import Coordinator
+from chicoryhold.steering.effects import (
     AnswerBorrower,
     AnswerRequest,
-    Coordinator,
     Effect,
     NotifyLender,
     SaveLedger,
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -21,7 +21,8 @@
 from chicoryhold.state.changes import StartShift
 from chicoryhold.state.table import OrganisationLimits
 from chicoryhold.steering.client_blocks import ClientBlocks, parse_block
-from chicoryhold.steering.coordinator import AnswerRequest, Coordinator
+from chicoryhold.steering.coordinator import Coordinator
+from chicoryhold.steering.effects import AnswerRequest
 from chicoryhold.steering.fair_queue import FairQueue
 from chicoryhold.steering.lease import LeaseCandidate, LeaseVoter
 from chicoryhold.steering.shifts import RAMP_SECONDS, ShiftLimiter
