Renew a new coordinator's lease at the usual interval

Cause: after a campaign won, the first renewal was due when the next campaign would have been: up to 1.4 s later at the third replica of a domain, while the lease is valid for 1.35 s. That replica lost some of the leases that it won, and the domain went without a coordinator for seconds more. Seen in a trial that restarts two of a domain's three replicas: "epoch 1 begins" at the third one, "the lease expired" 1.36 s later.

Change: winning a lease makes the next round due after the renewal interval.

--- a/src/chicoryhold/steering/coordinator_actor.py
+++ b/src/chicoryhold/steering/coordinator_actor.py
@@ -196,6 +196,7 @@
     def _start_coordinating(self) -> None:
         self._coordinator = self._create_coordinator(self._candidate.epoch)
         now = self._clock.now()
+        self._next_lease_round_at = now + RENEW_INTERVAL_SECONDS
         reclaim_seconds = LOAN_SECONDS + RECLAIM_MARGIN_SECONDS
         # A ledger that a majority stored is in at least one of these votes, unless a
         # voter has restarted since and lost its memory. If too few voters have been up
--- /dev/null
+++ b/tests/test_coordinator_actor.py
@@ -0,0 +1,75 @@
+"""The actor that campaigns for a domain's lease and renews it."""
+
+from __future__ import annotations
+
+import queue
+from concurrent.futures import Future
+from random import Random
+
+import attrs
+
+from chicoryhold.hosts.actors import Tick
+from chicoryhold.hosts.domain_view import DomainView
+from chicoryhold.hosts.messages import LeaseRequest
+from chicoryhold.steering.coordinator_actor import CoordinatorActor
+from chicoryhold.steering.lease import LEASE_SECONDS, LeaseCandidate, LeaseVoter
+from tests.conftest import FakeClock
+from tests.test_steering import create_coordinator
+
+REPLICAS = ("h1", "h2", "h3")
+TICK_SECONDS = 0.05
+
+
+@attrs.define(kw_only=True)
+class VotersBus:
+    """A bus that passes lease requests to voters, which answer at once."""
+
+    name: str
+    voters: dict[str, LeaseVoter]
+
+    def ask(self, peer: str, message: LeaseRequest) -> Future:
+        future: Future = Future()
+        future.set_result(self.voters[peer].on_request(message))
+        return future
+
+    def forget(self, future: Future) -> None:
+        return
+
+
+def create_actor(name: str, seed: int, clock: FakeClock) -> CoordinatorActor:
+    voters = {voter: LeaseVoter(clock=clock) for voter in REPLICAS}
+    clock.advance(2 * LEASE_SECONDS)
+    return CoordinatorActor(
+        candidate=LeaseCandidate(name=name, voters=REPLICAS, clock=clock),
+        view=DomainView(replicas=REPLICAS, clock=clock),
+        bus=VotersBus(name=name, voters=voters),
+        clock=clock,
+        random=Random(seed),
+        create=lambda epoch: create_coordinator(clock, epoch=epoch),
+        domain_hosts={"a": REPLICAS},
+    )
+
+
+def tick(actor: CoordinatorActor) -> None:
+    actor.on_receive(Tick())
+    while True:
+        try:
+            actor.on_receive(actor.actor_inbox.get_nowait().message)
+        except queue.Empty:
+            return
+
+
+def test_a_new_coordinator_renews_its_lease_before_it_expires():
+    # Guards against the last replica of a domain losing each lease that it wins: its
+    # next round was due after the delay between two campaigns.
+    for seed in range(20):
+        clock = FakeClock()
+        actor = create_actor("h3", seed, clock)
+        while not actor._candidate.valid:
+            clock.advance(TICK_SECONDS)
+            tick(actor)
+        for _ in range(100):
+            clock.advance(TICK_SECONDS)
+            tick(actor)
+            assert actor._candidate.valid, f"seed {seed}"
+        assert actor._candidate.epoch == 1
