Bound a target's response as a whole, in time and in bytes

What callers could see: a sick target that sends bytes without end held a request and its thread for as long as it liked. One byte now and then, endless "100 Continue" heads and endless trailers went on past the deadline (the tests gave up after 4 s, the deadline was 0.8 s); none of these requests was sent to another target, and after 160 of them a host served nobody. A "103 Early Hints" head counted as the final response.

Cause: the deadline became a socket timeout before each operation, and a timeout starts again with every byte. The standard library bounds single lines and the header count, not interim heads, trailers or a head as a whole (100 lines of 64 KiB were read: 6.1 MB). Once a response would end its connection, no timeout was set any more, and an abandoned one was closed only when it was collected.

Change: responses are read through LimitedReader, which computes the remaining time before each read and counts bytes: 64 KiB for all heads, and framing at most 8 bytes per byte of body plus 128 KiB. A declared length over the limit fails at once. Sending has the same deadline. A head that has begun and doesn't end may use only the time that leaves room for another attempt. Interim heads are skipped, 101 is refused. Responses are closed as soon as an exchange fails. No thread is added, and no timer.

--- /dev/null
+++ b/src/chicoryhold/targets/checked_connection.py
@@ -0,0 +1,112 @@
+"""An HTTP connection whose responses are read within limits and checked at their end.
+
+Chunks, lengths and headers are parsed by the standard library; it bounds neither the
+duration of a response nor the number of its interim heads and trailers.
+"""
+
+from __future__ import annotations
+
+import http.client
+import socket
+from collections.abc import Sequence
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+from chicoryhold.clock import Clock
+from chicoryhold.errors import InvalidResponse
+from chicoryhold.targets.limited_reader import LimitedReader, ReadDeadlines
+
+READ_CHUNK_BYTES = 65_536
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_LINE_BYTES = 65_536
+
+
+class CheckedResponse(http.client.HTTPResponse):
+    """Reads through a ``LimitedReader`` and detects bytes after the response's end.
+
+    The standard class discards its read buffer at the end of the body, so trailing
+    bytes in the buffer would be lost and never be seen on the socket.
+    """
+
+    def __init__(self, reader: LimitedReader, **kwargs) -> None:
+        super().__init__(reader, **kwargs)
+        self._reader = reader
+        self.has_trailing_bytes = False
+
+    def begin(self) -> None:
+        super().begin()
+        self._reader.start_body()
+
+    def count_body(self, count: int) -> None:
+        """Note that ``count`` bytes of the body were read."""
+        self._reader.count_body(count)
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Return the status line of the final head, after all interim heads."""
+        while True:
+            version, status, reason = super()._read_status()
+            if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                raise InvalidResponse(
+                    "the target changes to another protocol, which nobody asked for"
+                )
+            if not 100 <= status < 200:
+                return version, status, reason
+            while self.fp.readline(MAX_LINE_BYTES) not in (b"\r\n", b"\n", b""):
+                pass
+            self._reader.end_interim_head()
+
+    def _close_conn(self) -> None:
+        try:
+            self._reader.stop_waiting()
+            self.has_trailing_bytes = bool(self.fp.peek(1))
+        except OSError:
+            self.has_trailing_bytes = False
+        super()._close_conn()
+
+
+class CheckedConnection(HTTPConnection):
+    """A connection on which each exchange has deadlines, sending included."""
+
+    def __init__(
+        self, *, host: str, port: int, timeout: float, clock: Clock,
+        socket_options: Sequence[tuple[int, int, int]],
+    ) -> None:  # fmt: skip
+        super().__init__(host, port, timeout=timeout, socket_options=socket_options)
+        self._clock = clock
+        self._deadlines = ReadDeadlines(exchange=0.0, partial_head=0.0)
+
+    def start_exchange(self, deadlines: ReadDeadlines) -> None:
+        """Set the deadlines of the next request and its response."""
+        self._deadlines = deadlines
+
+    def send(self, data: bytes) -> None:
+        remaining = self._deadlines.exchange - self._clock.now()
+        if remaining <= 0:
+            raise TimeoutError("the deadline has passed")
+        self.sock.settimeout(remaining)
+        super().send(data)
+
+    def response_class(self, sock: socket.socket, **kwargs) -> CheckedResponse:
+        """Return the response to read; the standard library calls this by its name."""
+        reader = LimitedReader(sock=sock, clock=self._clock, deadlines=self._deadlines)
+        return CheckedResponse(reader, **kwargs)
+
+
+def read_body(response: urllib3.HTTPResponse) -> bytes:
+    """Return the whole body of ``response``, or raise ``InvalidResponse``."""
+    if (response.length_remaining or 0) > MAX_RESPONSE_BYTES:
+        raise _too_long()
+    body = bytearray()
+    while chunk := response.read1(READ_CHUNK_BYTES, decode_content=False):
+        if len(body) + len(chunk) > MAX_RESPONSE_BYTES:
+            raise _too_long()
+        response._original_response.count_body(len(chunk))
+        body += chunk
+    return bytes(body)
+
+
+def _too_long() -> InvalidResponse:
+    return InvalidResponse(
+        f"the answer is longer than {MAX_RESPONSE_BYTES} bytes: send less"
+    )
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -7,11 +7,11 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import closing
 
 import attrs
 import urllib3
 from loguru import logger
-from urllib3.connection import HTTPConnection
 from urllib3.util import wait_for_read
 
 from chicoryhold.clock import Clock
@@ -23,8 +23,10 @@
     InvalidResponse,
 )
 from chicoryhold.targets.cancellation import NEVER_CANCELLED, Cancellation
+from chicoryhold.targets.checked_connection import CheckedConnection, read_body
 from chicoryhold.targets.dialect import OWN_DIALECT, TargetDialect
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
+from chicoryhold.targets.limited_reader import ReadDeadlines
 
 DEFAULT_IDLE_LIMIT_SECONDS = 5.0  # for targets without a Keep-Alive timeout
 MAX_IDLE_LIMIT_SECONDS = 60.0  # upper bound for a target's Keep-Alive timeout
@@ -39,8 +41,6 @@
 PRECONNECT_THREADS = 2
 STALE_AFTER_SECONDS = 0.1  # idle time after which a connection may have been lost
 USER_TIMEOUT_MS = 1_000
-READ_CHUNK_BYTES = 65_536
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 # The kernel closes a connection whose data or keep-alive probes are not acknowledged.
@@ -54,36 +54,11 @@
 )
 
 
-class _CheckedResponse(http.client.HTTPResponse):
-    """Detects bytes that follow the end of the response.
-
-    The standard class discards its read buffer at the end of the body, so trailing
-    bytes in the buffer would be lost and never be seen on the socket.
-    """
-
-    def __init__(self, sock, *args, **kwargs) -> None:
-        super().__init__(sock, *args, **kwargs)
-        self._socket = sock
-        self.has_trailing_bytes = False
-
-    def _close_conn(self) -> None:
-        self._socket.settimeout(0)
-        try:
-            self.has_trailing_bytes = bool(self.fp.peek(1))
-        except OSError:
-            self.has_trailing_bytes = False
-        super()._close_conn()
-
-
-class _CheckedConnection(HTTPConnection):
-    response_class = _CheckedResponse
-
-
 @attrs.frozen(kw_only=True)
 class _IdleConnection:
     """An unused connection, which may be reused for ``idle_limit`` seconds."""
 
-    connection: _CheckedConnection
+    connection: CheckedConnection
     idle_since: float
     idle_limit: float
 
@@ -124,7 +99,8 @@
         ``stale_connection_deadline`` applies: the connection may have been lost, and
         time must remain for an attempt on another one. A more recently used
         connection is known to work, so a late response there means that the target is
-        slow, and another attempt would only add load.
+        slow, and another attempt would only add load. The earlier deadline also
+        applies while a response has begun and its head doesn't end.
 
         Raises ``ConnectFailed`` if no byte was sent, and ``ExchangeFailed`` if the
         target may or may not have run the request. Its subclass ``ExchangeTimeout`` is
@@ -142,9 +118,12 @@
             connection = idle.connection
             if self._clock.now() - idle.idle_since > STALE_AFTER_SECONDS:
                 deadline = stale_connection_deadline
+        deadlines = ReadDeadlines(
+            exchange=deadline, partial_head=stale_connection_deadline
+        )
         try:
             with cancellation.closing(connection.sock):
-                response = self._send(connection, request, deadline)
+                response = self._send(connection, request, deadlines)
         except InvalidResponse:
             connection.close()
             raise
@@ -228,7 +207,7 @@
             entry.connection.close()
 
     def _keep_idle(
-        self, address: str, connection: _CheckedConnection, idle_limit: float
+        self, address: str, connection: CheckedConnection, idle_limit: float
     ) -> None:
         if connection.sock is None:
             return
@@ -242,12 +221,16 @@
                 return
         connection.close()
 
-    def _connect(self, address: str, deadline: float) -> _CheckedConnection:
+    def _connect(self, address: str, deadline: float) -> CheckedConnection:
         host, _, port = address.rpartition(":")
         remaining = max(0.001, deadline - self._clock.now())
         timeout = min(self._connect_timeout, remaining)
-        connection = _CheckedConnection(
-            host, int(port), timeout=timeout, socket_options=_SOCKET_OPTIONS
+        connection = CheckedConnection(
+            host=host,
+            port=int(port),
+            timeout=timeout,
+            clock=self._clock,
+            socket_options=_SOCKET_OPTIONS,
         )
         started = self._clock.now()
         try:
@@ -262,9 +245,10 @@
         return connection
 
     def _send(
-        self, connection: _CheckedConnection, request: OutgoingRequest, deadline: float
-    ) -> TargetResponse:
-        self._set_timeout(connection, deadline)
+        self, connection: CheckedConnection, request: OutgoingRequest,
+        deadlines: ReadDeadlines,
+    ) -> TargetResponse:  # fmt: skip
+        connection.start_exchange(deadlines)
         connection.request(
             request.method,
             request.path,
@@ -277,46 +261,18 @@
             decode_content=False,
         )
         response = connection.getresponse()
-        body = self._read_body(connection, response, deadline)
-        self._validate(connection, request, response)
+        with closing(response):
+            body = read_body(response)
+            self._validate(connection, request, response)
         return TargetResponse(
             status=response.status,
             headers=tuple(response.headers.items()),
             body=body,
         )
 
-    def _read_body(
-        self,
-        connection: _CheckedConnection,
-        response: urllib3.HTTPResponse,
-        deadline: float,
-    ) -> bytes:
-        chunks = []
-        size = 0
-        while True:
-            self._set_timeout(connection, deadline)
-            chunk = response.read(READ_CHUNK_BYTES, decode_content=False)
-            if not chunk:
-                return b"".join(chunks)
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_RESPONSE_BYTES:
-                raise InvalidResponse(
-                    f"the answer is longer than {MAX_RESPONSE_BYTES} bytes: send less"
-                )
-
-    def _set_timeout(self, connection: _CheckedConnection, deadline: float) -> None:
-        remaining = deadline - self._clock.now()
-        if remaining <= 0:
-            raise TimeoutError("the deadline has passed")
-        # urllib3 sets connection.timeout on the socket again before each operation.
-        connection.timeout = remaining
-        if connection.sock is not None:
-            connection.sock.settimeout(remaining)
-
     def _validate(
         self,
-        connection: _CheckedConnection,
+        connection: CheckedConnection,
         request: OutgoingRequest,
         response: urllib3.HTTPResponse,
     ) -> None:
@@ -359,7 +315,7 @@
     return next((v for k, v in response.headers if k.lower() == name), "")
 
 
-def _is_reusable(connection: _CheckedConnection) -> bool:
+def _is_reusable(connection: CheckedConnection) -> bool:
     """Return whether an idle connection is open and has no unread data."""
     sock = connection.sock
     return sock is not None and not wait_for_read(sock, timeout=0)
--- /dev/null
+++ b/src/chicoryhold/targets/limited_reader.py
@@ -0,0 +1,139 @@
+"""Reads a response from a socket within limits of time and bytes."""
+
+from __future__ import annotations
+
+import io
+import socket
+
+import attrs
+
+from chicoryhold.clock import Clock
+from chicoryhold.errors import InvalidResponse
+
+MAX_HEAD_BYTES = 64 * 1024  # of the final and all interim heads together
+MIN_HEAD_SECONDS = 0.5  # for a head that has begun; a lost packet is sent again by then
+# Chunk sizes, chunk extensions and trailers. The smallest chunk, of one byte, has five
+# bytes of framing.
+MAX_FRAMING_BYTES = 128 * 1024
+MAX_FRAMING_PER_BODY_BYTE = 8
+
+
+@attrs.frozen(kw_only=True)
+class ReadDeadlines:
+    """Times on the clock of this host by which an exchange must have ended.
+
+    ``partial_head`` is the earlier one that applies while the head of the response has
+    begun and isn't complete.
+    """
+
+    exchange: float
+    partial_head: float
+
+
+class LimitedReader(io.RawIOBase):
+    """A raw stream for one response, limited as a whole and not only for each read.
+
+    The timeout of the socket is computed anew before each read, so a target that sends
+    a byte now and then can't extend the exchange.
+    """
+
+    def __init__(
+        self, *, sock: socket.socket, clock: Clock, deadlines: ReadDeadlines
+    ) -> None:
+        super().__init__()
+        self._socket = sock
+        # Keeps the socket open after ``close()`` until this stream is closed.
+        self._stream = sock.makefile("rb", buffering=0)
+        self._clock = clock
+        self._deadlines = deadlines
+        self._deadline = deadlines.exchange
+        self._in_head = True
+        self._head_has_begun = False
+        self._waits = True
+        self._received = 0
+        self._limit = MAX_HEAD_BYTES
+
+    def makefile(self, mode: str) -> io.BufferedReader:
+        """Return a buffered stream, as the socket's method of this name does."""
+        return io.BufferedReader(self)
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer) -> int | None:
+        """Read into ``buffer``; raise ``TimeoutError`` or ``InvalidResponse`` if over.
+
+        Returns ``None`` after :meth:`stop_waiting` if no byte has arrived.
+        """
+        if not self._waits:
+            return self._read_arrived(buffer)
+        allowed = self._limit - self._received
+        if allowed <= 0:
+            raise InvalidResponse(self._limit_message())
+        self._socket.settimeout(self._remaining())
+        try:
+            count = self._socket.recv_into(buffer, min(allowed, len(buffer)))
+        except TimeoutError:
+            self._remaining()
+            raise
+        self._received += count
+        if self._in_head and not self._head_has_begun:
+            self._begin_head()
+        return count
+
+    def end_interim_head(self) -> None:
+        """Wait for another head, until the deadline of the exchange."""
+        self._end_head()
+
+    def start_body(self) -> None:
+        """Apply the limits of a body from now on."""
+        self._end_head()
+        self._in_head = False
+        self._limit = self._received + MAX_FRAMING_BYTES
+
+    def count_body(self, count: int) -> None:
+        """Note that ``count`` of the bytes were body, which allows for more framing."""
+        self._limit += count * (1 + MAX_FRAMING_PER_BODY_BYTE)
+
+    def stop_waiting(self) -> None:
+        """Return only what has arrived already from now on."""
+        self._waits = False
+        self._socket.settimeout(0)
+
+    def close(self) -> None:
+        self._stream.close()
+        super().close()
+
+    def _read_arrived(self, buffer) -> int | None:
+        try:
+            return self._socket.recv_into(buffer)
+        except BlockingIOError:
+            return None
+
+    def _begin_head(self) -> None:
+        self._head_has_begun = True
+        self._deadline = min(
+            self._deadlines.exchange,
+            max(self._deadlines.partial_head, self._clock.now() + MIN_HEAD_SECONDS),
+        )
+
+    def _end_head(self) -> None:
+        self._head_has_begun = False
+        self._deadline = self._deadlines.exchange
+
+    def _remaining(self) -> float:
+        remaining = self._deadline - self._clock.now()
+        if remaining > 0:
+            return remaining
+        if self._deadline < self._deadlines.exchange:
+            raise InvalidResponse(
+                "the answer's head has begun and doesn't end: look at the target's log"
+            )
+        raise TimeoutError("the deadline has passed")
+
+    def _limit_message(self) -> str:
+        if self._in_head:
+            return (
+                f"the answer's heads are longer than {MAX_HEAD_BYTES} bytes: send fewer"
+            )
+        return "the answer has more framing than body: send larger chunks"
