Bound the memory of all unfinished responses of a process together

Cause: the limit was per response only, so that nothing bounded the sum.

Change: ResponseMemory, 32 MiB for the bodies that one process is receiving. A body may be as long as what is free (so 16 MiB if it is alone), and up to 64 KiB in any case. The longest bodies therefore fail first, each failure makes room, and a small response to a sound target is never refused. No queue, no eviction, no waiting. The upper bound is 32 MiB plus 64 KiB a thread. Tracebacks no longer keep a failed body.

--- a/src/chicoryhold/targets/checked_connection.py
+++ b/src/chicoryhold/targets/checked_connection.py
@@ -16,9 +16,9 @@
 from chicoryhold.clock import Clock
 from chicoryhold.errors import InvalidResponse
 from chicoryhold.targets.limited_reader import LimitedReader, ReadDeadlines
+from chicoryhold.targets.response_memory import MAX_RESPONSE_BYTES, ResponseMemory
 
 READ_CHUNK_BYTES = 65_536
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 MAX_LINE_BYTES = 65_536
 
 
@@ -93,17 +93,17 @@
         return CheckedResponse(reader, **kwargs)
 
 
-def read_body(response: urllib3.HTTPResponse) -> bytes:
+def read_body(response: urllib3.HTTPResponse, *, memory: ResponseMemory) -> bytes:
     """Return the whole body of ``response``, or raise ``InvalidResponse``."""
     if (response.length_remaining or 0) > MAX_RESPONSE_BYTES:
         raise _too_long()
-    body = bytearray()
-    while chunk := response.read1(READ_CHUNK_BYTES, decode_content=False):
-        if len(body) + len(chunk) > MAX_RESPONSE_BYTES:
-            raise _too_long()
-        response._original_response.count_body(len(chunk))
-        body += chunk
-    return bytes(body)
+    with memory.buffer() as body:
+        while chunk := response.read1(READ_CHUNK_BYTES, decode_content=False):
+            if body.size + len(chunk) > MAX_RESPONSE_BYTES:
+                raise _too_long()
+            body.append(chunk)
+            response._original_response.count_body(len(chunk))
+        return body.to_bytes()
 
 
 def _too_long() -> InvalidResponse:
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -27,6 +27,7 @@
 from chicoryhold.targets.dialect import OWN_DIALECT, TargetDialect
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
 from chicoryhold.targets.limited_reader import ReadDeadlines
+from chicoryhold.targets.response_memory import ResponseMemory
 
 DEFAULT_IDLE_LIMIT_SECONDS = 5.0  # for targets without a Keep-Alive timeout
 MAX_IDLE_LIMIT_SECONDS = 60.0  # upper bound for a target's Keep-Alive timeout
@@ -82,6 +83,7 @@
         self._clock = clock
         self._connect_timeout = connect_timeout
         self._dialect = dialect
+        self._memory = ResponseMemory()
         self._idle: dict[str, list[_IdleConnection]] = {}
         self._connecting: set[str] = set()
         self._preconnect_pool = ThreadPoolExecutor(
@@ -262,7 +264,7 @@
         )
         response = connection.getresponse()
         with closing(response):
-            body = read_body(response)
+            body = read_body(response, memory=self._memory)
             self._validate(connection, request, response)
         return TargetResponse(
             status=response.status,
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -7,6 +7,7 @@
 import tracemalloc
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
 
 import attrs
 import pytest
@@ -15,7 +16,7 @@
 from chicoryhold.callers.forwarding import ForwardedRequest, Forwarder
 from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
 from chicoryhold.clock import BootClock
-from chicoryhold.errors import ExchangeFailed, ExchangeTimeout
+from chicoryhold.errors import ExchangeFailed, ExchangeTimeout, InvalidResponse
 from chicoryhold.gateway.delivery import Delivery, RoutedRequest
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata
 from chicoryhold.gateway.retry_budgets import RetryBudgets
@@ -25,6 +26,7 @@
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.dialect import Dialect
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
+from chicoryhold.targets.response_memory import ResponseMemory
 from tests.sick_target import (
     BLOCK,
     ID_HEADER,
@@ -48,6 +50,8 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # What the kernel buffers of both sides may hold beyond what was read.
 KERNEL_BUFFER_BYTES = 8 * 1024 * 1024
+CONCURRENT_BODIES = 40
+MAX_MEMORY_BYTES = 64 * 1024 * 1024
 
 CHUNKED = head("Transfer-Encoding: chunked")
 HEADS = {
@@ -186,6 +190,57 @@
         tracemalloc.stop()
 
 
+def test_concurrent_endless_bodies_share_a_bounded_amount_of_memory():
+    # One host's 160 threads could hold 2.5 GB of unfinished bodies.
+    connections = TargetConnections(clock=BootClock(), dialect=LENIENT)
+    script = Script(start=head(), repeated=BLOCK)
+
+    def run_all(target: SickTarget) -> list[object]:
+        def run_one(number: int) -> object:
+            try:
+                return exchange(connections, target, an_outgoing_request(f"r{number}"))
+            except ExchangeFailed as error:
+                return error
+
+        with ThreadPoolExecutor(CONCURRENT_BODIES) as pool:
+            return list(pool.map(run_one, range(CONCURRENT_BODIES)))
+
+    with sick_target(script) as target:
+        peak, results = peak_memory(lambda: run_all(target))
+        assert all(isinstance(result, ExchangeFailed) for result in results)
+        for _ in range(CONCURRENT_BODIES):
+            assert target.closed.acquire(timeout=SLACK_SECONDS)
+    assert peak < MAX_MEMORY_BYTES
+
+
+def test_a_single_response_may_use_its_whole_limit():
+    memory = ResponseMemory()
+    with memory.buffer() as body:
+        for _ in range(MAX_BODY_BYTES // len(BLOCK)):
+            body.append(BLOCK)
+        with pytest.raises(InvalidResponse):
+            body.append(b"x")
+    assert memory.used_bytes == 0
+
+
+def test_long_responses_leave_memory_for_others():
+    memory = ResponseMemory(total_bytes=1024, guaranteed_bytes=16)
+    block = b"x" * 16
+    with ExitStack() as stack:
+        sizes = []
+        for _ in range(6):
+            body = stack.enter_context(memory.buffer())
+            with pytest.raises(InvalidResponse):
+                while True:
+                    body.append(block)
+            sizes.append(body.size)
+        assert sizes == [512, 256, 128, 64, 32, 16]
+        # The guaranteed part is granted whatever the others hold.
+        for _ in range(6):
+            stack.enter_context(memory.buffer()).append(block)
+    assert memory.used_bytes == 0
+
+
 def test_sound_targets_are_served_beside_endless_bodies():
     connections = TargetConnections(clock=BootClock(), dialect=LENIENT)
     sound_body = "s" * 32_768
