Close idle connections to targets that won't be used again

What callers could see: nothing at first. An idle connection was only looked at when the next request to its target took it, and the last one first. A target that sends bytes without end on an idle connection kept the receive buffer filled, and the connections to targets that had left stayed open for good, up to 64 each, until a host had no descriptors left.

Change: at most once a second, when a connection becomes idle, all idle ones that have expired, were closed, or have unread bytes are closed.

Test: two cases in tests/test_endless_responses.py, which both failed before: the stand-in saw no close in 4 s of requests to another target.

--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -39,6 +39,7 @@
 AT_MOST_ONCE_IDLE_LIMIT_SECONDS = 0.5
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_IDLE_CONNECTIONS_PER_TARGET = 64
+IDLE_CHECK_INTERVAL_SECONDS = 1.0
 PRECONNECT_THREADS = 2
 STALE_AFTER_SECONDS = 0.1  # idle time after which a connection may have been lost
 USER_TIMEOUT_MS = 1_000
@@ -55,7 +56,7 @@
 )
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen(kw_only=True, eq=False)
 class _IdleConnection:
     """An unused connection, which may be reused for ``idle_limit`` seconds."""
 
@@ -85,6 +86,7 @@
         self._dialect = dialect
         self._memory = ResponseMemory()
         self._idle: dict[str, list[_IdleConnection]] = {}
+        self._next_idle_check = 0.0
         self._connecting: set[str] = set()
         self._preconnect_pool = ThreadPoolExecutor(
             PRECONNECT_THREADS, thread_name_prefix="spare"
@@ -211,6 +213,7 @@
     def _keep_idle(
         self, address: str, connection: CheckedConnection, idle_limit: float
     ) -> None:
+        self._close_unusable()
         if connection.sock is None:
             return
         entry = _IdleConnection(
@@ -223,6 +226,28 @@
                 return
         connection.close()
 
+    def _close_unusable(self) -> None:
+        """Close the idle connections that won't be used again, once in a while.
+
+        The last one of a target is reused first, so others may stay unused for good,
+        and what the target sends on them stays in the memory of the kernel.
+        """
+        now = self._clock.now()
+        unusable = []
+        with self._lock:
+            if now < self._next_idle_check:
+                return
+            self._next_idle_check = now + IDLE_CHECK_INTERVAL_SECONDS
+            for address, idle in list(self._idle.items()):
+                usable = _usable(idle, now)
+                unusable += [entry for entry in idle if entry not in usable]
+                if usable:
+                    self._idle[address] = usable
+                else:
+                    del self._idle[address]
+        for entry in unusable:
+            entry.connection.close()
+
     def _connect(self, address: str, deadline: float) -> CheckedConnection:
         host, _, port = address.rpartition(":")
         remaining = max(0.001, deadline - self._clock.now())
@@ -317,6 +342,15 @@
     return next((v for k, v in response.headers if k.lower() == name), "")
 
 
+def _usable(idle: list[_IdleConnection], now: float) -> list[_IdleConnection]:
+    """Return those of ``idle`` that have not expired and have no unread data."""
+    return [
+        entry
+        for entry in idle
+        if now - entry.idle_since <= entry.idle_limit and _is_reusable(entry.connection)
+    ]
+
+
 def _is_reusable(connection: CheckedConnection) -> bool:
     """Return whether an idle connection is open and has no unread data."""
     sock = connection.sock
