Report a head that can't be read as an invalid response

What callers could see: on entry hosts, bytes that are no HTTP head ended as "timed out", as if the target had been silent, and closed the other idle connections to it. To everything that counts lost connections they looked like a broken link.

Change: the parser's errors in a head are InvalidResponse; only the end of the connection before the first byte stays a lost connection.

Test: three cases, which failed before with ExchangeFailed.

--- a/src/chicoryhold/targets/checked_connection.py
+++ b/src/chicoryhold/targets/checked_connection.py
@@ -35,7 +35,14 @@
         self.has_trailing_bytes = False
 
     def begin(self) -> None:
-        super().begin()
+        try:
+            super().begin()
+        except http.client.RemoteDisconnected:
+            raise
+        except http.client.HTTPException as error:
+            raise InvalidResponse(
+                f"the answer's head can't be read: {error!r}; look at the target's log"
+            ) from error
         self._reader.start_body()
 
     def count_body(self, count: int) -> None:
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -318,6 +318,17 @@
         assert connections.idle_count(gone.address) == 0
 
 
+@pytest.mark.parametrize(
+    "text",
+    ["no answer\r\n\r\n", "HTTP/9 200 OK\r\n\r\n", head(*["A: b"] * 101)],
+)
+def test_a_head_that_cannot_be_read_does_not_look_like_a_lost_connection(text):
+    connections = TargetConnections(clock=BootClock())
+    with sick_target(Script(start=text)) as target:
+        with pytest.raises(InvalidResponse):
+            exchange(connections, target, an_outgoing_request())
+
+
 def test_interim_responses_before_the_final_one_are_skipped():
     connections = TargetConnections(clock=BootClock())
     interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
