Log how many connections to targets fail, where and how

Cause: an attempt that failed was logged for each request, but nothing said whether connects failed to targets of all services and domains, how, and whether any succeeded. A dead service and an entry host without links to targets looked alike. Change: TargetConnections reports the kind of each failed connection; LinkLog counts them in metrics and logs at most one summary a second. No decision uses it yet.

--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -14,6 +14,7 @@
 from chicoryhold.control.follower import Follower
 from chicoryhold.control.follower_actor import FetchTiming, FollowerActor
 from chicoryhold.gateway.delivery import Delivery, TargetHeaderTranslator
+from chicoryhold.gateway.link_log import LinkLog
 from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.gateway.service import GatewayService
 from chicoryhold.hosts.actors import Tick, running_actor
@@ -47,7 +48,7 @@
 
     def __init__(
         self, *, settings: GatewaySettings, follower: Follower, chooser: TargetChooser,
-        connections: TargetConnections, clock: BootClock,
+        connections: TargetConnections, metrics: Metrics, clock: BootClock,
     ) -> None:  # fmt: skip
         self._settings = settings
         self._follower = follower
@@ -58,7 +59,7 @@
         self._route_index = RouteIndex(follower.state.configuration)
         self._draining = False
         self._announce: Callable[[], None] = lambda: None
-        self._metrics = Metrics(process=settings.name)
+        self._metrics = metrics
         self._metrics.gauge("chicoryhold_revision", lambda: follower.state.revision)
         self.service: GatewayService | None = None
 
@@ -155,17 +156,26 @@
             clock=clock,
             entry_hosts=lambda: control_hosts.entry_hosts,
         )
+        metrics = Metrics(process=settings.name)
+        link_log = LinkLog(record_of=chooser.record_at, clock=clock, metrics=metrics)
+
+        def record_opened(address: str, seconds: float) -> None:
+            chooser.record_connect_time(address, seconds)
+            link_log.record_opened()
+
         connections = TargetConnections(
             clock=clock,
             dialect=dialect,
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
-            record_connect_time=chooser.record_connect_time,
+            record_connect_time=record_opened,
+            record_link_failure=link_log.record_failure,
         )
         gateway = Gateway(
             settings=settings,
             follower=follower,
             chooser=chooser,
             connections=connections,
+            metrics=metrics,
             clock=clock,
         )
         delivery = Delivery(
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -134,6 +134,11 @@
         """The state of each target as seen by this host, by instance."""
         return self._views
 
+    def record_at(self, address: str) -> TargetRecord | None:
+        """Return the record of the target at ``address``, if there is one."""
+        view = self._views_by_address.get(address)
+        return view.record if view else None
+
     def update(
         self, records: Iterable[TargetRecord], *, evacuated: frozenset[str],
         service_rule: Callable[[str], ServiceRule],
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -25,6 +25,7 @@
 from chicoryhold.targets.cancellation import NEVER_CANCELLED, Cancellation
 from chicoryhold.targets.dialect import OWN_DIALECT, TargetDialect
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
+from chicoryhold.targets.link_failures import LinkFailure, connect_failure
 
 DEFAULT_IDLE_LIMIT_SECONDS = 5.0  # for targets without a Keep-Alive timeout
 MAX_IDLE_LIMIT_SECONDS = 60.0  # upper bound for a target's Keep-Alive timeout
@@ -93,7 +94,8 @@
 
     Each response is checked to be complete and to belong to its request.
     ``record_connect_time`` is called with the address and the seconds that opening
-    each new connection took.
+    each new connection took, ``record_link_failure`` with the address and the kind of
+    each failure to open one or to get a response over one.
     """
 
     def __init__(
@@ -102,8 +104,12 @@
         record_connect_time: Callable[[str, float], None] = (
             lambda address, seconds: None
         ),
+        record_link_failure: Callable[[str, LinkFailure], None] = (
+            lambda address, failure: None
+        ),
     ) -> None:  # fmt: skip
         self._record_connect_time = record_connect_time
+        self._record_link_failure = record_link_failure
         self._clock = clock
         self._connect_timeout = connect_timeout
         self._dialect = dialect
@@ -154,7 +160,10 @@
                 raise ExchangeCancelled("the caller left: nobody waits for this") from e
             # The other connections to this address may have been lost as well.
             self.close_idle(address)
-            raise self._exchange_error(address, deadline, e) from e
+            failure = self._exchange_error(address, deadline, e)
+            if not isinstance(failure, ExchangeTimeout):
+                self._record_link_failure(address, LinkFailure.LOST)
+            raise failure from e
         self._keep_idle(
             address, connection, idle_limit_seconds(_header(response, "keep-alive"))
         )
@@ -255,6 +264,7 @@
         except (OSError, urllib3.exceptions.HTTPError) as error:
             connection.close()
             self.close_idle(address)
+            self._record_link_failure(address, connect_failure(error))
             raise ConnectFailed(
                 f"target {address} can't be reached: {error}; check its process"
             ) from error
