Relay requests to peers while an entry host reaches no target

What callers saw: entry hosts that were cut off from all targets, while callers and the other hosts still reached them, answered 503 or 504 for the whole cut. Cause: such a host knew no other way to a target than its own connections, stayed listed in look-ups, and ejected healthy targets for up to 8 s for failures of its own network. Change: - TargetReachability and TargetProber: failures at two targets raise a suspicion, and a probe of five targets spread over services and domains gives the verdict. A service that is down isn't taken for a cut, since targets of others answer. While cut off, the host probes on and returns with the first target that accepts a connection. - Relay: while cut off, requests go to a peer over HTTP, before a permit is taken here. The peer treats them like a caller's and never relays them further. At most two peers get a request, and a second one only if the first did not run it or the route allows a repetition. With no peer, the request is refused at once as not run. A request with home regions is sent only to peers there. - Presence: EntryHost.reaches_targets; control hosts name peers in their replies to a host that is cut off, and look-ups leave it out unless fewer than a third of its region's hosts reach targets. - Failures during the cut are forgotten when it ends.

--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import attrs
@@ -80,17 +80,22 @@
 
 
 class Delivery:
-    """Sends requests to targets, with retries. Thread-safe."""
+    """Sends requests to targets, with retries. Thread-safe.
+
+    While ``is_cut_off()`` is true, no target can be reached, so nothing is retried.
+    """
 
     def __init__(
         self, *, chooser: TargetChooser, connections: TargetConnections,
         header_translator: TargetHeaderTranslator, budgets: RetryBudgets, clock: Clock,
+        is_cut_off: Callable[[], bool] = lambda: False,
     ) -> None:  # fmt: skip
         self._chooser = chooser
         self._connections = connections
         self._header_translator = header_translator
         self._budgets = budgets
         self._clock = clock
+        self._is_cut_off = is_cut_off
 
     def deliver(self, routed: RoutedRequest) -> Outcome:
         """Return a complete response, or a refusal that states whether the request ran.
@@ -151,7 +156,7 @@
         return _AttemptResult(outcome=Err(refusal), known_not_run=True)
 
     def _may_retry(self, routed: RoutedRequest, last: _AttemptResult) -> bool:
-        if routed.request.cancellation.is_set:
+        if routed.request.cancellation.is_set or self._is_cut_off():
             return False
         if not (last.known_not_run or routed.route.repeatable):
             return False
--- /dev/null
+++ b/src/chicoryhold/gateway/relay.py
@@ -0,0 +1,232 @@
+"""Relays requests to other entry hosts while this one is cut off from all targets."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Protocol
+
+import attrs
+from loguru import logger
+from result import Err, Ok, Result
+
+from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
+from chicoryhold.clock import Clock
+from chicoryhold.errors import (
+    ConnectFailed,
+    ExchangeCancelled,
+    ExchangeFailed,
+    ExchangeTimeout,
+)
+from chicoryhold.gateway.reachability import TargetReachability
+from chicoryhold.gateway.relay_peers import RelayPeers
+from chicoryhold.gateway.request import GatewayRequest, RelayCall
+from chicoryhold.gateway.retry_budgets import RetryBudgets
+from chicoryhold.membership.messages import EntryHost
+from chicoryhold.metrics import Metrics
+from chicoryhold.targets.connections import TargetConnections
+from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
+
+MAX_PEERS = 2  # to which one request is relayed, one after the other
+MIN_REMAINING_SECONDS = 0.05  # with less time left, no peer could respond
+NO_PEER_RETRY_AFTER_SECONDS = 0.1  # the caller's next host may reach targets
+NO_PEER = "no_peer"  # the outcome in metrics
+REFUSED_STATUS = 503  # a peer's statement that the request didn't run there
+
+Outcome = Result[TargetResponse, Refusal]
+
+
+class RelayHeaderTranslator(Protocol):
+    """Translates a relayed request to the headers that entry hosts understand."""
+
+    def relay_headers(self, call: RelayCall) -> Mapping[str, str]: ...
+
+
+@attrs.frozen(kw_only=True)
+class RelayedRequest:
+    """A request whose route and key were found valid here.
+
+    ``deadline`` is on the local clock. ``allowed_regions`` are the regions that the
+    request may run in, empty for any; no other region may receive it.
+    """
+
+    request: GatewayRequest
+    route: str
+    repeatable: bool
+    allowed_regions: frozenset[str]
+    deadline: float
+
+
+@attrs.frozen(kw_only=True)
+class _RelayAttempt:
+    """The result of sending a request to one peer.
+
+    ``known_not_run`` means that the peer hasn't run the request and never will.
+    ``label`` is the outcome in metrics.
+    """
+
+    outcome: Outcome
+    label: str
+    known_not_run: bool = False
+    responded: bool = False
+
+
+class Relay:
+    """Sends requests to entry hosts that reach targets. Thread-safe.
+
+    The peer handles a relayed request like one of a caller: it checks the key, takes
+    the permit and chooses the target. It never relays the request further.
+    """
+
+    def __init__(
+        self, *, reachability: TargetReachability, peers: RelayPeers,
+        connections: TargetConnections, header_translator: RelayHeaderTranslator,
+        budgets: RetryBudgets, clock: Clock, metrics: Metrics,
+    ) -> None:  # fmt: skip
+        self._reachability = reachability
+        self._peers = peers
+        self._connections = connections
+        self._header_translator = header_translator
+        self._budgets = budgets
+        self._clock = clock
+        self._metrics = metrics
+
+    @property
+    def is_needed(self) -> bool:
+        """Whether this host can't reach any target itself."""
+        return self._reachability.is_cut_off
+
+    def deliver(
+        self, relayed: RelayedRequest, *, earlier: Refusal | None = None
+    ) -> Outcome:
+        """Return the response of a peer, which may be its refusal, or an own refusal.
+
+        ``earlier`` is the result of an attempt at targets before the host was found to
+        be cut off. A request that must run at most once is sent only if it is known not
+        to have run in any earlier attempt.
+        """
+        if relayed.request.is_relayed:
+            return Err(earlier or _refusal("this entry host reaches no target itself"))
+        self._budgets.earn(relayed.route)
+        last = _earlier_attempt(earlier) if earlier else None
+        tried: frozenset[str] = frozenset()
+        while len(tried) < MAX_PEERS and self._may_send(relayed, last):
+            peer = self._peers.choose(
+                allowed_regions=relayed.allowed_regions, tried=tried
+            )
+            if peer is None:
+                break
+            tried |= {peer.name}
+            last = _decisive_attempt(last, self._send(relayed, peer))
+        self._metrics.count(
+            "chicoryhold_relayed_requests", outcome=last.label if last else NO_PEER
+        )
+        if last is None:
+            return Err(_refusal("no entry host reaches targets in time"))
+        return last.outcome
+
+    def _may_send(self, relayed: RelayedRequest, last: _RelayAttempt | None) -> bool:
+        if relayed.deadline - self._clock.now() < MIN_REMAINING_SECONDS:
+            return False
+        if last is None:
+            return True
+        if last.responded or relayed.request.cancellation.is_set:
+            return False
+        if last.known_not_run:
+            return True
+        return relayed.repeatable and self._budgets.spend(relayed.route)
+
+    def _send(self, relayed: RelayedRequest, peer: EntryHost) -> _RelayAttempt:
+        try:
+            with self._peers.in_flight(peer):
+                response = self._exchange(relayed, peer)
+        except ConnectFailed as error:
+            self._peers.avoid(peer)
+            return _RelayAttempt(
+                outcome=Err(_refusal(str(error))),
+                label="unreachable",
+                known_not_run=True,
+            )
+        except ExchangeFailed as error:
+            if not isinstance(error, ExchangeCancelled):
+                self._peers.avoid(peer)
+                self._log_failure(relayed, peer, error)
+            return _failed_attempt(error)
+        if response.status == REFUSED_STATUS:
+            self._peers.avoid(peer)
+            return _RelayAttempt(
+                outcome=Ok(response), label="refused", known_not_run=True
+            )
+        return _RelayAttempt(outcome=Ok(response), label="responded", responded=True)
+
+    def _exchange(self, relayed: RelayedRequest, peer: EntryHost) -> TargetResponse:
+        request = relayed.request
+        call = RelayCall(
+            host=request.host,
+            key=request.key,
+            remaining=max(0.001, relayed.deadline - self._clock.now()),
+        )
+        outgoing = OutgoingRequest(
+            request_id=request.request_id,
+            method=request.method,
+            path=request.target,
+            headers={**request.headers, **self._header_translator.relay_headers(call)},
+            body=request.body,
+            at_most_once=not relayed.repeatable,
+        )
+        return self._connections.exchange(
+            peer.address,
+            outgoing,
+            deadline=relayed.deadline,
+            stale_connection_deadline=relayed.deadline,
+            cancellation=request.cancellation,
+        )
+
+    def _log_failure(
+        self, relayed: RelayedRequest, peer: EntryHost, error: ExchangeFailed
+    ) -> None:
+        logger.bind(
+            request=relayed.request.request_id,
+            peer=peer.name,
+            domain=peer.domain,
+            left=round(relayed.deadline - self._clock.now(), 3),
+            reason=str(error),
+        ).info("relay: attempt failed.")
+
+
+def _decisive_attempt(
+    last: _RelayAttempt | None, attempt: _RelayAttempt
+) -> _RelayAttempt:
+    """Return the attempt that determines the outcome.
+
+    After an attempt that may have run the request, a refusal would be wrong.
+    """
+    if last is not None and not last.known_not_run and attempt.known_not_run:
+        return last
+    return attempt
+
+
+def _earlier_attempt(refusal: Refusal) -> _RelayAttempt:
+    return _RelayAttempt(
+        outcome=Err(refusal),
+        label=NO_PEER,
+        known_not_run=refusal.ran is RunStatus.NOT_RUN,
+    )
+
+
+def _failed_attempt(error: ExchangeFailed) -> _RelayAttempt:
+    is_timeout = isinstance(error, (ExchangeTimeout, ExchangeCancelled))
+    kind = RefusalKind.TIMED_OUT if is_timeout else RefusalKind.ANSWER_BROKEN
+    refusal = Refusal(kind=kind, ran=RunStatus.UNKNOWN, message=str(error))
+    return _RelayAttempt(
+        outcome=Err(refusal),
+        label="timed_out" if is_timeout else "broken",
+    )
+
+
+def _refusal(message: str) -> Refusal:
+    return Refusal(
+        kind=RefusalKind.NOT_READY,
+        ran=RunStatus.NOT_RUN,
+        message=message,
+        retry_after=NO_PEER_RETRY_AFTER_SECONDS,
+    )
--- a/src/chicoryhold/gateway/request.py
+++ b/src/chicoryhold/gateway/request.py
@@ -16,7 +16,8 @@
 
     ``path`` is the path that routes are matched against; ``target`` is the HTTP
     request target including the query, exactly as the caller sent it. ``headers`` are
-    the headers that a target may see, ``key`` is the caller's API key.
+    the headers that a target may see, ``key`` is the caller's API key. ``is_relayed``
+    means that another entry host sent it, in place of the caller.
     """
 
     request_id: str
@@ -31,6 +32,7 @@
     arrived_at: float
     deadline: float
     cancellation: Cancellation
+    is_relayed: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -46,6 +48,19 @@
     remaining: float
 
 
+@attrs.frozen(kw_only=True)
+class RelayCall:
+    """What a relayed request carries in addition to the headers for targets.
+
+    ``host`` and ``key`` are the caller's, as the peer chooses the route and checks the
+    key itself. ``remaining`` is the time until the deadline in seconds.
+    """
+
+    host: str
+    key: str | None = attrs.field(repr=False)
+    remaining: float
+
+
 @attrs.frozen(kw_only=True)
 class ResponseMetadata:
     """What a target's response states in addition to its content.
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -12,6 +12,7 @@
 from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
 from chicoryhold.clock import Clock
 from chicoryhold.gateway.delivery import Delivery, RoutedRequest
+from chicoryhold.gateway.relay import Relay, RelayedRequest
 from chicoryhold.gateway.request import GatewayRequest
 from chicoryhold.limits.permit_client import Permission, PermitClient
 from chicoryhold.metrics import Metrics
@@ -43,9 +44,11 @@
 
     def __init__(
         self, *, index: Callable[[], RouteIndex], permits: PermitClient,
-        delivery: Delivery, clock: Clock, random: Random, metrics: Metrics,
+        delivery: Delivery, relay: Relay, clock: Clock, random: Random,
+        metrics: Metrics,
     ) -> None:  # fmt: skip
         self._metrics = metrics
+        self._relay = relay
         self._index = index
         self._permits = permits
         self._delivery = delivery
@@ -73,6 +76,8 @@
             self._clock.now() - request.arrived_at,
             route=route,
         )
+        if request.is_relayed:
+            self._metrics.count("chicoryhold_relays_served", outcome=outcome)
 
     def _serve(self, request: GatewayRequest, index: RouteIndex) -> ServeResult:
         if index.version == 0:
@@ -89,12 +94,29 @@
                 refused = _refused(RefusalKind.KEY_MISSING, "the key is not valid")
                 return ServeResult(outcome=refused, route=route)
         name = organisation.name if organisation else ""
-        outcome = self._permit_refusal(request, route, organisation)
-        if outcome is None:
-            routed = self._routed_request(request, route, organisation, index)
-            outcome = self._delivery.deliver(routed)
+        outcome = self._deliver(request, route, organisation)
         return ServeResult(outcome=outcome, route=route, organisation=name)
 
+    def _deliver(
+        self, request: GatewayRequest, route: RouteRule,
+        organisation: OrganisationRule | None,
+    ) -> Outcome:  # fmt: skip
+        """Send the request to a target, or to a peer while no target is in reach.
+
+        The peer takes the permit of a relayed request.
+        """
+        relayed = _relayed_request(request, route, organisation)
+        if self._relay.is_needed:
+            return self._relay.deliver(relayed)
+        refused = self._permit_refusal(request, route, organisation)
+        if refused is not None:
+            return refused
+        routed = self._routed_request(request, route, organisation)
+        outcome = self._delivery.deliver(routed)
+        if self._relay.is_needed and outcome.is_err():
+            return self._relay.deliver(relayed, earlier=outcome.err_value)
+        return outcome
+
     def _permit_refusal(
         self, request: GatewayRequest, route: RouteRule,
         organisation: OrganisationRule | None,
@@ -115,7 +137,7 @@
 
     def _routed_request(
         self, request: GatewayRequest, route: RouteRule,
-        organisation: OrganisationRule | None, index: RouteIndex,
+        organisation: OrganisationRule | None,
     ) -> RoutedRequest:  # fmt: skip
         return RoutedRequest(
             request=request,
@@ -159,6 +181,18 @@
     return min(request.deadline, request.arrived_at + route.timeout)
 
 
+def _relayed_request(
+    request: GatewayRequest, route: RouteRule, organisation: OrganisationRule | None
+) -> RelayedRequest:
+    return RelayedRequest(
+        request=request,
+        route=route.name,
+        repeatable=route.repeatable,
+        allowed_regions=_allowed_regions(route, organisation),
+        deadline=_deadline(request, route),
+    )
+
+
 def _rank(route: RouteRule, organisation: OrganisationRule | None) -> int:
     """Return the organisation's rank, or the route's if the former is 0."""
     return (organisation.rank if organisation else 0) or route.rank
--- /dev/null
+++ b/src/chicoryhold/gateway/target_prober.py
@@ -0,0 +1,150 @@
+"""Probes targets while this host may be cut off from them."""
+
+from __future__ import annotations
+
+import threading
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+from random import Random
+from typing import Protocol
+
+from loguru import logger
+
+from chicoryhold.clock import Clock
+from chicoryhold.gateway.reachability import ProbeResult, TargetReachability
+from chicoryhold.state.targets import TargetRecord, TargetState
+
+VERDICT_PROBES = 5  # targets whose failure leads to the verdict
+RETURN_PROBES = 3  # targets tried at a time while the host is cut off
+# Two round trips to the farthest region, plus a margin.
+VERDICT_TIMEOUT_SECONDS = 0.4
+# Shorter, so that a connect whose first packet was lost is soon replaced.
+RETURN_TIMEOUT_SECONDS = 0.3
+RETURN_INTERVAL_SECONDS = 0.25
+
+
+class Prober(Protocol):
+    """Returns those of ``addresses`` at which a connection could be opened."""
+
+    def __call__(
+        self, addresses: Iterable[str], *, timeout: float
+    ) -> tuple[str, ...]: ...
+
+
+def choose_probe_targets(
+    records: Iterable[TargetRecord], *, count: int, random: Random,
+    failed: frozenset[str] = frozenset(),
+) -> list[TargetRecord]:  # fmt: skip
+    """Return up to ``count`` random targets from different services and domains.
+
+    Targets at the addresses in ``failed`` and those that aren't ready are used only if
+    there are no others.
+    """
+    candidates = [r for r in records if r.state is not TargetState.GONE]
+    random.shuffle(candidates)
+    services: Counter[str] = Counter()
+    domains: Counter[str] = Counter()
+    chosen: list[TargetRecord] = []
+
+    def cost(record: TargetRecord) -> tuple[bool, bool, int, int]:
+        return (
+            record.state is not TargetState.READY,
+            record.address in failed,
+            services[record.service],
+            domains[record.domain],
+        )
+
+    while candidates and len(chosen) < count:
+        record = min(candidates, key=cost)
+        candidates.remove(record)
+        chosen.append(record)
+        services[record.service] += 1
+        domains[record.domain] += 1
+    return chosen
+
+
+class TargetProber:
+    """Probes targets on its own thread whenever ``reachability`` needs it.
+
+    ``records`` returns the known targets. ``on_change`` is called after the verdict has
+    changed.
+    """
+
+    def __init__(
+        self, *, reachability: TargetReachability, probe: Prober, clock: Clock,
+        records: Callable[[], Iterable[TargetRecord]], random: Random,
+        on_change: Callable[[], None],
+    ) -> None:  # fmt: skip
+        self._reachability = reachability
+        self._probe = probe
+        self._clock = clock
+        self._records = records
+        self._random = random
+        self._on_change = on_change
+        self._started_at = clock.now()
+        self._wake = threading.Event()
+        self._stopping = threading.Event()
+        reachability.on_suspicion(self.wake)
+
+    def wake(self) -> None:
+        """Probe at once if ``reachability`` needs it."""
+        self._wake.set()
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        """Probe for the duration of the block."""
+        thread = threading.Thread(target=self._run, name="prober", daemon=True)
+        thread.start()
+        try:
+            yield
+        finally:
+            self._stopping.set()
+            self.wake()
+            thread.join()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            self._wake.wait()
+            self._wake.clear()
+            while self._reachability.needs_probe and not self._stopping.is_set():
+                self.probe_once()
+                if self._reachability.is_cut_off:
+                    self._stopping.wait(self._pause)
+
+    @property
+    def _pause(self) -> float:
+        return max(0.0, self._started_at + RETURN_INTERVAL_SECONDS - self._clock.now())
+
+    def probe_once(self) -> None:
+        """Probe some targets and pass the result on."""
+        was_cut_off = self._reachability.is_cut_off
+        self._started_at = self._clock.now()
+        chosen = choose_probe_targets(
+            self._records(),
+            count=RETURN_PROBES if was_cut_off else VERDICT_PROBES,
+            random=self._random,
+            failed=frozenset() if was_cut_off else self._reachability.failed_addresses,
+        )
+        timeout = RETURN_TIMEOUT_SECONDS if was_cut_off else VERDICT_TIMEOUT_SECONDS
+        reached = self._probe([r.address for r in chosen], timeout=timeout)
+        result = ProbeResult(
+            started_at=self._started_at, probed=len(chosen), reached=len(reached)
+        )
+        if self._reachability.record_probe(result):
+            self._log(chosen)
+            self._on_change()
+
+    def _log(self, chosen: list[TargetRecord]) -> None:
+        began = self._reachability.cut_off_since
+        fields = {"seconds": round(self._clock.now() - began, 2)}
+        if not self._reachability.is_cut_off:
+            logger.bind(**fields).warning("gateway: targets are reachable again.")
+            return
+        logger.bind(
+            **fields,
+            probes=len(chosen),
+            failures=len(self._reachability.failed_addresses),
+            services=len({record.service for record in chosen}),
+            domains=len({record.domain for record in chosen}),
+        ).warning("gateway: targets are out of reach; relaying.")
--- a/src/chicoryhold/membership/messages.py
+++ b/src/chicoryhold/membership/messages.py
@@ -20,6 +20,7 @@
     """A host that accepts callers' requests at ``address``.
 
     ``ready`` is false before it has a configuration and while it is leaving.
+    ``reaches_targets`` is false while it is cut off from all targets.
     """
 
     name: str
@@ -27,6 +28,7 @@
     region: str
     address: str
     ready: bool
+    reaches_targets: bool = True
 
 
 @message
@@ -41,10 +43,13 @@
     """The live control hosts known to the sender, including itself.
 
     ``entry_hosts`` is the number of entry hosts in its registry, silent ones included.
+    If the receiver is cut off from all targets, ``relay_hosts`` are entry hosts that
+    aren't.
     """
 
     hosts: tuple[ControlHost, ...]
     entry_hosts: int = 0
+    relay_hosts: tuple[EntryHost, ...] = ()
 
 
 @message
--- a/src/chicoryhold/membership/presence_actor.py
+++ b/src/chicoryhold/membership/presence_actor.py
@@ -54,12 +54,28 @@
         self._hosts: tuple[ControlHost, ...] = ()
         self._replied_at: dict[str, float] = {}
         self._entry_hosts = 0
+        self._relay_hosts: dict[str, tuple[EntryHost, ...]] = {}
 
     @property
     def entry_hosts(self) -> int:
         """The number of entry hosts by the latest reply; 0 before the first one."""
         return self._entry_hosts
 
+    @property
+    def relay_hosts(self) -> tuple[EntryHost, ...]:
+        """Entry hosts that reach targets, if this one doesn't, by the recent replies.
+
+        A control host that has just started knows few hosts, so one reply isn't enough.
+        Older replies count while no control host is reachable.
+        """
+        names = self.reachable or tuple(self._relay_hosts)
+        known = {
+            host.name: host
+            for name in names
+            for host in self._relay_hosts.get(name, ())
+        }
+        return tuple(known.values())
+
     @property
     def names(self) -> tuple[str, ...]:
         """Names on the bus: known hosts by proximity, then the seeds."""
@@ -89,6 +105,7 @@
         """Store a reply; return whether the list of hosts has changed."""
         self._replied_at[name] = self._clock.now()
         self._entry_hosts = reply.entry_hosts
+        self._relay_hosts[name] = reply.relay_hosts
         merged = {host.name: host for host in self._hosts}
         merged.update({host.name: host for host in reply.hosts})
         sorted_hosts = sort_by_proximity(
--- a/src/chicoryhold/membership/registry.py
+++ b/src/chicoryhold/membership/registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 
 import attrs
@@ -17,6 +18,10 @@
 ENTRY_HOST_TIMEOUT_SECONDS = 2.0
 CONTROL_HOST_TIMEOUT_SECONDS = 2.5
 EXPIRY_SECONDS = 30.0
+MAX_RELAY_HOSTS = 16
+# Hosts that are cut off from all targets are still listed for callers if fewer of the
+# region's hosts reach targets: those few would be overloaded.
+MIN_REACHING_FRACTION = 1 / 3
 
 
 @attrs.frozen(kw_only=True)
@@ -89,10 +94,38 @@
         )
 
     def entry_hosts(self, *, region: str) -> tuple[EntryHost, ...]:
-        """Return the ready hosts of ``region``, or all ready hosts if it has none."""
+        """Return the ready hosts of ``region``, or all ready hosts if it has none.
+
+        Those that reach no target are left out if enough others remain.
+        """
         ready = self._ready()
-        in_region = [host for host in ready if host.region == region]
-        return tuple(in_region or ready)
+        listed = [host for host in ready if host.region == region] or ready
+        reaching = [host for host in listed if host.reaches_targets]
+        if len(reaching) >= MIN_REACHING_FRACTION * len(listed):
+            return tuple(reaching)
+        return tuple(listed)
+
+    def relay_hosts(self, host: EntryHost) -> tuple[EntryHost, ...]:
+        """Return ready hosts that can reach targets in place of ``host``.
+
+        There are at most ``MAX_RELAY_HOSTS``, from all regions in turn, since requests
+        may be allowed in certain regions only. Hosts of the same domain come first.
+        Those next in a ring of all names come before others, so that many hosts that
+        are cut off don't all get the same ones.
+        """
+        others = [
+            other
+            for other in self._ready()
+            if other.reaches_targets and other.name != host.name
+        ]
+        others.sort(key=lambda o: (o.domain != host.domain, o.name < host.name, o.name))
+        positions: Counter[str] = Counter()
+        ranked = []
+        for other in others:
+            ranked.append((positions[other.region], other.region != host.region, other))
+            positions[other.region] += 1
+        ranked.sort(key=lambda entry: entry[:2])
+        return tuple(other for *_, other in ranked[:MAX_RELAY_HOSTS])
 
     def remove_expired(self) -> None:
         cutoff = self._clock.now() - EXPIRY_SECONDS
--- a/src/chicoryhold/membership/registry_actor.py
+++ b/src/chicoryhold/membership/registry_actor.py
@@ -56,18 +56,23 @@
                 self._reports.record_remote_reports(presence.targets)
 
     def _on_entry_presence(self, presence: EntryPresence, request: PeerRequest) -> None:
-        changed = self._registry.record_entry_report(presence.host)
+        host = presence.host
+        changed = self._registry.record_entry_report(host)
         request.reply.set_result(
             ControlHosts(
                 hosts=self._registry.control_hosts,
                 entry_hosts=self._registry.known_entry_hosts,
+                relay_hosts=(
+                    () if host.reaches_targets else self._registry.relay_hosts(host)
+                ),
             )
         )
         if changed:
             logger.bind(
-                host=presence.host.name,
-                domain=presence.host.domain,
-                ready=presence.host.ready,
+                host=host.name,
+                domain=host.domain,
+                ready=host.ready,
+                reaches_targets=host.reaches_targets,
             ).info("registry: an entry host is new or changed.")
             self._broadcast_presence()
 
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import ExitStack, contextmanager
 from random import Random
+from typing import Protocol
 
 import attrs
 from loguru import logger
@@ -14,7 +15,7 @@
 from chicoryhold.control.follower import Follower
 from chicoryhold.control.follower_actor import FetchTiming, FollowerActor
 from chicoryhold.gateway.delivery import Delivery, TargetHeaderTranslator
-from chicoryhold.gateway.link_log import LinkLog
+from chicoryhold.gateway.relay import Relay, RelayHeaderTranslator
 from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.gateway.service import GatewayService
 from chicoryhold.hosts.actors import Tick, running_actor
@@ -27,33 +28,41 @@
     ReportNow,
 )
 from chicoryhold.metrics import Metrics, serve_metrics
+from chicoryhold.programs.gateway_links import (
+    TargetLinks,
+    create_prober,
+    create_relay,
+    create_target_links,
+)
 from chicoryhold.programs.host_bus import create_bus
 from chicoryhold.programs.host_settings import GatewaySettings
 from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.routing.target_choice import HostLocation, TargetChooser
 from chicoryhold.state.targets import TargetRecord, TargetState
-from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.dialect import TargetDialect
 
 FOLLOWER_TICK_SECONDS = 0.25
 PRESENCE_TICK_SECONDS = 0.1
 FETCH_TIMING = FetchTiming(timeout=0.9, stale_age=1.2, retry_delay=0.05)
-CONNECT_TIMEOUT_SECONDS = 0.4  # two round trips to the farthest region, plus a margin
 DOMAIN_ROUND_TRIP_SECONDS = 0.001
 INITIAL_REGION_ROUND_TRIP_SECONDS = 0.1  # used until one has been measured
 
 
+class HeaderTranslator(TargetHeaderTranslator, RelayHeaderTranslator, Protocol):
+    """Translates to the headers of targets and of other entry hosts."""
+
+
 class Gateway:
     """The part of an entry host that an embedding program uses. Thread-safe."""
 
     def __init__(
         self, *, settings: GatewaySettings, follower: Follower, chooser: TargetChooser,
-        connections: TargetConnections, metrics: Metrics, clock: BootClock,
+        links: TargetLinks, metrics: Metrics, clock: BootClock,
     ) -> None:  # fmt: skip
         self._settings = settings
         self._follower = follower
         self._chooser = chooser
-        self._connections = connections
+        self._links = links
         self._preconnected: frozenset[str] = frozenset()
         self._clock = clock
         self._route_index = RouteIndex(follower.state.configuration)
@@ -61,6 +70,10 @@
         self._announce: Callable[[], None] = lambda: None
         self._metrics = metrics
         self._metrics.gauge("chicoryhold_revision", lambda: follower.state.revision)
+        self._metrics.gauge(
+            "chicoryhold_reaches_targets",
+            lambda: int(not links.reachability.is_cut_off),
+        )
         self.service: GatewayService | None = None
 
     @property
@@ -96,6 +109,7 @@
             region=self._settings.region,
             address=self._settings.callers_address,
             ready=self.ready,
+            reaches_targets=not self._links.reachability.is_cut_off,
         )
 
     def apply(self) -> None:
@@ -127,9 +141,17 @@
             if record.state is TargetState.READY and regions.get(record.domain) != own
         )
         for address in addresses - self._preconnected:
-            self._connections.preconnect(address)
+            self._links.connections.preconnect(address)
         self._preconnected = addresses
 
+    def apply_reachability(self) -> None:
+        """Apply that this host has been cut off from all targets, or reaches them."""
+        self._links.reset()
+        self._announce()
+        if not self._links.reachability.is_cut_off:
+            self._preconnected = frozenset()
+            self._preconnect_remote_targets(self._follower.state.targets)
+
     def on_change(self, announce: Callable[[], None]) -> None:
         """Call ``announce`` whenever the result of :meth:`describe` has changed."""
         self._announce = announce
@@ -138,7 +160,7 @@
 @contextmanager
 def running_gateway(
     settings: GatewaySettings, *, seeds: Callable[[], tuple[str, ...]],
-    header_translator: TargetHeaderTranslator, dialect: TargetDialect,
+    header_translator: HeaderTranslator, dialect: TargetDialect,
 ) -> Iterator[Gateway]:  # fmt: skip
     """Run an entry host until the block ends.
 
@@ -157,38 +179,41 @@
             entry_hosts=lambda: control_hosts.entry_hosts,
         )
         metrics = Metrics(process=settings.name)
-        link_log = LinkLog(record_of=chooser.record_at, clock=clock, metrics=metrics)
-
-        def record_opened(address: str, seconds: float) -> None:
-            chooser.record_connect_time(address, seconds)
-            link_log.record_opened()
-
-        connections = TargetConnections(
-            clock=clock,
-            dialect=dialect,
-            connect_timeout=CONNECT_TIMEOUT_SECONDS,
-            record_connect_time=record_opened,
-            record_link_failure=link_log.record_failure,
+        links = create_target_links(
+            chooser=chooser, dialect=dialect, clock=clock, metrics=metrics
         )
         gateway = Gateway(
             settings=settings,
             follower=follower,
             chooser=chooser,
-            connections=connections,
+            links=links,
             metrics=metrics,
             clock=clock,
         )
         delivery = Delivery(
             chooser=chooser,
-            connections=connections,
+            connections=links.connections,
             header_translator=header_translator,
             budgets=RetryBudgets(),
             clock=clock,
+            is_cut_off=lambda: links.reachability.is_cut_off,
+        )
+        relay = create_relay(
+            links,
+            own=gateway.describe,
+            peers=lambda: control_hosts.relay_hosts,
+            dialect=dialect,
+            header_translator=header_translator,
+            metrics=metrics,
         )
         gateway.service = _create_service(
-            settings, gateway, delivery, control_hosts, bus
+            settings, gateway, delivery, relay, control_hosts, bus
+        )
+        prober = create_prober(
+            links, name=settings.name, on_change=gateway.apply_reachability
         )
         _start_actors(stack, settings, gateway, follower, control_hosts, bus)
+        stack.enter_context(prober.running())
         stack.enter_context(
             serve_metrics(
                 settings.metrics_address,
@@ -215,7 +240,7 @@
 
 
 def _create_service(
-    settings: GatewaySettings, gateway: Gateway, delivery: Delivery,
+    settings: GatewaySettings, gateway: Gateway, delivery: Delivery, relay: Relay,
     control_hosts: ControlHostList, bus: Bus,
 ) -> GatewayService:  # fmt: skip
     clock = gateway.clock
@@ -232,6 +257,7 @@
         index=lambda: gateway.route_index,
         permits=permits,
         delivery=delivery,
+        relay=relay,
         clock=clock,
         random=Random(settings.name),
         metrics=gateway.metrics,
--- /dev/null
+++ b/src/chicoryhold/programs/gateway_links.py
@@ -0,0 +1,115 @@
+"""Assembles what an entry host needs to reach targets, itself or through a peer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from random import Random
+
+import attrs
+
+from chicoryhold.clock import Clock
+from chicoryhold.gateway.link_log import LinkLog
+from chicoryhold.gateway.reachability import TargetReachability
+from chicoryhold.gateway.relay import Relay, RelayHeaderTranslator
+from chicoryhold.gateway.relay_peers import RelayPeers
+from chicoryhold.gateway.retry_budgets import RetryBudgets
+from chicoryhold.gateway.target_prober import TargetProber
+from chicoryhold.membership.messages import EntryHost
+from chicoryhold.metrics import Metrics
+from chicoryhold.routing.target_choice import TargetChooser
+from chicoryhold.targets.connections import TargetConnections
+from chicoryhold.targets.dialect import TargetDialect
+from chicoryhold.targets.link_failures import LinkFailure
+from chicoryhold.targets.probe import reached_addresses
+
+CONNECT_TIMEOUT_SECONDS = 0.4  # two round trips to the farthest region, plus a margin
+# Responses over open connections stop arriving this long before connects fail.
+UNNOTICED_SECONDS = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class TargetLinks:
+    """The connections of one host to targets, and whether it reaches any.
+
+    While it is cut off, idle connections are closed, since nothing shows when they are
+    usable again. Afterwards, the failures of that time don't count against targets.
+    """
+
+    chooser: TargetChooser
+    connections: TargetConnections
+    reachability: TargetReachability
+    clock: Clock
+
+    def reset(self) -> None:
+        """Discard what the cut made invalid; called when it is noticed, and has ended.
+
+        A change of ``reachability`` must already be visible.
+        """
+        if self.reachability.is_cut_off:
+            self.connections.close_all_idle()
+        else:
+            since = self.reachability.cut_off_since - UNNOTICED_SECONDS
+            self.chooser.forget_failures(since=since)
+
+
+def create_target_links(
+    *, chooser: TargetChooser, dialect: TargetDialect, clock: Clock, metrics: Metrics
+) -> TargetLinks:
+    """Return connections that report their outcomes to all who learn from them."""
+    reachability = TargetReachability(clock=clock)
+    link_log = LinkLog(record_of=chooser.record_at, clock=clock, metrics=metrics)
+
+    def record_opened(address: str, seconds: float) -> None:
+        chooser.record_connect_time(address, seconds)
+        reachability.record_opened()
+        link_log.record_opened()
+
+    def record_failure(address: str, failure: LinkFailure) -> None:
+        reachability.record_failure(address)
+        link_log.record_failure(address, failure)
+
+    connections = TargetConnections(
+        clock=clock,
+        dialect=dialect,
+        connect_timeout=CONNECT_TIMEOUT_SECONDS,
+        record_connect_time=record_opened,
+        record_link_failure=record_failure,
+    )
+    return TargetLinks(
+        chooser=chooser, connections=connections, reachability=reachability, clock=clock
+    )
+
+
+def create_prober(
+    links: TargetLinks, *, name: str, on_change: Callable[[], None]
+) -> TargetProber:
+    return TargetProber(
+        reachability=links.reachability,
+        probe=partial(reached_addresses, clock=links.clock),
+        clock=links.clock,
+        records=lambda: [view.record for view in links.chooser.views.values()],
+        random=Random(name),
+        on_change=on_change,
+    )
+
+
+def create_relay(
+    links: TargetLinks, *, own: Callable[[], EntryHost],
+    peers: Callable[[], tuple[EntryHost, ...]], dialect: TargetDialect,
+    header_translator: RelayHeaderTranslator, metrics: Metrics,
+) -> Relay:  # fmt: skip
+    """Return a relay with its own connections, which say nothing about targets."""
+    return Relay(
+        reachability=links.reachability,
+        peers=RelayPeers(
+            own=own, known=peers, clock=links.clock, random=Random(own().name)
+        ),
+        connections=TargetConnections(
+            clock=links.clock, dialect=dialect, connect_timeout=CONNECT_TIMEOUT_SECONDS
+        ),
+        header_translator=header_translator,
+        budgets=RetryBudgets(),
+        clock=links.clock,
+        metrics=metrics,
+    )
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -245,6 +245,13 @@
                 self._clock.now(), unreachable=unreachable
             )
 
+    def forget_failures(self, *, since: float) -> None:
+        """Forget the failures of targets that failed since then, as they were ours."""
+        with self._lock:
+            for view in self._views.values():
+                if view.failed_at >= since:
+                    view.forget_failures()
+
     def release(self, choice: Choice) -> None:
         """End an exchange whose outcome says nothing about the target."""
         with self._lock:
--- a/src/chicoryhold/routing/target_view.py
+++ b/src/chicoryhold/routing/target_view.py
@@ -36,11 +36,11 @@
 
     ``in_flight`` counts this host's own requests at the target. ``failures`` counts
     the failures since the last success, ``failure_rate`` is the smoothed fraction of
-    exchanges that failed. ``slowness`` is the smoothed ratio of the target's
-    processing times to the expected ones. ``other_requests`` is the smoothed number
-    of requests from other hosts at the target. ``cold_tokens`` is the number of
-    requests, at most one, that this host may send to the target now while it is cold;
-    it grows by ``cold_rate`` per second.
+    exchanges that failed, ``failed_at`` the time of the last failure. ``slowness`` is
+    the smoothed ratio of the target's processing times to the expected ones.
+    ``other_requests`` is the smoothed number of requests from other hosts at the
+    target. ``cold_tokens`` is the number of requests, at most one, that this host may
+    send to the target now while it is cold; it grows by ``cold_rate`` per second.
     """
 
     record: TargetRecord
@@ -52,6 +52,7 @@
     other_requests: float = 0.0
     failures: int = 0
     failure_rate: float = 0.0
+    failed_at: float = float("-inf")
     slowness: float = 1.0
     ejected_until: float = float("-inf")
     next_ejection_seconds: float = MIN_EJECTION_SECONDS
@@ -127,6 +128,7 @@
     def record_failure(self, now: float, *, unreachable: bool) -> bool:
         """Count a failure and return whether the target is now ejected for a time."""
         self.failures += 1
+        self.failed_at = now
         self.failure_rate += SMOOTHING_FACTOR * (1 - self.failure_rate)
         if not unreachable and self.failures < EJECT_AFTER_FAILURES:
             return False
@@ -135,3 +137,10 @@
             2 * self.next_ejection_seconds, MAX_EJECTION_SECONDS
         )
         return True
+
+    def forget_failures(self) -> None:
+        """Treat the target as if it had not failed."""
+        self.failures = 0
+        self.failure_rate = 0.0
+        self.ejected_until = float("-inf")
+        self.next_ejection_seconds = MIN_EJECTION_SECONDS
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -219,6 +219,13 @@
         for entry in idle:
             entry.connection.close()
 
+    def close_all_idle(self) -> None:
+        """Close every idle connection."""
+        with self._lock:
+            addresses = tuple(self._idle)
+        for address in addresses:
+            self.close_idle(address)
+
     def _take_idle(
         self, address: str, *, require_fresh: bool
     ) -> _IdleConnection | None:
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -79,3 +79,30 @@
     bus.asked.clear()
     actor.on_receive(Tick())
     assert set(bus.asked) == set(SEEDS)
+
+
+def test_relay_hosts_of_all_recent_replies_are_known():
+    # A control host that had just started replied with a list without entry hosts.
+    clock = FakeClock()
+    control_hosts = ControlHostList(
+        seeds=lambda: SEEDS, domain="b", region="r", clock=clock
+    )
+    peer = attrs.evolve(OWN, name="peer", ready=True)
+    control_hosts.record_reply("10.1.0.1", ControlHosts(hosts=(), relay_hosts=(peer,)))
+    control_hosts.record_reply("10.2.0.1", ControlHosts(hosts=()))
+    assert control_hosts.relay_hosts == (peer,)
+    clock.advance(1.0)
+    control_hosts.record_reply("10.2.0.1", ControlHosts(hosts=()))
+    clock.advance(1.0)
+    assert control_hosts.relay_hosts == ()
+
+
+def test_relay_hosts_stay_known_while_no_control_host_replies():
+    clock = FakeClock()
+    control_hosts = ControlHostList(
+        seeds=lambda: SEEDS, domain="b", region="r", clock=clock
+    )
+    peer = attrs.evolve(OWN, name="peer", ready=True)
+    control_hosts.record_reply("10.1.0.1", ControlHosts(hosts=(), relay_hosts=(peer,)))
+    clock.advance(5.0)
+    assert control_hosts.relay_hosts == (peer,)
--- /dev/null
+++ b/tests/test_reachability.py
@@ -0,0 +1,229 @@
+"""How an entry host notices that it is cut off from all targets."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from random import Random
+
+import pytest
+from hypothesis import given, strategies as st
+
+from chicoryhold.clock import BootClock
+from chicoryhold.gateway.reachability import ProbeResult, TargetReachability
+from chicoryhold.gateway.target_prober import TargetProber, choose_probe_targets
+from chicoryhold.state.targets import TargetState
+from chicoryhold.targets.probe import reached_addresses
+from tests.conftest import FakeClock
+from tests.test_targets_state import a_record
+
+SERVICES = ("menu", "ledger", "delivery")
+DOMAINS = ("north-a", "north-b", "south-a")
+TARGETS = tuple(
+    a_record(
+        instance=f"{service}-{domain}-{number}",
+        address=f"{service}.{domain}.{number}:80",
+        service=service,
+        domain=domain,
+    )
+    for service in SERVICES
+    for domain in DOMAINS
+    for number in range(2)
+)
+
+
+class Network:
+    """Targets in ``dead`` can't be reached; while ``is_cut``, none can."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        self.clock = clock
+        self.dead: set[str] = set()
+        self.is_cut = False
+        self.probed: list[tuple[str, ...]] = []
+
+    def reaches(self, address: str) -> bool:
+        return not self.is_cut and address not in self.dead
+
+    def probe(self, addresses, *, timeout: float) -> tuple[str, ...]:
+        self.probed.append(tuple(addresses))
+        reached = tuple(address for address in addresses if self.reaches(address))
+        self.clock.advance(0.001 if reached else timeout)
+        return reached
+
+
+class Host:
+    """An entry host that opens connections to random targets."""
+
+    def __init__(self, *, seed: int = 1) -> None:
+        self.clock = FakeClock()
+        self.network = Network(self.clock)
+        self.reachability = TargetReachability(clock=self.clock)
+        self.changes: list[bool] = []
+        self.random = Random(seed)
+        self.prober = TargetProber(
+            reachability=self.reachability,
+            probe=self.network.probe,
+            clock=self.clock,
+            records=lambda: TARGETS,
+            random=self.random,
+            on_change=lambda: self.changes.append(self.reachability.is_cut_off),
+        )
+
+    def connect(self, address: str | None = None) -> None:
+        address = address or self.random.choice(TARGETS).address
+        if self.network.reaches(address):
+            self.reachability.record_opened()
+        else:
+            self.reachability.record_failure(address)
+
+    def run(self, seconds: float, *, rate: float) -> None:
+        """Open ``rate`` connections a second and probe whenever needed."""
+        end = self.clock.now() + seconds
+        while self.clock.now() < end:
+            if self.reachability.needs_probe:
+                self.prober.probe_once()
+            if not self.reachability.is_cut_off:
+                self.connect()
+            self.clock.advance(1 / rate)
+
+
+@given(seed=st.integers(0, 10_000), rate=st.floats(2.0, 100.0))
+def test_a_host_with_little_traffic_notices_within_two_seconds_that_it_is_cut_off(
+    seed, rate
+):
+    host = Host(seed=seed)
+    host.run(3.0, rate=rate)
+    host.network.is_cut = True
+    host.run(2.0, rate=rate)
+    assert host.reachability.is_cut_off
+
+
+@given(seed=st.integers(0, 10_000), rate=st.floats(2.0, 100.0))
+def test_a_host_returns_within_a_second_after_the_cut_has_ended(seed, rate):
+    host = Host(seed=seed)
+    host.network.is_cut = True
+    host.run(4.0, rate=rate)
+    host.network.is_cut = False
+    host.run(1.0, rate=rate)
+    assert host.changes == [True, False]
+
+
+@given(
+    seed=st.integers(0, 10_000), rate=st.floats(2.0, 100.0),
+    service=st.sampled_from(SERVICES),
+)  # fmt: skip
+def test_a_service_that_is_down_is_not_taken_for_a_cut(seed, rate, service):
+    host = Host(seed=seed)
+    host.network.dead = {r.address for r in TARGETS if r.service == service}
+    host.run(8.0, rate=rate)
+    assert host.changes == []
+
+
+@given(seed=st.integers(0, 10_000), domain=st.sampled_from(DOMAINS))
+def test_a_domain_that_is_down_is_not_taken_for_a_cut(seed, domain):
+    host = Host(seed=seed)
+    host.network.dead = {r.address for r in TARGETS if r.domain == domain}
+    host.run(8.0, rate=20.0)
+    assert host.changes == []
+
+
+def test_a_service_that_is_down_costs_at_most_one_probe_a_second():
+    host = Host()
+    down = [r.address for r in TARGETS if r.service == "menu"]
+    host.network.dead = set(down)
+    for number in range(1_000):
+        host.connect(down[number % len(down)])
+        if host.reachability.needs_probe:
+            host.prober.probe_once()
+        host.clock.advance(0.01)
+    assert 8 <= len(host.network.probed) <= 11
+
+
+def test_failures_of_a_single_target_raise_no_suspicion(clock):
+    reachability = TargetReachability(clock=clock)
+    for _ in range(10):
+        reachability.record_failure("a:80")
+    assert not reachability.needs_probe
+
+
+def test_failures_that_are_long_past_raise_no_suspicion(clock):
+    reachability = TargetReachability(clock=clock)
+    reachability.record_failure("a:80")
+    clock.advance(3.0)
+    reachability.record_failure("b:80")
+    assert not reachability.needs_probe
+
+
+def test_a_connection_opened_during_a_failed_probe_prevents_the_verdict(clock):
+    reachability = TargetReachability(clock=clock)
+    reachability.record_failure("a:80")
+    reachability.record_failure("b:80")
+    started_at = clock.now()
+    clock.advance(0.2)
+    reachability.record_opened()
+    clock.advance(0.2)
+    result = ProbeResult(started_at=started_at, probed=5, reached=0)
+    assert not reachability.record_probe(result)
+    assert not reachability.is_cut_off
+
+
+@given(seed=st.integers(0, 10_000))
+def test_probes_are_spread_over_services_and_domains(seed):
+    chosen = choose_probe_targets(TARGETS, count=5, random=Random(seed))
+    assert {record.service for record in chosen} == set(SERVICES)
+    assert {record.domain for record in chosen} == set(DOMAINS)
+
+
+def test_targets_that_are_leaving_or_have_just_failed_are_probed_last():
+    records = [
+        a_record(instance="i-1", address="a:80", state=TargetState.DRAINING),
+        a_record(instance="i-2", address="b:80"),
+        a_record(instance="i-3", address="c:80"),
+        a_record(instance="i-4", address="d:80", state=TargetState.GONE),
+    ]
+    chosen = choose_probe_targets(
+        records, count=4, random=Random(1), failed=frozenset({"b:80"})
+    )
+    assert [record.address for record in chosen] == ["c:80", "b:80", "a:80"]
+
+
+@contextmanager
+def listening() -> Iterator[str]:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        yield f"127.0.0.1:{server.getsockname()[1]}"
+
+
+@contextmanager
+def hanging() -> Iterator[str]:
+    """Yield an address at which connects get no response: its backlog is full."""
+    with socket.socket() as server:
+        server.bind(("127.0.0.1", 0))
+        server.listen(0)
+        with socket.create_connection(server.getsockname()):
+            yield f"127.0.0.1:{server.getsockname()[1]}"
+
+
+@contextmanager
+def refusing() -> Iterator[str]:
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        yield f"127.0.0.1:{bound.getsockname()[1]}"
+
+
+def test_a_probe_ends_with_the_first_target_that_answers_though_others_hang():
+    clock = BootClock()
+    started = clock.now()
+    with hanging() as dead, listening() as alive:
+        reached = reached_addresses([dead, alive], timeout=5.0, clock=clock)
+    assert reached == (alive,)
+    assert clock.now() - started < 2.0
+
+
+@pytest.mark.parametrize("kind", [hanging, refusing])
+def test_a_probe_of_targets_out_of_reach_ends_by_its_timeout(kind):
+    clock = BootClock()
+    started = clock.now()
+    with kind() as first, kind() as second:
+        assert reached_addresses([first, second], timeout=0.2, clock=clock) == ()
+    assert clock.now() - started < 2.0
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -323,3 +323,18 @@
     for seconds in (0.07, 1.07, 0.071):
         chooser.record_connect_time("10.0.0.0:80", seconds)
     assert 0.07 <= chooser.choose(criteria()).expected_latency - processing_time < 0.08
+
+
+def test_targets_that_failed_during_a_cut_are_used_at_once_after_it():
+    clock = FakeClock()
+    chooser = a_chooser("north-a", "north-b", clock=clock)
+    sick, healthy = chooser.views["i-0"], chooser.views["i-1"]
+    sick.record_failure(clock.now(), unreachable=True)
+    clock.advance(1.0)
+    cut_at = clock.now()
+    for _ in range(4):
+        healthy.record_failure(clock.now(), unreachable=True)
+    chooser.forget_failures(since=cut_at)
+    assert healthy.ejected_until < clock.now()
+    assert (healthy.failures, healthy.failure_rate) == (0, 0.0)
+    assert sick.failures == 1
