Keep probing targets when a probe can't be sent

Callers of a host that ran out of descriptors while it was cut off would have been relayed for good: the first OSError ended the probing thread, and only that thread ends the verdict. Found by reading; no run showed it. Change: such an error is logged, and probing goes on at its interval. The new test ended with 'cut off did not happen within 5 s' without the change.

--- a/src/chicoryhold/gateway/target_prober.py
+++ b/src/chicoryhold/gateway/target_prober.py
@@ -108,13 +108,17 @@
             self._wake.wait()
             self._wake.clear()
             while self._reachability.needs_probe and not self._stopping.is_set():
-                self.probe_once()
-                if self._reachability.is_cut_off:
-                    self._stopping.wait(self._pause)
+                self._probe_and_pause()
 
-    @property
-    def _pause(self) -> float:
-        return max(0.0, self._started_at + RETURN_INTERVAL_SECONDS - self._clock.now())
+    def _probe_and_pause(self) -> None:
+        try:
+            self.probe_once()
+        except OSError as error:
+            # Without descriptors or ports nothing is known about the targets.
+            logger.bind(reason=str(error)).warning("gateway: probing targets failed.")
+        if self._reachability.needs_probe:
+            elapsed = self._clock.now() - self._started_at
+            self._stopping.wait(max(0.0, RETURN_INTERVAL_SECONDS - elapsed))
 
     def probe_once(self) -> None:
         """Probe some targets and pass the result on."""
--- a/src/chicoryhold/targets/probe.py
+++ b/src/chicoryhold/targets/probe.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import select
 import socket
 from collections.abc import Iterable, Iterator
@@ -65,8 +64,6 @@
         return False
     try:
         connecting.getpeername()
-    except OSError as error:
-        if error.errno != errno.ENOTCONN:
-            raise
+    except OSError:
         return False
     return True
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -15,6 +16,7 @@
 from chicoryhold.gateway.target_prober import TargetProber, choose_probe_targets
 from chicoryhold.state.targets import TargetState
 from chicoryhold.targets.probe import reached_addresses
+from chicoryhold.trial.fleet import wait_until
 from tests.conftest import FakeClock
 from tests.test_targets_state import a_record
 
@@ -188,6 +190,35 @@
     assert [record.address for record in chosen] == ["c:80", "b:80", "a:80"]
 
 
+def test_a_host_without_free_descriptors_goes_on_probing():
+    host = Host()
+    probe = host.network.probe
+    failures = iter([OSError(errno.EMFILE, "too many open files")] * 3)
+
+    def failing_probe(addresses, *, timeout: float) -> tuple[str, ...]:
+        for error in failures:
+            raise error
+        return probe(addresses, timeout=timeout)
+
+    prober = TargetProber(
+        reachability=host.reachability,
+        probe=failing_probe,
+        clock=host.clock,
+        records=lambda: TARGETS,
+        random=host.random,
+        on_change=lambda: None,
+    )
+    host.network.is_cut = True
+    with prober.running():
+        host.connect(TARGETS[0].address)
+        host.connect(TARGETS[1].address)
+        wait_until(lambda: host.reachability.is_cut_off, what="cut off", timeout=5.0)
+        host.network.is_cut = False
+        wait_until(
+            lambda: not host.reachability.is_cut_off, what="reached", timeout=5.0
+        )
+
+
 @contextmanager
 def listening() -> Iterator[str]:
     with socket.create_server(("127.0.0.1", 0)) as server:
