--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -134,6 +134,11 @@
         """The state of each target as seen by this host, by instance."""
         return self._views
 
+    def record_at(self, address: str) -> TargetRecord | None:
+        """Return the record of the target at ``address``, if there is one."""
+        view = self._views_by_address.get(address)
+        return view.record if view else None
+
     def update(
         self, records: Iterable[TargetRecord], *, evacuated: frozenset[str],
         service_rule: Callable[[str], ServiceRule],
@@ -240,6 +245,13 @@
                 self._clock.now(), unreachable=unreachable
             )
 
+    def forget_failures(self, *, since: float) -> None:
+        """Forget the failures of targets that failed since then, as they were ours."""
+        with self._lock:
+            for view in self._views.values():
+                if view.failed_at >= since:
+                    view.forget_failures()
+
     def release(self, choice: Choice) -> None:
         """End an exchange whose outcome says nothing about the target."""
         with self._lock:
