Relay no request whose caller has left

What could happen: a request whose caller disconnected while it waited for a target was still sent to a peer, which opened a connection for it, when the host was found to be cut off just then. Found by reading; no run showed it. Change: a cancelled request is sent to no peer.

--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -125,14 +125,14 @@
         return last.outcome
 
     def _may_send(self, relayed: RelayedRequest, last: _RelayAttempt | None) -> bool:
+        if relayed.request.cancellation.is_set:
+            return False
         if relayed.deadline - self._clock.now() < MIN_REMAINING_SECONDS:
             return False
-        if last is None:
+        if last is None or last.known_not_run:
             return True
-        if last.responded or relayed.request.cancellation.is_set:
+        if last.responded:
             return False
-        if last.known_not_run:
-            return True
         return relayed.repeatable and self._budgets.spend(relayed.route)
 
     def _send(self, relayed: RelayedRequest, peer: EntryHost) -> _RelayAttempt:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -172,8 +172,14 @@
     assert outcome.err_value.ran is RunStatus.UNKNOWN
 
 
-def test_a_request_whose_caller_left_is_not_sent_to_another_peer():
-    _, connections = run(ExchangeCancelled("gone"), OK, repeatable=True, cancelled=True)
+def test_a_request_whose_caller_left_is_sent_to_no_peer():
+    outcome, connections = run(OK, repeatable=True, cancelled=True)
+    assert connections.addresses == []
+    assert outcome.err_value.ran is RunStatus.NOT_RUN
+
+
+def test_a_request_whose_caller_leaves_is_not_sent_to_another_peer():
+    _, connections = run(ExchangeCancelled("gone"), OK, repeatable=False)
     assert len(connections.addresses) == 1
 
 
