Refuse at once at a coordinated entry host that reaches no target

What callers would see: an entry host whose coordinator grants slots, cut off from all targets, took a slot for each request, failed to connect up to three times, and reported each failure, so that the coordinator ejected healthy targets for the whole domain. Change: the host uses TargetReachability and TargetProber too, with the targets that it was granted. While cut off it refuses as not run before it asks for a slot, but for one request a second that may name a target unknown to it; it reports no failures, leaves the look-up as a leaving host does, closes connections after their next response, and isn't ready. It doesn't relay. Probes now take candidates in place of target records.

--- a/src/chicoryhold/callers/forwarding.py
+++ b/src/chicoryhold/callers/forwarding.py
@@ -5,9 +5,11 @@
 import attrs
 from result import Err, Ok, Result
 
+from chicoryhold.callers.granted_targets import GrantedTargets
 from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
 from chicoryhold.clock import Clock
 from chicoryhold.errors import ConnectFailed, ExchangeFailed, InvalidResponse
+from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.hosts.messages import Admit, Admitted, NotAdmitted
 from chicoryhold.steering.admission_client import AdmissionClient
 from chicoryhold.steering.retry_budget import RetryBudget
@@ -18,6 +20,10 @@
 MAX_ATTEMPTS = 3
 RAN_HEADER = "Chicoryhold-Ran"
 SHED_STATUS = 503
+CUT_OFF_RETRY_AFTER_SECONDS = 1.0
+# While cut off, one request in this time is sent to a target all the same: the known
+# targets may have been replaced, and a grant names a current one.
+CUT_OFF_TRIAL_SECONDS = 1.0
 
 _KINDS_BY_LABEL = {kind.label: kind for kind in RefusalKind}
 
@@ -41,12 +47,20 @@
 
 
 class Forwarder:
-    """Sends requests to targets, with retries. Thread-safe."""
+    """Sends requests to targets, with retries. Thread-safe.
+
+    While this host is cut off from all targets it refuses requests before it asks for a
+    slot, and reports no failures, which would keep other hosts from using the targets.
+    """
 
     def __init__(
         self, *, admission: AdmissionClient, connections: TargetConnections,
-        shifts: ShiftChooser, clock: Clock,
+        shifts: ShiftChooser, reachability: TargetReachability,
+        granted: GrantedTargets, clock: Clock,
     ) -> None:  # fmt: skip
+        self._reachability = reachability
+        self._granted = granted
+        self._next_trial_at = float("-inf")
         self._admission = admission
         self._connections = connections
         self._shifts = shifts
@@ -59,6 +73,8 @@
         A request that may run only once is retried only if no byte of it was sent or
         the target itself reported that it did not run.
         """
+        if self._reachability.is_cut_off and not self._is_trial():
+            return Err(_cut_off_refusal())
         self._retry_budget.earn()
         state = _RetryState()
         while True:
@@ -67,6 +83,13 @@
                 return outcome
             state.last_failure = outcome
 
+    def _is_trial(self) -> bool:
+        now = self._clock.now()
+        if now < self._next_trial_at:
+            return False
+        self._next_trial_at = now + CUT_OFF_TRIAL_SECONDS
+        return True
+
     def _attempt(
         self, forwarded: ForwardedRequest, state: _RetryState
     ) -> Result[TargetResponse, Refusal]:
@@ -86,6 +109,7 @@
             return state.last_failure or Err(_admission_refusal(reply))
         state.attempts += 1
         state.tried_addresses += (reply.address,)
+        self._granted.add(reply.address, service=forwarded.service)
         return self._exchange(forwarded, reply, state)
 
     def _admit_shifted(
@@ -119,18 +143,24 @@
             latency = self._clock.now() - started
             ok = response.status < 500
         except ConnectFailed as error:
-            latency = self._clock.now() - started
+            latency = self._failure_latency(started)
             return Err(_failure(RefusalKind.NO_TARGET, RunStatus.NOT_RUN, error))
         except InvalidResponse as error:
             latency = self._clock.now() - started
             return Err(_failure(RefusalKind.ANSWER_BROKEN, RunStatus.UNKNOWN, error))
         except ExchangeFailed as error:
-            latency = self._clock.now() - started
+            latency = self._failure_latency(started)
             return Err(_failure(RefusalKind.TIMED_OUT, RunStatus.UNKNOWN, error))
         finally:
             self._admission.release(admitted.grant, ok=ok, latency=latency)
         return _refusal_if_shed(response)
 
+    def _failure_latency(self, started: float) -> float | None:
+        """Return the latency of a failure, or ``None`` if it may be this host's own."""
+        if self._reachability.needs_probe:
+            return None
+        return self._clock.now() - started
+
     def _stale_connection_deadline(
         self, forwarded: ForwardedRequest, state: _RetryState
     ) -> float:
@@ -148,7 +178,7 @@
     ) -> bool:
         if state.is_final or state.attempts >= MAX_ATTEMPTS:
             return False
-        if self._clock.now() >= forwarded.deadline:
+        if self._clock.now() >= forwarded.deadline or self._reachability.is_cut_off:
             return False
         not_run = outcome.err_value.ran is RunStatus.NOT_RUN
         if forwarded.request.at_most_once and not not_run:
@@ -167,6 +197,15 @@
     )
 
 
+def _cut_off_refusal() -> Refusal:
+    return Refusal(
+        kind=RefusalKind.NOT_READY,
+        ran=RunStatus.NOT_RUN,
+        message="this host reaches no target: ask another entry host",
+        retry_after=CUT_OFF_RETRY_AFTER_SECONDS,
+    )
+
+
 def _failure(kind: RefusalKind, ran: RunStatus, error: Exception) -> Refusal:
     return Refusal(kind=kind, ran=ran, message=str(error))
 
--- a/src/chicoryhold/gateway/target_prober.py
+++ b/src/chicoryhold/gateway/target_prober.py
@@ -9,11 +9,11 @@
 from random import Random
 from typing import Protocol
 
+import attrs
 from loguru import logger
 
 from chicoryhold.clock import Clock
 from chicoryhold.gateway.reachability import ProbeResult, TargetReachability
-from chicoryhold.state.targets import TargetRecord, TargetState
 
 VERDICT_PROBES = 5  # targets whose failure leads to the verdict
 RETURN_PROBES = 3  # targets tried at a time while the host is cut off
@@ -24,6 +24,16 @@
 RETURN_INTERVAL_SECONDS = 0.25
 
 
+@attrs.frozen(kw_only=True)
+class ProbeCandidate:
+    """A target that may be probed; ``is_ready`` means that it should respond."""
+
+    address: str
+    service: str
+    domain: str
+    is_ready: bool = True
+
+
 class Prober(Protocol):
     """Returns those of ``addresses`` at which a connection could be opened."""
 
@@ -33,54 +43,56 @@
 
 
 def choose_probe_targets(
-    records: Iterable[TargetRecord], *, count: int, random: Random,
+    candidates: Iterable[ProbeCandidate], *, count: int, random: Random,
     failed: frozenset[str] = frozenset(),
-) -> list[TargetRecord]:  # fmt: skip
+) -> list[ProbeCandidate]:  # fmt: skip
     """Return up to ``count`` random targets from different services and domains.
 
     Targets at the addresses in ``failed`` and those that aren't ready are used only if
     there are no others.
     """
-    candidates = [r for r in records if r.state is not TargetState.GONE]
-    random.shuffle(candidates)
+    remaining = list(candidates)
+    random.shuffle(remaining)
     services: Counter[str] = Counter()
     domains: Counter[str] = Counter()
-    chosen: list[TargetRecord] = []
+    chosen: list[ProbeCandidate] = []
 
-    def cost(record: TargetRecord) -> tuple[bool, bool, int, int]:
+    def cost(candidate: ProbeCandidate) -> tuple[bool, bool, int, int]:
         return (
-            record.state is not TargetState.READY,
-            record.address in failed,
-            services[record.service],
-            domains[record.domain],
+            not candidate.is_ready,
+            candidate.address in failed,
+            services[candidate.service],
+            domains[candidate.domain],
         )
 
-    while candidates and len(chosen) < count:
-        record = min(candidates, key=cost)
-        candidates.remove(record)
-        chosen.append(record)
-        services[record.service] += 1
-        domains[record.domain] += 1
+    while remaining and len(chosen) < count:
+        best = min(remaining, key=cost)
+        remaining.remove(best)
+        chosen.append(best)
+        services[best.service] += 1
+        domains[best.domain] += 1
     return chosen
 
 
 class TargetProber:
     """Probes targets on its own thread whenever ``reachability`` needs it.
 
-    ``records`` returns the known targets. ``on_change`` is called after the verdict has
-    changed.
+    ``candidates`` returns the known targets. ``on_change`` is called after the verdict
+    has changed. Events are logged as of ``component``, with what it does meanwhile.
     """
 
     def __init__(
         self, *, reachability: TargetReachability, probe: Prober, clock: Clock,
-        records: Callable[[], Iterable[TargetRecord]], random: Random,
-        on_change: Callable[[], None],
+        candidates: Callable[[], Iterable[ProbeCandidate]], random: Random,
+        component: str, meanwhile: str, on_change: Callable[[], None] = lambda: None,
     ) -> None:  # fmt: skip
         self._reachability = reachability
         self._probe = probe
         self._clock = clock
-        self._records = records
+        self._candidates = candidates
         self._random = random
+        self._component = component
+        self._meanwhile = meanwhile
         self._on_change = on_change
         self._started_at = clock.now()
         self._wake = threading.Event()
@@ -115,7 +127,9 @@
             self.probe_once()
         except OSError as error:
             # Without descriptors or ports nothing is known about the targets.
-            logger.bind(reason=str(error)).warning("gateway: probing targets failed.")
+            logger.bind(reason=str(error)).warning(
+                "{}: probing targets failed.", self._component
+            )
         if self._reachability.needs_probe:
             elapsed = self._clock.now() - self._started_at
             self._stopping.wait(max(0.0, RETURN_INTERVAL_SECONDS - elapsed))
@@ -125,13 +139,15 @@
         was_cut_off = self._reachability.is_cut_off
         self._started_at = self._clock.now()
         chosen = choose_probe_targets(
-            self._records(),
+            self._candidates(),
             count=RETURN_PROBES if was_cut_off else VERDICT_PROBES,
             random=self._random,
             failed=frozenset() if was_cut_off else self._reachability.failed_addresses,
         )
         timeout = RETURN_TIMEOUT_SECONDS if was_cut_off else VERDICT_TIMEOUT_SECONDS
-        reached = self._probe([r.address for r in chosen], timeout=timeout)
+        reached = self._probe(
+            [candidate.address for candidate in chosen], timeout=timeout
+        )
         result = ProbeResult(
             started_at=self._started_at, probed=len(chosen), reached=len(reached)
         )
@@ -139,16 +155,18 @@
             self._log(chosen)
             self._on_change()
 
-    def _log(self, chosen: list[TargetRecord]) -> None:
+    def _log(self, chosen: list[ProbeCandidate]) -> None:
         began = self._reachability.cut_off_since
         fields = {"seconds": round(self._clock.now() - began, 2)}
         if not self._reachability.is_cut_off:
-            logger.bind(**fields).warning("gateway: targets are reachable again.")
+            logger.bind(**fields).warning(
+                "{}: targets are reachable again.", self._component
+            )
             return
         logger.bind(
             **fields,
             probes=len(chosen),
             failures=len(self._reachability.failed_addresses),
-            services=len({record.service for record in chosen}),
-            domains=len({record.domain for record in chosen}),
-        ).warning("gateway: targets are out of reach; relaying.")
+            services=len({candidate.service for candidate in chosen}),
+            domains=len({candidate.domain for candidate in chosen}),
+        ).warning("{}: targets are out of reach; {}.", self._component, self._meanwhile)
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from concurrent.futures import Future
 from contextlib import ExitStack, contextmanager
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -18,6 +19,7 @@
 from chicoryhold.callers.app import CallerApp
 from chicoryhold.callers.authentication import Authenticator
 from chicoryhold.callers.forwarding import Forwarder
+from chicoryhold.callers.granted_targets import GrantedTargets
 from chicoryhold.callers.observations import RequestMetrics
 from chicoryhold.callers.service import CallerService
 from chicoryhold.claims.client import REPLICAS_PER_DOMAIN, ClaimClient
@@ -27,6 +29,8 @@
 from chicoryhold.control.follower_actor import FollowerActor, choose_sources
 from chicoryhold.control.messages import FetchChanges, FetchImage
 from chicoryhold.errors import SettingsError
+from chicoryhold.gateway.reachability import TargetReachability
+from chicoryhold.gateway.target_prober import TargetProber
 from chicoryhold.hosts.actors import PeerRequest, forward_to, running_actor
 from chicoryhold.hosts.bus import Bus, Handler, running_bus
 from chicoryhold.hosts.curve import load_key_pair, load_public_keys
@@ -61,6 +65,7 @@
 from chicoryhold.steering.shifts import ShiftChooser, ShiftLimiter
 from chicoryhold.steering.targets import TargetRegistry
 from chicoryhold.targets.connections import TargetConnections
+from chicoryhold.targets.probe import reached_addresses
 
 USAGE = """Runs one entry host.
 
@@ -132,6 +137,8 @@
     follower: Follower
     view: DomainView
     hosts: dict[str, tuple[str, ...]]
+    reachability: TargetReachability
+    granted: GrantedTargets
 
     @property
     def replicas(self) -> dict[str, tuple[str, ...]]:
@@ -158,7 +165,7 @@
 
         def leaving() -> bool:
             planned = settings.name in context.follower.state.stops
-            return planned or is_stopping()
+            return planned or is_stopping() or context.reachability.is_cut_off
 
         heartbeats = HeartbeatActor.start(
             view=context.view,
@@ -168,6 +175,7 @@
             held=admission.held,
         )
         stack.enter_context(running_actor(heartbeats, interval=HEARTBEAT_TICK_SECONDS))
+        stack.enter_context(_create_prober(context).running())
         app = _create_app(context, admission)
         stack.enter_context(
             serve_http(
@@ -211,6 +219,8 @@
         follower=Follower(clock=clock),
         view=DomainView(replicas=replicas, clock=clock),
         hosts=hosts,
+        reachability=TargetReachability(clock=clock),
+        granted=GrantedTargets(),
     )
 
 
@@ -299,19 +309,39 @@
     )
 
 
+def _create_prober(context: _HostContext) -> TargetProber:
+    return TargetProber(
+        reachability=context.reachability,
+        probe=partial(reached_addresses, clock=context.clock),
+        clock=context.clock,
+        candidates=context.granted.candidates,
+        random=Random(context.settings.name),
+        component="entry",
+        meanwhile="refusing requests",
+    )
+
+
 def _create_app(context: _HostContext, admission: AdmissionClient) -> CallerApp:
     authenticator = Authenticator(
         follower=context.follower, view=context.view, clock=context.clock
     )
     forwarder = Forwarder(
         admission=admission,
-        connections=TargetConnections(clock=context.clock),
+        connections=TargetConnections(
+            clock=context.clock,
+            record_connect_time=lambda *_: context.reachability.record_opened(),
+            record_link_failure=lambda address, _: context.reachability.record_failure(
+                address
+            ),
+        ),
         shifts=ShiftChooser(
             domain=context.settings.domain,
             clock=context.clock,
             random=Random(),
             shifts=lambda: context.follower.state.shifts,
         ),
+        reachability=context.reachability,
+        granted=context.granted,
         clock=context.clock,
     )
     metrics = RequestMetrics(meter=create_meter(context.settings.name))
@@ -344,4 +374,6 @@
         return "the domain's replicas are silent: check the links in the domain"
     if not context.view.coordinator:
         return "the domain has no coordinator yet"
+    if context.reachability.is_cut_off:
+        return "no target can be reached: check the network to the targets"
     return ""
--- a/src/chicoryhold/programs/gateway_links.py
+++ b/src/chicoryhold/programs/gateway_links.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 from random import Random
 
@@ -14,10 +14,11 @@
 from chicoryhold.gateway.relay import Relay, RelayHeaderTranslator
 from chicoryhold.gateway.relay_peers import RelayPeers
 from chicoryhold.gateway.retry_budgets import RetryBudgets
-from chicoryhold.gateway.target_prober import TargetProber
+from chicoryhold.gateway.target_prober import ProbeCandidate, TargetProber
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
 from chicoryhold.routing.target_choice import TargetChooser
+from chicoryhold.state.targets import TargetRecord, TargetState
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.dialect import TargetDialect
 from chicoryhold.targets.link_failures import LinkFailure
@@ -81,6 +82,20 @@
     )
 
 
+def probe_candidates(records: Iterable[TargetRecord]) -> list[ProbeCandidate]:
+    """Return the targets that still exist as candidates for probes."""
+    return [
+        ProbeCandidate(
+            address=record.address,
+            service=record.service,
+            domain=record.domain,
+            is_ready=record.state is TargetState.READY,
+        )
+        for record in records
+        if record.state is not TargetState.GONE
+    ]
+
+
 def create_prober(
     links: TargetLinks, *, name: str, on_change: Callable[[], None]
 ) -> TargetProber:
@@ -88,8 +103,12 @@
         reachability=links.reachability,
         probe=partial(reached_addresses, clock=links.clock),
         clock=links.clock,
-        records=lambda: [view.record for view in links.chooser.views.values()],
+        candidates=lambda: probe_candidates(
+            view.record for view in links.chooser.views.values()
+        ),
         random=Random(name),
+        component="gateway",
+        meanwhile="relaying",
         on_change=on_change,
     )
 
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,146 @@
+"""Requests at an entry host whose coordinator grants slots, cut off from targets."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from result import Ok
+
+from chicoryhold.callers.forwarding import ForwardedRequest, Forwarder
+from chicoryhold.callers.granted_targets import GrantedTargets
+from chicoryhold.callers.refusals import RunStatus
+from chicoryhold.errors import ConnectFailed
+from chicoryhold.gateway.reachability import TargetReachability
+from chicoryhold.gateway.target_prober import TargetProber
+from chicoryhold.hosts.messages import Admitted
+from chicoryhold.steering.shifts import ShiftChooser
+from chicoryhold.steering.targets import EJECTION_FAILURE_THRESHOLD
+from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
+from tests.conftest import FakeClock
+
+OK = TargetResponse(status=200, headers=(), body=b"whole")
+ADDRESSES = tuple(f"10.0.0.{number}:80" for number in range(8))
+
+
+class Admission:
+    """Grants slots on all targets in turn, and records what is reported of them."""
+
+    def __init__(self) -> None:
+        self.granted = 0
+        self.reported_failures = 0
+
+    def admit(self, request, *, deadline):
+        address = ADDRESSES[self.granted % len(ADDRESSES)]
+        self.granted += 1
+        return Admitted(grant=str(self.granted), address=address, waited=0.0)
+
+    def release(self, grant, *, ok, latency):
+        self.reported_failures += not ok and latency is not None
+
+
+class Host:
+    """An entry host that reaches targets unless ``is_cut``."""
+
+    def __init__(self) -> None:
+        self.clock = FakeClock()
+        self.admission = Admission()
+        self.is_cut = False
+        self.known_targets_are_gone = False
+        self.reachability = TargetReachability(clock=self.clock)
+        granted = GrantedTargets()
+        self.prober = TargetProber(
+            reachability=self.reachability,
+            probe=self.probe,
+            clock=self.clock,
+            candidates=granted.candidates,
+            random=Random(1),
+            component="entry",
+            meanwhile="refusing requests",
+        )
+        self.forwarder = Forwarder(
+            admission=self.admission,
+            connections=self,
+            shifts=ShiftChooser(
+                domain="north-a", clock=self.clock, random=Random(1), shifts=tuple
+            ),
+            reachability=self.reachability,
+            granted=granted,
+            clock=self.clock,
+        )
+
+    def probe(self, addresses, *, timeout):
+        if self.is_cut or self.known_targets_are_gone:
+            return ()
+        return tuple(addresses)
+
+    def exchange(self, address, request, *, deadline, stale_connection_deadline):
+        if self.is_cut:
+            self.reachability.record_failure(address)
+            raise ConnectFailed("refused")
+        self.reachability.record_opened()
+        return OK
+
+    def send(self):
+        request = OutgoingRequest(
+            request_id="r", method="GET", path="/", headers={}, body=b"",
+            at_most_once=True,
+        )  # fmt: skip
+        outcome = self.forwarder.run(
+            ForwardedRequest(
+                organisation="o",
+                service="menu",
+                request=request,
+                deadline=self.clock.now() + 1,
+            )
+        )
+        if self.reachability.needs_probe:
+            self.prober.probe_once()
+        self.clock.advance(0.05)
+        return outcome
+
+
+@pytest.fixture
+def host() -> Host:
+    host = Host()
+    for _ in range(20):
+        assert host.send() == Ok(OK)
+    return host
+
+
+def test_a_cut_off_host_refuses_at_once_and_takes_no_slots(host):
+    host.is_cut = True
+    send_until_cut_off = [host.send() for _ in range(4)]
+    assert host.reachability.is_cut_off
+    assert all(o.err_value.ran is RunStatus.NOT_RUN for o in send_until_cut_off)
+    granted = host.admission.granted
+    outcomes = [host.send() for _ in range(100)]  # in 5 s
+    assert all(o.err_value.ran is RunStatus.NOT_RUN for o in outcomes)
+    assert sum(o.err_value.retry_after > 0 for o in outcomes) >= 94
+    assert host.admission.granted - granted <= 6
+
+
+def test_a_cut_off_host_does_not_make_the_coordinator_eject_targets(host):
+    host.is_cut = True
+    for _ in range(200):
+        host.send()
+    assert host.admission.reported_failures < EJECTION_FAILURE_THRESHOLD
+
+
+def test_a_host_serves_again_after_the_cut(host):
+    host.is_cut = True
+    for _ in range(20):
+        host.send()
+    host.is_cut = False
+    host.prober.probe_once()
+    assert host.send() == Ok(OK)
+
+
+def test_a_cut_off_host_finds_targets_that_replaced_the_known_ones(host):
+    host.is_cut = True
+    for _ in range(20):
+        host.send()
+    host.is_cut = False
+    host.known_targets_are_gone = True
+    outcomes = [host.send() for _ in range(40)]  # in 2 s
+    assert Ok(OK) in outcomes
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -13,7 +13,12 @@
 
 from chicoryhold.clock import BootClock
 from chicoryhold.gateway.reachability import ProbeResult, TargetReachability
-from chicoryhold.gateway.target_prober import TargetProber, choose_probe_targets
+from chicoryhold.gateway.target_prober import (
+    ProbeCandidate,
+    TargetProber,
+    choose_probe_targets,
+)
+from chicoryhold.programs.gateway_links import probe_candidates
 from chicoryhold.state.targets import TargetState
 from chicoryhold.targets.probe import reached_addresses
 from chicoryhold.trial.fleet import wait_until
@@ -23,8 +28,7 @@
 SERVICES = ("menu", "ledger", "delivery")
 DOMAINS = ("north-a", "north-b", "south-a")
 TARGETS = tuple(
-    a_record(
-        instance=f"{service}-{domain}-{number}",
+    ProbeCandidate(
         address=f"{service}.{domain}.{number}:80",
         service=service,
         domain=domain,
@@ -67,8 +71,10 @@
             reachability=self.reachability,
             probe=self.network.probe,
             clock=self.clock,
-            records=lambda: TARGETS,
+            candidates=lambda: TARGETS,
             random=self.random,
+            component="gateway",
+            meanwhile="relaying",
             on_change=lambda: self.changes.append(self.reachability.is_cut_off),
         )
 
@@ -185,7 +191,7 @@
         a_record(instance="i-4", address="d:80", state=TargetState.GONE),
     ]
     chosen = choose_probe_targets(
-        records, count=4, random=Random(1), failed=frozenset({"b:80"})
+        probe_candidates(records), count=4, random=Random(1), failed=frozenset({"b:80"})
     )
     assert [record.address for record in chosen] == ["c:80", "b:80", "a:80"]
 
@@ -204,9 +210,10 @@
         reachability=host.reachability,
         probe=failing_probe,
         clock=host.clock,
-        records=lambda: TARGETS,
+        candidates=lambda: TARGETS,
         random=host.random,
-        on_change=lambda: None,
+        component="gateway",
+        meanwhile="relaying",
     )
     host.network.is_cut = True
     with prober.running():
