Give the kernel as long to find a target's connection lost as the attempt has

What callers could see: requests that took a target longer than two seconds were cut at random on links that lose packets, and a target that paused for over a second while it read a long body was cut always. Both had status 502, with the target at work.

Cause: TCP_USER_TIMEOUT, 1 s for every request, decides also when keep-alive probes give up, whatever their count, and it counts while the receiver's window is closed. At 2.5% loss in each direction 4.9% of the probes go unanswered, so a request of 60 s had 1 chance in 20 to be left alone (0.951 to the power of 58).

Evidence (raw sockets on loopback, packets of one side dropped by a socket filter; probes after 1 s, each second):

timeout 1 s 2 s 2.5 s 3 s lost while waiting, noticed 1.9 s 2.0 s 3.0 s 3.0 s lost with data on its way 1.5 s 2.4 s 2.9 s 3.7 s one probe lost cut cut kept kept two probes lost cut cut cut cut silent for 7 s, acknowledged kept kept kept kept reads nothing for 4 s 1.3 s 2.4 s 2.8 s 3.3 s

Change: the timeout is as long as an attempt that fails may last, so half of the remaining time if another attempt is possible, else all of it; in whole seconds, 1 to 10. A lost connection is noticed in time for the other attempt, as before, and nothing is cut when there is none. Short deadlines keep the value of 1 s and cost no system call. An idle connection has 1 s again.

The bus is right as it is: pyzmq's TCP_MAXRT sets TCP_USER_TIMEOUT (1500 ms, read back on both sides), but no probes are on, and pings every 2 s are data. Noticed after 2.4 to 3.5 s idle, and 1.9 s (sender) and 3.2 s (receiver) with a message on its way.

--- a/src/chicoryhold/targets/checked_connection.py
+++ b/src/chicoryhold/targets/checked_connection.py
@@ -7,19 +7,38 @@
 from __future__ import annotations
 
 import http.client
+import math
 import socket
-from collections.abc import Sequence
 
 import urllib3
 from urllib3.connection import HTTPConnection
 
 from chicoryhold.clock import Clock
 from chicoryhold.errors import InvalidResponse
-from chicoryhold.targets.limited_reader import LimitedReader, ReadDeadlines
+from chicoryhold.targets.limited_reader import ExchangeDeadlines, LimitedReader
 from chicoryhold.targets.response_memory import MAX_RESPONSE_BYTES, ResponseMemory
 
 READ_CHUNK_BYTES = 65_536
 MAX_LINE_BYTES = 65_536
+MIN_LOSS_TIMEOUT_SECONDS = 1  # one probe; several retransmissions of data
+MAX_LOSS_TIMEOUT_SECONDS = 10
+MILLISECONDS_PER_SECOND = 1000
+
+
+# The kernel closes a connection whose data or keep-alive probes are not acknowledged,
+# which distinguishes a lost connection from a slow target. TCP_USER_TIMEOUT decides
+# after which time, also for the probes, whatever their number.
+_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        MIN_LOSS_TIMEOUT_SECONDS * MILLISECONDS_PER_SECOND,
+    ),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+)
 
 
 class CheckedResponse(http.client.HTTPResponse):
@@ -75,20 +94,26 @@
 class CheckedConnection(HTTPConnection):
     """A connection on which each exchange has deadlines, sending included."""
 
-    def __init__(
-        self, *, host: str, port: int, timeout: float, clock: Clock,
-        socket_options: Sequence[tuple[int, int, int]],
-    ) -> None:  # fmt: skip
-        super().__init__(host, port, timeout=timeout, socket_options=socket_options)
+    def __init__(self, *, host: str, port: int, timeout: float, clock: Clock) -> None:
+        super().__init__(host, port, timeout=timeout, socket_options=_SOCKET_OPTIONS)
         self._clock = clock
-        self._deadlines = ReadDeadlines(exchange=0.0, partial_head=0.0)
+        self._loss_timeout_seconds = MIN_LOSS_TIMEOUT_SECONDS
+        self._deadlines = ExchangeDeadlines(final=0.0, early=0.0)
 
-    def start_exchange(self, deadlines: ReadDeadlines) -> None:
+    def start_exchange(self, deadlines: ExchangeDeadlines) -> None:
         """Set the deadlines of the next request and its response."""
         self._deadlines = deadlines
+        self._set_loss_timeout(
+            _loss_timeout_seconds(deadlines.early - self._clock.now())
+        )
+
+    def end_exchange(self) -> None:
+        """Have the kernel notice soon if the connection is lost while it is idle."""
+        if self.sock is not None:
+            self._set_loss_timeout(MIN_LOSS_TIMEOUT_SECONDS)
 
     def send(self, data: bytes) -> None:
-        remaining = self._deadlines.exchange - self._clock.now()
+        remaining = self._deadlines.final - self._clock.now()
         if remaining <= 0:
             raise TimeoutError("the deadline has passed")
         self.sock.settimeout(remaining)
@@ -99,6 +124,26 @@
         reader = LimitedReader(sock=sock, clock=self._clock, deadlines=self._deadlines)
         return CheckedResponse(reader, **kwargs)
 
+    def _set_loss_timeout(self, seconds: int) -> None:
+        if seconds == self._loss_timeout_seconds:
+            return
+        self.sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            seconds * MILLISECONDS_PER_SECOND,
+        )
+        self._loss_timeout_seconds = seconds
+
+
+def _loss_timeout_seconds(time_left: float) -> int:
+    """Return after how long without acknowledgement a connection counts as lost.
+
+    It is as long as an attempt that fails may last: an earlier end would gain nothing,
+    and could be due to a single lost packet.
+    """
+    seconds = math.ceil(time_left)
+    return min(max(seconds, MIN_LOSS_TIMEOUT_SECONDS), MAX_LOSS_TIMEOUT_SECONDS)
+
 
 def read_body(response: urllib3.HTTPResponse, *, memory: ResponseMemory) -> bytes:
     """Return the whole body of ``response``, or raise ``InvalidResponse``."""
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import http.client
-import socket
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -26,7 +25,7 @@
 from chicoryhold.targets.checked_connection import CheckedConnection, read_body
 from chicoryhold.targets.dialect import OWN_DIALECT, TargetDialect
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
-from chicoryhold.targets.limited_reader import ReadDeadlines
+from chicoryhold.targets.limited_reader import ExchangeDeadlines
 from chicoryhold.targets.response_memory import ResponseMemory
 
 DEFAULT_IDLE_LIMIT_SECONDS = 5.0  # for targets without a Keep-Alive timeout
@@ -42,18 +41,6 @@
 IDLE_CHECK_INTERVAL_SECONDS = 1.0
 PRECONNECT_THREADS = 2
 STALE_AFTER_SECONDS = 0.1  # idle time after which a connection may have been lost
-USER_TIMEOUT_MS = 1_000
-
-
-# The kernel closes a connection whose data or keep-alive probes are not acknowledged.
-# This distinguishes a lost connection from a slow target.
-_SOCKET_OPTIONS = (
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-)
 
 
 @attrs.frozen(kw_only=True, eq=False)
@@ -122,9 +109,7 @@
             connection = idle.connection
             if self._clock.now() - idle.idle_since > STALE_AFTER_SECONDS:
                 deadline = stale_connection_deadline
-        deadlines = ReadDeadlines(
-            exchange=deadline, partial_head=stale_connection_deadline
-        )
+        deadlines = ExchangeDeadlines(final=deadline, early=stale_connection_deadline)
         try:
             with cancellation.closing(connection.sock):
                 response = self._send(connection, request, deadlines)
@@ -257,7 +242,6 @@
             port=int(port),
             timeout=timeout,
             clock=self._clock,
-            socket_options=_SOCKET_OPTIONS,
         )
         started = self._clock.now()
         try:
@@ -273,7 +257,7 @@
 
     def _send(
         self, connection: CheckedConnection, request: OutgoingRequest,
-        deadlines: ReadDeadlines,
+        deadlines: ExchangeDeadlines,
     ) -> TargetResponse:  # fmt: skip
         connection.start_exchange(deadlines)
         connection.request(
@@ -291,6 +275,7 @@
         with closing(response):
             body = read_body(response, memory=self._memory)
             self._validate(connection, request, response)
+        connection.end_exchange()
         return TargetResponse(
             status=response.status,
             headers=tuple(response.headers.items()),
--- a/src/chicoryhold/targets/limited_reader.py
+++ b/src/chicoryhold/targets/limited_reader.py
@@ -19,15 +19,15 @@
 
 
 @attrs.frozen(kw_only=True)
-class ReadDeadlines:
+class ExchangeDeadlines:
     """Times on the clock of this host by which an exchange must have ended.
 
-    ``partial_head`` is the earlier one that applies while the head of the response has
-    begun and isn't complete.
+    An exchange that has probably failed ends by ``early``, so that time remains for
+    another attempt, any other by ``final``. Both are equal if there can be no other.
     """
 
-    exchange: float
-    partial_head: float
+    final: float
+    early: float
 
 
 class LimitedReader(io.RawIOBase):
@@ -38,7 +38,7 @@
     """
 
     def __init__(
-        self, *, sock: socket.socket, clock: Clock, deadlines: ReadDeadlines
+        self, *, sock: socket.socket, clock: Clock, deadlines: ExchangeDeadlines
     ) -> None:
         super().__init__()
         self._socket = sock
@@ -46,7 +46,7 @@
         self._stream = sock.makefile("rb", buffering=0)
         self._clock = clock
         self._deadlines = deadlines
-        self._deadline = deadlines.exchange
+        self._deadline = deadlines.final
         self._in_head = True
         self._head_has_begun = False
         self._waits = True
@@ -113,19 +113,19 @@
     def _begin_head(self) -> None:
         self._head_has_begun = True
         self._deadline = min(
-            self._deadlines.exchange,
-            max(self._deadlines.partial_head, self._clock.now() + MIN_HEAD_SECONDS),
+            self._deadlines.final,
+            max(self._deadlines.early, self._clock.now() + MIN_HEAD_SECONDS),
         )
 
     def _end_head(self) -> None:
         self._head_has_begun = False
-        self._deadline = self._deadlines.exchange
+        self._deadline = self._deadlines.final
 
     def _remaining(self) -> float:
         remaining = self._deadline - self._clock.now()
         if remaining > 0:
             return remaining
-        if self._deadline < self._deadlines.exchange:
+        if self._deadline < self._deadlines.final:
             raise InvalidResponse(
                 "the answer's head has begun and doesn't end: look at the target's log"
             )
