Notice callers that vanished without closing their connection

What callers could see: after many callers had lost their link, an entry host counted their connections for another 60 to 90 s; at 1,000 connections it accepts nobody. A request of such a caller ran on, and its response waited in memory.

Cause: the callers' sockets had neither keep-alive probes nor TCP_USER_TIMEOUT, so only the idle timeout of the HTTP server closed them, and not during a request.

Change: probes after 10 s, every 5 s, and TCP_USER_TIMEOUT of 20 s, which decides for the probes too: two of them may be lost. The same holds for all that connect to our HTTP servers (targets that report, operators, scrapers). The HTTP server no longer logs a traceback for each caller that is lost.

Test: test_callers_connections_have_keep_alive_probes_and_a_loss_timeout reads the options back.

--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -22,8 +23,21 @@
 LOOKAHEAD_REQUESTS = 1  # reading past a request detects that its caller disconnected
 DEFAULT_IDLE_TIMEOUT_SECONDS = 30
 MAX_HEADER_BYTES = 65_536
+CALLER_PROBE_IDLE_SECONDS = 10
+CALLER_PROBE_INTERVAL_SECONDS = 5
+CALLER_LOSS_TIMEOUT_SECONDS = 20  # two probes may be lost
 DEFAULT_MAX_BODY_BYTES = 1_048_576
 
+# A caller that vanished without closing its connection would keep it open until the
+# idle timeout, and during a request for minutes. TCP_USER_TIMEOUT decides when the
+# kernel gives up, for unacknowledged responses and for probes.
+_CALLER_SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, CALLER_PROBE_IDLE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, CALLER_PROBE_INTERVAL_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, CALLER_LOSS_TIMEOUT_SECONDS * 1000),
+]
 
 _CLOCK = BootClock()
 
@@ -112,6 +126,7 @@
             asyncore_loop_timeout=POLL_TIMEOUT_SECONDS,
             max_request_header_size=MAX_HEADER_BYTES,
             max_request_body_size=max_body_bytes,
+            log_socket_errors=False,
         )
     except OSError as error:
         raise AddressInUse(
@@ -119,6 +134,7 @@
             "change the address in the settings"
         ) from error
     server.channel_class = _channel_class(should_close)
+    server.adj.socket_options = _CALLER_SOCKET_OPTIONS
     thread = threading.Thread(target=server.run, name="http", daemon=True)
     thread.start()
     try:
--- a/tests/test_lost_connections.py
+++ b/tests/test_lost_connections.py
@@ -14,6 +14,7 @@
 from chicoryhold.errors import ExchangeFailed
 from chicoryhold.hosts.bus import TCP_MAX_RETRANSMIT_MS, Bus, running_bus
 from chicoryhold.hosts.transport import PlaintextTransport
+from chicoryhold.http_server import CALLER_LOSS_TIMEOUT_SECONDS, serve_http
 from chicoryhold.targets.checked_connection import CheckedConnection
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
@@ -140,6 +141,23 @@
     return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
 
 
+def test_callers_connections_have_keep_alive_probes_and_a_loss_timeout():
+    def app(environ, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    with serve_http(app, "127.0.0.1:0", threads=1) as port:
+        with socket.create_connection(("127.0.0.1", port)) as caller:
+            caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            assert caller.recv(65_536)
+            with open_tcp_sockets() as sockets:
+                accepted = next(
+                    s for s in sockets if s.getpeername() == caller.getsockname()
+                )
+                assert accepted.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+                assert user_timeout_ms(accepted) == CALLER_LOSS_TIMEOUT_SECONDS * 1000
+
+
 def test_bus_has_a_loss_timeout_on_both_sides_and_no_probes_that_it_would_end():
     def a_bus(ip: str) -> Bus:
         transport = PlaintextTransport(name=ip, port=BUS_PORT)
