--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -49,7 +49,8 @@
 from chicoryhold.state.control_state import ControlState
 from chicoryhold.state.table import OrganisationLimits, check_table, parse_table
 from chicoryhold.steering.client_blocks import Block, ClientBlocks
-from chicoryhold.steering.coordinator import AnswerRequest, Coordinator
+from chicoryhold.steering.coordinator import Coordinator
+from chicoryhold.steering.effects import AnswerRequest
 from chicoryhold.steering.shifts import ShiftLimiter
 from chicoryhold.steering.targets import TargetRegistry
 from chicoryhold.trial.fleet import free_address
@@ -179,7 +180,7 @@
     for size in sizes:
         memory_bytes, state = allocate_traced(lambda n=size: filled_state(100, n, 0))
         memory_by_size.append(memory_bytes)
-        image_bytes = len(state.image(with_requests=False))
+        image_bytes = len(state.image(for_replica=False))
         label = f"{size:,} keys"
         rows += [
             Row(quantity="held", size=label, value=memory_bytes / 1e6, unit="MB"),
@@ -255,7 +256,7 @@
         state = filled_state(100, size, 0)
         feed = ChangeFeed(state=state)
         follower = Follower(clock=BootClock())
-        follower.state.load(state.image(with_requests=False))
+        follower.state.load(state.image(for_replica=False))
         # Above the numbers that filled_state() used for request IDs.
         number = size + 1000
 
--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -13,15 +13,14 @@
 import attrs
 
 from chicoryhold.clock import Clock
+from chicoryhold.consensus.committed_log import CommittedLog
 from chicoryhold.consensus.effects import (
-    Apply,
     Effect,
     LeadershipLost,
-    SaveEntries,
-    SaveSnapshot,
     SaveVote,
     Send,
 )
+from chicoryhold.consensus.election_timer import ElectionTimer, Timing
 from chicoryhold.consensus.log import Log
 from chicoryhold.consensus.messages import (
     UNCONFIRMED_AGE_SECONDS,
@@ -35,12 +34,12 @@
     VoteReply,
     VoteRequest,
 )
+from chicoryhold.consensus.progress import Progress
 from chicoryhold.errors import NotLeader
 
 MAX_ENTRIES_PER_REQUEST = 256
-# Ranges of the random factor by which the minimum election timeout is multiplied.
-INITIAL_ELECTION_FACTORS = (0.3, 1.0)  # until a leader has been heard
-ELECTION_FACTORS = (1.0, 2.0)
+# Answers to older broadcasts don't count; in minimum election timeouts.
+ROUND_LIFETIME_FACTOR = 4
 
 
 class Role(enum.Enum):
@@ -49,31 +48,6 @@
     LEADER = "leader"
 
 
-@attrs.frozen(kw_only=True)
-class Timing:
-    """Intervals in seconds; ``election`` is the minimum election timeout.
-
-    Each timeout is drawn from [1, 2) times the minimum, and from a shorter range
-    until the replica has heard a leader.
-    """
-
-    heartbeat: float = 0.1
-    election: float = 0.6
-
-
-@attrs.define(kw_only=True)
-class _Progress:
-    """The leader's view of one follower.
-
-    ``acknowledged_at`` is when the latest broadcast that the follower answered was
-    sent.
-    """
-
-    next_index: int
-    match_index: int = 0
-    acknowledged_at: float = float("-inf")
-
-
 class Replica:
     """One member of a Raft group.
 
@@ -90,26 +64,24 @@
         self._log = log
         self._vote = vote
         self._clock = clock
-        self._random = random
         self._timing = timing or Timing()
         self._role = Role.FOLLOWER
         self._leader: str | None = None
-        self._commit_index = log.snapshot.index
         self._effects: list[Effect] = []
-        self._progress: dict[str, _Progress] = {}
+        self._committed = CommittedLog(log=log, request=self._request)
+        self._progress = Progress(
+            identity=identity,
+            round_lifetime=ROUND_LIFETIME_FACTOR * self._timing.election,
+        )
         self._votes_received: set[str] = set()
         self._pre_vote = False
-        self._round = 0
-        self._round_sent_at: dict[int, float] = {}
         self._leader_heard_at = float("-inf")
         self._copy_confirmed_at = float("-inf")
         self._leader_since = float("-inf")
         self._heartbeat_due = float("-inf")
-        # The first timeout is short because there is no leader if all replicas have
-        # just started. If there is one, its heartbeat ends the campaign, and the
-        # pre-vote keeps the campaign from disturbing it.
-        timeout = self._timing.election * random.uniform(*INITIAL_ELECTION_FACTORS)
-        self._election_due = clock.now() + timeout
+        self._election_timer = ElectionTimer(
+            timing=self._timing, clock=clock, random=random
+        )
 
     @property
     def identity(self) -> str:
@@ -138,7 +110,7 @@
 
     @property
     def commit_index(self) -> int:
-        return self._commit_index
+        return self._committed.commit_index
 
     @property
     def confirmed_at(self) -> float:
@@ -150,7 +122,7 @@
         """
         if self._role is not Role.LEADER:
             return float("-inf")
-        if self._log.term_at(self._commit_index) != self.term:
+        if self._committed.committed_term != self.term:
             return float("-inf")
         return self._quorum_acknowledged_at()
 
@@ -162,7 +134,7 @@
         which the message arrived, so it doesn't account for the network delay.
         """
         if self._role is Role.LEADER:
-            return self.confirmed_at
+            return max(self.confirmed_at, self._copy_confirmed_at)
         return self._copy_confirmed_at
 
     def silent_members(self, *, longer_than: float) -> tuple[str, ...]:
@@ -177,7 +149,7 @@
             member
             for member in self.members.identities
             if member != self._identity
-            and now - self._acknowledged_at(member) > longer_than
+            and now - self._progress.acknowledged_at(member) > longer_than
         )
 
     def take_effects(self) -> list[Effect]:
@@ -191,7 +163,7 @@
         now = self._clock.now()
         if self._role is Role.LEADER:
             self._tick_leader(now)
-        elif now >= self._election_due:
+        elif self._election_timer.is_due(now):
             self._start_election(pre_vote=True)
 
     def propose(self, command: bytes) -> int:
@@ -210,8 +182,9 @@
         """
         if self._role is not Role.LEADER:
             raise NotLeader(leader=self._leader)
-        own_term_committed = self._log.term_at(self._commit_index) == self.term
-        if self._log.members_index > self._commit_index or not own_term_committed:
+        own_term_committed = self._committed.committed_term == self.term
+        has_pending_change = self._log.members_index > self._committed.commit_index
+        if has_pending_change or not own_term_committed:
             return None
         changed = set(members.voters) ^ set(self.members.voters)
         if len(changed) > 1:
@@ -220,21 +193,14 @@
 
     def match_index_of(self, identity: str) -> int:
         """Return the highest index up to which a follower's log is known to match."""
-        progress = self._progress.get(identity)
-        return progress.match_index if progress else 0
+        return self._progress.match_index_of(identity)
 
     def compact(self, *, index: int, data: bytes) -> Snapshot:
         """Replace the log up to ``index`` by a snapshot with ``data``.
 
         ``data`` must be the state after the entry at ``index`` was applied.
         """
-        term = self._log.term_at(index)
-        if term is None or index > self._commit_index:
-            raise ValueError(f"index {index} is not committed in this log")
-        members = self._members_at(index)
-        snapshot = Snapshot(index=index, term=term, members=members, data=data)
-        self._log.compact(snapshot)
-        return snapshot
+        return self._committed.compact(index=index, data=data)
 
     def receive(self, message: object) -> None:
         """Handle a message from another replica."""
@@ -325,15 +291,14 @@
         self._role = Role.LEADER
         self._leader = self._identity
         self._leader_since = now
-        self._round_sent_at = {}
-        self._progress = {}
+        self._progress.reset()
         # Entries of earlier terms are committed only through an entry of this term,
         # so append one without waiting for a proposal.
         self._append(Entry(index=0, term=0))
 
     def _become_follower(self, term: int, *, leader: str | None) -> None:
         if self._role is Role.LEADER:
-            self._effects.append(LeadershipLost())
+            self._request(LeadershipLost())
         self._role = Role.FOLLOWER
         self._leader = leader
         if term > self.term:
@@ -351,14 +316,7 @@
         return now - self._leader_heard_at < self._timing.election
 
     def _reset_election_timeout(self) -> None:
-        # Until a leader has been heard, as after all replicas have started at once,
-        # an early retry disturbs no leader. With the longer range, a split vote
-        # would delay the election by one or two minimum timeouts.
-        factors = (
-            ELECTION_FACTORS if self._has_heard_leader else INITIAL_ELECTION_FACTORS
-        )
-        timeout = self._timing.election * self._random.uniform(*factors)
-        self._election_due = self._clock.now() + timeout
+        self._election_timer.reset(has_heard_leader=self._has_heard_leader)
 
     # Replication by the leader
 
@@ -374,7 +332,7 @@
         if self._role is not Role.LEADER:
             raise NotLeader(leader=self._leader)
         index = self._log.last_index + 1
-        self._store([attrs.evolve(entry, index=index, term=self.term)])
+        self._committed.store([attrs.evolve(entry, index=index, term=self.term)])
         self._broadcast()
         self._advance_commit()
         return index
@@ -382,20 +340,13 @@
     def _broadcast(self) -> None:
         now = self._clock.now()
         self._heartbeat_due = now + self._timing.heartbeat
-        self._round += 1
-        self._round_sent_at[self._round] = now
-        oldest = now - 4 * self._timing.election
-        self._round_sent_at = {
-            number: sent_at
-            for number, sent_at in self._round_sent_at.items()
-            if sent_at > oldest
-        }
+        self._progress.start_round(now)
         for peer in self.members.identities:
             if peer != self._identity:
                 self._replicate_to(peer)
 
     def _replicate_to(self, peer: str) -> None:
-        progress = self._progress_of(peer)
+        progress = self._progress.of(peer, last_index=self._log.last_index)
         previous = progress.next_index - 1
         previous_term = self._log.term_at(previous)
         if previous_term is None:
@@ -408,8 +359,8 @@
             previous_index=previous,
             previous_term=previous_term,
             entries=entries,
-            commit=self._commit_index,
-            round=self._round,
+            commit=self._committed.commit_index,
+            round=self._progress.round,
             confirmed_age=self._confirmed_age(),
         )
         # Requests are pipelined: the next one starts after these entries. If this one
@@ -426,7 +377,7 @@
             term=self.term,
             leader=self._identity,
             snapshot=self._log.snapshot,
-            round=self._round,
+            round=self._progress.round,
         )
         self._send(peer, request)
 
@@ -436,59 +387,37 @@
             return
         if self._role is not Role.LEADER or reply.term < self.term:
             return
-        progress = self._progress_of(reply.follower)
-        sent_at = self._round_sent_at.get(reply.round, float("-inf"))
-        progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
+        progress = self._progress.record_reply(reply, last_index=self._log.last_index)
         if reply.accepted:
-            progress.match_index = max(progress.match_index, reply.match)
-            progress.next_index = max(progress.next_index, reply.match + 1)
-            previous_commit = self._commit_index
+            previous_commit = self._committed.commit_index
             self._advance_commit()
-            if self._commit_index > previous_commit:
+            if self._committed.commit_index > previous_commit:
                 # Followers serve committed state, so the new commit index is sent now
                 # rather than with the next heartbeat.
                 self._broadcast()
             behind = progress.next_index <= self._log.last_index
         else:
-            progress.next_index = max(1, min(progress.next_index - 1, reply.match + 1))
             behind = True
         if behind and self._role is Role.LEADER:
             self._replicate_to(reply.follower)
 
     def _advance_commit(self) -> None:
-        match_indices = [
-            self._log.last_index
-            if voter == self._identity
-            else self.match_index_of(voter)
-            for voter in self.members.voters
-        ]
-        match_indices.sort(reverse=True)
-        index = match_indices[self.members.majority - 1]
+        index = self._progress.quorum_match_index(
+            self.members, last_index=self._log.last_index
+        )
         # Counting replicas commits only entries of the leader's current term. An
         # entry of an earlier term on a majority may still be overwritten (Raft paper,
         # figure 8).
-        if index > self._commit_index and self._log.term_at(index) == self.term:
-            self._commit_to(index)
+        if (
+            index > self._committed.commit_index
+            and self._log.term_at(index) == self.term
+        ):
+            self._committed.commit_to(index)
 
     def _quorum_acknowledged_at(self) -> float:
-        now = self._clock.now()
-        times = [
-            now if voter == self._identity else self._acknowledged_at(voter)
-            for voter in self.members.voters
-        ]
-        times.sort(reverse=True)
-        return times[self.members.majority - 1]
-
-    def _acknowledged_at(self, voter: str) -> float:
-        progress = self._progress.get(voter)
-        return progress.acknowledged_at if progress else float("-inf")
-
-    def _progress_of(self, peer: str) -> _Progress:
-        progress = self._progress.get(peer)
-        if progress is None:
-            progress = _Progress(next_index=self._log.last_index + 1)
-            self._progress[peer] = progress
-        return progress
+        return self._progress.quorum_acknowledged_at(
+            self.members, now=self._clock.now()
+        )
 
     # Replication at a follower
 
@@ -506,9 +435,9 @@
             match_index = min(self._log.last_index, request.previous_index - 1)
             self._reply_append(request.leader, False, match_index, request.round)
             return
-        self._store_missing(request.entries)
+        self._committed.store_missing(request.entries)
         match_index = request.previous_index + len(request.entries)
-        self._commit_to(min(request.commit, match_index))
+        self._committed.commit_to(min(request.commit, match_index))
         if (
             request.commit <= match_index
             and request.confirmed_age < UNCONFIRMED_AGE_SECONDS
@@ -517,22 +446,13 @@
             self._copy_confirmed_at = max(self._copy_confirmed_at, confirmed_at)
         self._reply_append(request.leader, True, match_index, request.round)
 
-    def _store_missing(self, entries: tuple[Entry, ...]) -> None:
-        for position, entry in enumerate(entries):
-            if self._log.term_at(entry.index) != entry.term:
-                self._store(entries[position:])
-                return
-
     def _on_snapshot(self, request: SnapshotRequest) -> None:
         if not self._accept_leader(request.term, request.leader):
             self._reply_append(request.leader, False, self._log.last_index, 0)
             return
-        snapshot = request.snapshot
-        if snapshot.index > self._commit_index:
-            self._log.compact(snapshot)
-            self._commit_index = snapshot.index
-            self._effects.append(SaveSnapshot(snapshot=snapshot))
-        self._reply_append(request.leader, True, snapshot.index, request.round)
+        self._committed.install(request.snapshot)
+        match_index = request.snapshot.index
+        self._reply_append(request.leader, True, match_index, request.round)
 
     def _accept_leader(self, term: int, leader: str) -> bool:
         if term < self.term:
@@ -558,28 +478,15 @@
 
     # Helpers
 
-    def _store(self, entries: tuple[Entry, ...] | list[Entry]) -> None:
-        self._log.write(entries)
-        self._effects.append(SaveEntries(entries=tuple(entries)))
-
-    def _commit_to(self, index: int) -> None:
-        while self._commit_index < index:
-            self._commit_index += 1
-            self._effects.append(Apply(entry=self._log.entry(self._commit_index)))
-
-    def _members_at(self, index: int) -> Members:
-        for position in range(index, self._log.snapshot.index, -1):
-            members = self._log.entry(position).members
-            if members is not None:
-                return members
-        return self._log.snapshot.members
-
     def _save_vote(self, vote: Vote) -> None:
         self._vote = vote
-        self._effects.append(SaveVote(vote=vote))
+        self._request(SaveVote(vote=vote))
 
     def _send(self, to: str, message: object) -> None:
-        self._effects.append(Send(to=to, message=message))
+        self._request(Send(to=to, message=message))
+
+    def _request(self, effect: Effect) -> None:
+        self._effects.append(effect)
 
     def _other_voters(self) -> list[str]:
         return [voter for voter in self.members.voters if voter != self._identity]
--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from concurrent.futures import Future
 
 import attrs
 from loguru import logger
@@ -21,7 +20,7 @@
     SourceUnavailable,
 )
 from chicoryhold.control.pending_fetches import PendingFetches
-from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick
+from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick, tell_reply
 from chicoryhold.hosts.bus import Bus
 
 FETCH_TIMEOUT_SECONDS = 1.5
@@ -30,11 +29,13 @@
 SOURCE_BACKOFF_SECONDS = 10.0
 REPORT_EXPIRY_SECONDS = 10.0
 
+FetchReply = ChangeBatch | SnapshotNeeded | ImagePiece | SourceUnavailable
+
 
 @attrs.frozen(kw_only=True)
 class _FetchReplied:
     number: int
-    reply: object
+    reply: FetchReply
 
 
 @attrs.frozen(kw_only=True)
@@ -61,7 +62,7 @@
 
     ``sources`` returns process names in order of preference. If a source doesn't
     answer, is behind the copy or is stale, the next one is used. ``on_applied`` is
-    called after the revision of the copy has changed.
+    called after the revision of the follower's state has changed.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         self._fetch_in_flight = False
         self._next_fetch_at = 0.0
         self._needs_image = False
+        self._is_confirmed = False
 
     def on_receive(self, message: object) -> None:
         match message:
@@ -119,7 +121,12 @@
         self._fetch_in_flight = True
         future = self._bus.ask(self._source, self._request())
         number = self._fetch_number
-        future.add_done_callback(lambda done: self._deliver_reply(number, done))
+        tell_reply(
+            future,
+            self.actor_ref,
+            kinds=FetchReply,
+            message=lambda reply: _FetchReplied(number=number, reply=reply),
+        )
 
     def _choose_source(self) -> str:
         """Return the first source that has no back-off, preferring a suggested one."""
@@ -134,16 +141,13 @@
         # If every source has a back-off, use the one whose back-off ends first.
         return min(sources, key=lambda s: max(now, self._backoff_until.get(s, 0.0)))
 
-    def _deliver_reply(self, number: int, done: Future) -> None:
-        self.actor_ref.tell(_FetchReplied(number=number, reply=done.result()))
-
     def _request(self) -> FetchChanges | FetchImage:
         if self._needs_image:
             return FetchImage(
                 revision=self._follower.image_revision,
                 offset=self._follower.image_offset,
             )
-        revision = self._follower.state.revision
+        revision = self._follower.fetched_revision
         return FetchChanges(after=revision, reports=self._current_reports())
 
     def _on_reply(self, message: _FetchReplied) -> None:
@@ -164,6 +168,7 @@
 
     def _on_batch(self, batch: ChangeBatch) -> None:
         result = self._follower.on_batch(batch, sent_at=self._sent_at)
+        self._log_catching_up(batch, result)
         if result is BatchResult.MISMATCH:
             logger.error(
                 "follower: state diverged from the source; loading a full image."
@@ -177,15 +182,31 @@
         ):
             self._back_off("the source is stale")
 
+    def _log_catching_up(self, batch: ChangeBatch, result: BatchResult) -> None:
+        """Log each batch until the copy was first confirmed."""
+        if self._is_confirmed:
+            return
+        self._is_confirmed = self._follower.state.revision > 0
+        logger.bind(
+            source=self._source,
+            result=result.value,
+            changes=len(batch.changes),
+            revision=self._follower.fetched_revision,
+            source_revision=batch.revision,
+            source_age=round(batch.confirmed_age, 2),
+            version=self._follower.fetched_version,
+            seconds=round(self._clock.now() - self._sent_at, 3),
+        ).info("follower: received a batch while catching up.")
+
     def _has_caught_up_with(self, batch: ChangeBatch) -> bool:
         """Return whether the copy has every change that the source of ``batch`` has.
 
         Until then even a stale source is useful.
         """
-        return self._follower.state.revision >= batch.revision
+        return self._follower.fetched_revision >= batch.revision
 
     def _on_snapshot_needed(self, revision: int) -> None:
-        if revision < self._follower.state.revision:
+        if revision < self._follower.fetched_revision:
             self._back_off(BatchResult.BEHIND.value)
         else:
             self._needs_image = True
@@ -197,7 +218,7 @@
         """
         logger.bind(
             source=self._source,
-            revision=self._follower.state.revision,
+            revision=self._follower.fetched_revision,
             age=round(min(self._follower.age, UNCONFIRMED_AGE_SECONDS), 2),
             reason=reason,
         ).info("follower: backing off from the source.")
@@ -233,6 +254,9 @@
             attrs.evolve(timed.report, age=now - timed.reported_at)
             for timed in self._reports.values()
         )
+        if self._follower.state.revision == 0:
+            # Earlier reports of this host stay valid: it refuses callers until then.
+            return others
         own = HostReport(
             host=self._bus.name,
             domain=self._domain,
--- a/src/chicoryhold/hosts/bus.py
+++ b/src/chicoryhold/hosts/bus.py
@@ -20,6 +20,7 @@
 from loguru import logger
 
 from chicoryhold.codec import decode, encode
+from chicoryhold.crash import create_critical_thread
 from chicoryhold.errors import AddressInUse, PeerTimeout, UnknownMessage, UnknownPeer
 from chicoryhold.hosts.transport import Transport
 
@@ -77,7 +78,7 @@
         self._dealers: dict[str, zmq.Socket] = {}
         self._stopping = False
         self._context = zmq.Context()
-        self._thread = threading.Thread(target=self._run, name="bus", daemon=True)
+        self._thread = create_critical_thread(self._run, name="bus")
 
     @property
     def name(self) -> str:
@@ -206,7 +207,7 @@
         elif ready is self._router:
             self._drain(self._router, self._on_request)
         else:
-            self._drain(ready, self._on_reply)
+            self._drain(ready, lambda frames: self._on_reply(ready, frames))
 
     def _drain(
         self, socket: zmq.Socket, action: Callable[[list[zmq.Frame]], None]
@@ -219,9 +220,10 @@
             action(frames)
 
     def _on_request(self, frames: list[zmq.Frame]) -> None:
-        routing_id, request_id, payload = frames
-        sender = self._transport.sender_of(routing_id, payload)
+        sender = self._transport.sender_of(frames[0], frames[-1])
         try:
+            _check_frames(frames, count=3)
+            routing_id, request_id, payload = frames
             message = decode(payload.bytes)
         except UnknownMessage as error:
             logger.warning("bus: dropped a message from {}: {}", sender, error)
@@ -233,10 +235,18 @@
                 type(message).__name__,
             )
             return
-        reply = handler(sender, message)
         wants_reply = _REQUEST_ID.unpack(request_id.bytes)[0] != _NO_REPLY
-        if wants_reply:
-            self._send_reply(routing_id.bytes, request_id.bytes, reply)
+        try:
+            reply = handler(sender, message)
+            if wants_reply:
+                self._send_reply(routing_id.bytes, request_id.bytes, reply)
+        except Exception as error:
+            # Ending the process here would let a peer stop it by what it sends.
+            logger.opt(exception=error).error(
+                "bus: the handler of {} failed; dropped the message from {}.",
+                type(message).__name__,
+                sender,
+            )
 
     def _send_reply(self, routing_id: bytes, request_id: bytes, reply: object) -> None:
         if isinstance(reply, Future):
@@ -253,17 +263,29 @@
     def _send_reply_when_done(
         self, routing_id: bytes, request_id: bytes, done: Future
     ) -> None:
-        if done.cancelled() or done.exception() is not None:
+        try:
+            self._send_reply(routing_id, request_id, done.result())
+        except Exception as error:
             # The sender of the request times out, as it does after a lost message.
-            return
-        self._send_reply(routing_id, request_id, done.result())
+            logger.opt(exception=error).error("bus: a reply could not be sent.")
 
-    def _on_reply(self, frames: list[zmq.Frame]) -> None:
-        request_id, payload = frames
+    def _on_reply(self, dealer: zmq.Socket, frames: list[zmq.Frame]) -> None:
+        try:
+            _check_frames(frames, count=2)
+            request_id, payload = frames
+            message = decode(payload.bytes)
+        except UnknownMessage as error:
+            # The future stays pending, as it does after a lost reply.
+            peer = self._peer_of(dealer)
+            logger.warning("bus: dropped a reply from {}: {}", peer, error)
+            return
         with self._lock:
             future = self._pending.pop(_REQUEST_ID.unpack(request_id.bytes)[0], None)
         if future is not None:
-            future.set_result(decode(payload.bytes))
+            future.set_result(message)
+
+    def _peer_of(self, dealer: zmq.Socket) -> str:
+        return next(name for name, other in self._dealers.items() if other is dealer)
 
     def _flush(self) -> None:
         while self._outbox:
@@ -295,14 +317,38 @@
             if address is None:
                 logger.warning("bus: peer {} has no key or address.", peer)
                 return None
-            dealer = self._socket(zmq.DEALER)
+            dealer = self._open_dealer(peer, address)
+        return dealer
+
+    def _open_dealer(self, peer: str, address: str) -> zmq.Socket | None:
+        dealer = self._socket(zmq.DEALER)
+        try:
             self._transport.prepare_connecting(dealer, peer)
             dealer.connect(f"tcp://{address}")
-            self._poller.register(dealer, zmq.POLLIN)
-            self._dealers[peer] = dealer
+        except zmq.ZMQError as error:
+            # Peers report each other's names, so a name may be no address.
+            logger.warning("bus: can't connect to {}: {}", peer, error)
+            dealer.close()
+            return None
+        self._poller.register(dealer, zmq.POLLIN)
+        self._dealers[peer] = dealer
         return dealer
 
 
+def _check_frames(frames: list[zmq.Frame], *, count: int) -> None:
+    """Raise ``UnknownMessage`` unless there are ``count`` frames with a request id."""
+    if len(frames) != count:
+        raise UnknownMessage(
+            f"it has {len(frames)} frames, not {count}: run the same version everywhere"
+        )
+    request_id = frames[-2]
+    if len(request_id) != _REQUEST_ID.size:
+        raise UnknownMessage(
+            f"its request id has {len(request_id)} bytes, not {_REQUEST_ID.size}: run "
+            "the same version everywhere"
+        )
+
+
 @contextmanager
 def running_bus(bus: Bus) -> Iterator[Bus]:
     """Run ``bus`` for the duration of the block."""
