Keep the confirmation of a copy when its leader steps down

A control replica that had led since its start lost the confirmation of its copy when it stepped down, until another leader confirmed it; for a leader that is cut off, that is the whole cut. Since a copy is used only once its source was confirmed, hosts that start there would refuse callers all that time, and permits would be refused. The replica now takes the time of its last confirmation along.

--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -298,6 +298,7 @@
 
     def _become_follower(self, term: int, *, leader: str | None) -> None:
         if self._role is Role.LEADER:
+            self._copy_confirmed_at = self.copy_confirmed_at
             self._request(LeadershipLost())
         self._role = Role.FOLLOWER
         self._leader = leader
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -161,6 +161,17 @@
     assert group.replicas[new].confirmed_at > confirmed
 
 
+def test_copy_of_a_leader_that_steps_down_stays_confirmed_as_of_its_leadership():
+    group = Group(seed=1, voters=VOTERS)
+    old = group.wait_for_leader()
+    group.run(2)
+    confirmed = group.replicas[old].copy_confirmed_at
+    group.partitioned = {old}
+    group.run(5)
+    assert group.replicas[old].role is not Role.LEADER
+    assert confirmed <= group.replicas[old].copy_confirmed_at < group.clock.now() - 4
+
+
 def test_change_written_by_a_minority_leader_is_replaced_and_never_applied():
     group = Group(seed=2, voters=VOTERS)
     old = group.wait_for_leader()
