Send no image that is older than the copy that asks for it

A source keeps an image while the changes after it fit one reply. A copy that was newer than that image, but needed one (another history, or a change of source in between), fetched it again and again without pause and kept its old state for good. Callers would have met an old configuration there. A fetch of an image now says how new it must be, and a copy that gets an older one turns to the next source.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -27,7 +27,6 @@
 from chicoryhold.codec import decode, encode
 from chicoryhold.consensus.messages import Entry, Members
 from chicoryhold.control.feed import ChangeFeed
-from chicoryhold.control.follower import Follower
 from chicoryhold.control.messages import FetchChanges, HostReport
 from chicoryhold.control.storage import open_storage
 from chicoryhold.hosts.bus import Bus, running_bus
@@ -255,8 +254,6 @@
     for size in (1_000, 10_000, 40_000):
         state = filled_state(100, size, 0)
         feed = ChangeFeed(state=state)
-        follower = Follower(clock=BootClock())
-        follower.state.load(state.image(for_replica=False))
         # Above the numbers that filled_state() used for request IDs.
         number = size + 1000
 
--- a/src/chicoryhold/control/feed.py
+++ b/src/chicoryhold/control/feed.py
@@ -73,7 +73,7 @@
         """
         revision, offset = request.revision, request.offset
         if offset == 0 or revision not in self._images:
-            revision, offset = self._renew_image(), 0
+            revision, offset = self._renew_image(at_least=request.at_least), 0
         image = self._images[revision]
         return ImagePiece(
             revision=revision,
@@ -113,14 +113,15 @@
         revision = self._renew_image()
         return size > len(self._images[revision])
 
-    def _renew_image(self) -> int:
+    def _renew_image(self, *, at_least: int = 0) -> int:
         """Store a new image unless the changes after the newest one fit one reply.
 
+        An image older than of the revision ``at_least`` is renewed in any case.
         Returns the revision of the newest image. It isn't renewed with each change,
         since followers that are fetching it would have to start again.
         """
         newest = max(self._images, default=None)
-        if newest is not None:
+        if newest is not None and newest >= at_least:
             later = self._state.revision - newest
             if later <= len(self._recent) and self._fits_one_reply(later):
                 return newest
--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -146,6 +146,7 @@
             return FetchImage(
                 revision=self._follower.image_revision,
                 offset=self._follower.image_offset,
+                at_least=self._follower.fetched_revision,
             )
         revision = self._follower.fetched_revision
         return FetchChanges(after=revision, reports=self._current_reports())
@@ -160,12 +161,19 @@
             case SnapshotNeeded(revision=revision):
                 self._on_snapshot_needed(revision)
             case ImagePiece() as piece:
-                self._needs_image = not self._follower.on_piece(piece)
+                self._on_piece(piece)
             case SourceUnavailable(leader=leader):
                 self._back_off("the source is unavailable", leader)
         if not self._fetch_in_flight and self._clock.now() >= self._next_fetch_at:
             self._fetch()
 
+    def _on_piece(self, piece: ImagePiece) -> None:
+        if piece.revision < self._follower.fetched_revision:
+            self._needs_image = False
+            self._back_off(BatchResult.BEHIND.value)
+        else:
+            self._needs_image = not self._follower.on_piece(piece)
+
     def _on_batch(self, batch: ChangeBatch) -> None:
         result = self._follower.on_batch(batch, sent_at=self._sent_at)
         self._log_catching_up(batch, result)
--- a/src/chicoryhold/control/messages.py
+++ b/src/chicoryhold/control/messages.py
@@ -77,11 +77,12 @@
     """Asks for a piece of an image of the source's state.
 
     ``offset`` is in bytes. ``revision`` is that of the image, or 0 for the first
-    piece.
+    piece. An older image than of the revision ``at_least`` is of no use.
     """
 
     revision: int
     offset: int
+    at_least: int = 0
 
 
 @message
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -13,12 +13,15 @@
 from chicoryhold.callers.request import CallerRequest
 from chicoryhold.callers.service import CallerService
 from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
+from chicoryhold.control.feed import ChangeFeed
 from chicoryhold.control.follower import Follower
 from chicoryhold.control.follower_actor import FollowerActor
-from chicoryhold.control.messages import ChangeBatch, FetchChanges
+from chicoryhold.control.messages import ChangeBatch, FetchChanges, FetchImage
 from chicoryhold.hosts.actors import Tick
 from chicoryhold.hosts.domain_view import DomainView
+from chicoryhold.metrics import Metrics
 from chicoryhold.programs.gateway import Gateway
+from chicoryhold.programs.gateway_links import create_target_links
 from chicoryhold.programs.host_settings import GatewaySettings
 from chicoryhold.routing.configuration import (
     Configuration,
@@ -26,9 +29,14 @@
     WeightedService,
 )
 from chicoryhold.routing.target_choice import HostLocation, TargetChooser
-from chicoryhold.state.changes import Change, PutConfiguration, PutTable
+from chicoryhold.state.changes import (
+    Change,
+    CreateOrganisation,
+    PutConfiguration,
+    PutTable,
+)
 from chicoryhold.state.control_state import ControlState
-from chicoryhold.targets.connections import TargetConnections
+from chicoryhold.targets.dialect import OWN_DIALECT
 from tests.conftest import FakeClock
 from tests.test_control_state import HEADING, change
 
@@ -136,11 +144,17 @@
         host="h", domain="d", region="r", regions={"d": "r"}, domain_round_trip=0.001,
         region_round_trip=0.1,
     )  # fmt: skip
+    chooser = TargetChooser(location=location, clock=clock, entry_hosts=lambda: 1)
+    metrics = Metrics(process="h")
+    links = create_target_links(
+        chooser=chooser, dialect=OWN_DIALECT, clock=clock, metrics=metrics
+    )
     return Gateway(
         settings=settings,
         follower=follower,
-        chooser=TargetChooser(location=location, clock=clock, entry_hosts=lambda: 1),
-        connections=TargetConnections(clock=clock),
+        chooser=chooser,
+        links=links,
+        metrics=metrics,
         clock=clock,
     )
 
@@ -202,3 +216,102 @@
     assert RefusalKind.NO_ROUTE not in kinds
     assert kinds[0] is RefusalKind.NOT_READY
     assert kinds[-1] is RefusalKind.KEY_MISSING
+
+
+@attrs.define(kw_only=True)
+class FeedBus:
+    """A bus to sources with a feed each. Those in ``silent`` never send an image."""
+
+    feeds: dict[str, ChangeFeed]
+    silent: frozenset[str] = frozenset()
+    name: str = "own"
+
+    def ask(self, peer: str, request: FetchChanges | FetchImage) -> Future:
+        future: Future = Future()
+        if isinstance(request, FetchChanges):
+            future.set_result(self.feeds[peer].answer(request, confirmed_age=0.1))
+        elif peer not in self.silent:
+            future.set_result(self.feeds[peer].piece(request))
+        return future
+
+
+def accept(state: ControlState, feed: ChangeFeed, *, count: int, prefix: str) -> None:
+    for _ in range(count):
+        name = f"{prefix}{state.revision}"
+        accepted = change(name, CreateOrganisation(name=name))
+        assert state.apply(accepted).accepted
+        feed.record(accepted)
+
+
+def run_for(actor: FollowerActor, clock: FakeClock, *, steps: int) -> None:
+    actor.on_receive(Tick())
+    for _ in range(steps):
+        clock.advance(0.1)
+        try:
+            actor.on_receive(actor.actor_inbox.get_nowait().message)
+        except queue.Empty:
+            actor.on_receive(Tick())
+
+
+def follower_at(feed: ChangeFeed, clock: FakeClock) -> Follower:
+    follower = Follower(clock=clock)
+    batch = feed.answer(FetchChanges(after=0), confirmed_age=0.0)
+    follower.on_batch(batch, sent_at=clock.now())
+    return follower
+
+
+def fetching_actor(follower: Follower, bus: FeedBus, clock: FakeClock) -> FollowerActor:
+    return FollowerActor(
+        follower=follower,
+        sources=lambda: tuple(bus.feeds),
+        bus=bus,
+        clock=clock,
+        domain="d",
+    )
+
+
+def test_copy_with_another_history_is_replaced_though_its_source_keeps_an_older_image():
+    clock = FakeClock()
+    states = {prefix: ControlState() for prefix in ("own", "other")}
+    feeds = {prefix: ChangeFeed(state=state) for prefix, state in states.items()}
+    for prefix, state in states.items():
+        accept(state, feeds[prefix], count=50, prefix=prefix)
+        feeds[prefix].piece(FetchImage(revision=0, offset=0))
+        accept(state, feeds[prefix], count=10, prefix=prefix)
+    follower = follower_at(feeds["own"], clock)
+    bus = FeedBus(feeds={"control": feeds["other"]})
+    run_for(fetching_actor(follower, bus, clock), clock, steps=50)
+    assert follower.state.digest == states["other"].digest
+
+
+def test_copy_goes_on_with_a_source_that_keeps_an_older_image_than_the_copy():
+    clock = FakeClock()
+    state = ControlState()
+    feed = ChangeFeed(state=state)
+    accept(state, feed, count=50, prefix="o")
+    feed.piece(FetchImage(revision=0, offset=0))
+    accept(state, feed, count=10, prefix="o")
+    follower = follower_at(feed, clock)
+    accept(state, feed, count=5, prefix="o")
+    without_changes = ChangeFeed(state=state)
+    bus = FeedBus(
+        feeds={"first": without_changes, "second": feed}, silent=frozenset({"first"})
+    )
+    run_for(fetching_actor(follower, bus, clock), clock, steps=50)
+    assert follower.state.revision == 65
+
+
+def test_nothing_is_decided_between_an_image_and_the_changes_after_it():
+    clock = FakeClock()
+    state = ControlState()
+    feed = ChangeFeed(state=state)
+    accept(state, feed, count=50, prefix="o")
+    image = feed.piece(FetchImage(revision=0, offset=0))
+    accept(state, feed, count=10, prefix="o")
+    follower = Follower(clock=clock)
+    assert follower.on_piece(image)
+    assert follower.fetched_revision == 50
+    assert follower.state.revision == 0
+    batch = feed.answer(FetchChanges(after=50), confirmed_age=0.0)
+    follower.on_batch(batch, sent_at=clock.now())
+    assert follower.state.revision == 60
