Build the forwarder in the tests of endless responses as it is now

Merging both parts gave Forwarder two more parameters than that test passed; six cases failed with a TypeError. The checks are unchanged; 65 pass.

--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -14,10 +14,12 @@
 from result import Result
 
 from chicoryhold.callers.forwarding import ForwardedRequest, Forwarder
+from chicoryhold.callers.granted_targets import GrantedTargets
 from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
 from chicoryhold.clock import BootClock
 from chicoryhold.errors import ExchangeFailed, ExchangeTimeout, InvalidResponse
 from chicoryhold.gateway.delivery import Delivery, RoutedRequest
+from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata
 from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.hosts.messages import Admitted
@@ -472,6 +474,8 @@
         admission=admission,
         connections=TargetConnections(clock=clock),
         shifts=NoShifts(),
+        reachability=TargetReachability(clock=clock),
+        granted=GrantedTargets(),
         clock=clock,
     )
     forwarded = ForwardedRequest(
