Move round trips and targets' health out of the target choice

What a host learns of round trips from opening connections, and which targets count as healthy, are modules of their own now.

Measured: tests/test_target_choice.py and test_delivery.py pass (36 tests).

--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -18,15 +18,14 @@
 from chicoryhold.clock import Clock
 from chicoryhold.routing.affinity import hash_fraction, rendezvous_score, stable_hash
 from chicoryhold.routing.configuration import RouteRule, ServiceRule
+from chicoryhold.routing.health import load_per_slot, without_unhealthy
+from chicoryhold.routing.round_trips import RoundTrips
 from chicoryhold.routing.spill import SpilloverController
 from chicoryhold.routing.target_view import LoadReport, TargetView
 from chicoryhold.routing.work_times import ProcessingTimes
 from chicoryhold.state.targets import TargetRecord, TargetState
 
 REMOTE_TARGETS_PER_KEY = 2
-UNHEALTHY_FAILURE_RATE = 0.3  # targets that fail at least this often are avoided
-# With a smaller fraction of healthy targets, the unhealthy ones are used as well.
-MIN_HEALTHY_FRACTION = 0.5
 OVERLOAD_THRESHOLD = 1.15  # requests per slot above which late requests are refused
 # Fraction of the latency objective that a request may queue even if the processing
 # time alone exceeds the objective.
@@ -34,7 +33,6 @@
 # Less urgent requests are refused at a shorter wait, so before more urgent ones.
 WAIT_FACTOR_PER_RANK = 0.85
 MAX_RANK = 4  # higher ranks are treated like this one
-ROUND_TRIP_SMOOTHING_FACTOR = 0.02
 COLD_RATE_FRACTION = 0.8  # of a service's cold_rate, sent by all hosts together
 COLD_TIME_FACTOR = 2.0  # processing time of a cold target relative to a warm one
 FAILURE_COST_SECONDS = 1.0  # added to the expected latency if failure is certain
@@ -124,7 +122,12 @@
         self._views_by_service: dict[str, list[TargetView]] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._views_by_address: dict[str, TargetView] = {}
-        self._region_round_trips: dict[str, float] = {}
+        self._round_trips = RoundTrips(
+            domain=location.domain,
+            region=location.region,
+            within_region=location.domain_round_trip,
+            to_region=location.region_round_trip,
+        )
         self._processing_times: dict[tuple[str, str], ProcessingTimes] = {}
         self._spillover = SpilloverController(clock=clock)
         self._lock = threading.Lock()
@@ -167,18 +170,8 @@
         """Use the time that opening a connection took as the region's round trip."""
         with self._lock:
             view = self._views_by_address.get(address)
-            if view is None or view.region == self._location.region:
-                return
-            previous = self._region_round_trips.get(view.region)
-            if previous is None or seconds < previous:
-                self._region_round_trips[view.region] = seconds
-            else:
-                # Lost packets lengthen single connects, so an increase is capped and
-                # smoothed: only a lasting one raises the estimate.
-                measured = min(seconds, 2 * previous)
-                self._region_round_trips[view.region] = (
-                    previous + ROUND_TRIP_SMOOTHING_FACTOR * (measured - previous)
-                )
+            if view is not None:
+                self._round_trips.record_connect_time(view.region, seconds)
 
     def choose(self, criteria: SelectionCriteria) -> Choice | Overloaded | None:
         """Return the best target and count the request as in flight there.
@@ -192,7 +185,7 @@
             views, best = self._select(criteria, self._eligible(criteria, now), now)
             if best is None:
                 return None
-            load = _load_per_slot(views, now)
+            load = load_per_slot(views, now)
             if load > OVERLOAD_THRESHOLD and best.queue_wait > self._max_wait(
                 criteria, best
             ):
@@ -216,7 +209,7 @@
                 view.record_load(load, now)
             view.record_end()
             view.recent_keys.add(criteria.affinity_key)
-            processing_time = max(0.001, seconds - self._round_trip(view))
+            processing_time = max(0.001, seconds - self._round_trips.to(view))
             waited = load is not None and load.waiting > 0
             if not waited and not choice.is_cold:
                 times = self._processing_times_of(criteria)
@@ -297,8 +290,8 @@
         region = self._location.region
         warm = [view for view in eligible if not view.is_cold(now)]
         cold = [view for view in eligible if view.is_cold(now)]
-        local = _without_unhealthy([v for v in warm if v.region == region], now)
-        remote = _without_unhealthy([v for v in warm if v.region != region], now)
+        local = without_unhealthy([v for v in warm if v.region == region], now)
+        remote = without_unhealthy([v for v in warm if v.region != region], now)
         if remote and (not local or self._spills_over(criteria, local, remote, now)):
             return remote, self._fastest_remote(criteria, remote, now)
         local += [view for view in cold if view.region == region or not local]
@@ -313,7 +306,7 @@
     ) -> bool:
         share = self._spillover.observe(
             criteria.service,
-            _load_per_slot(local, now),
+            load_per_slot(local, now),
             initial_share=self._capacity_shortfall(local, remote),
         )
         return (
@@ -402,7 +395,7 @@
         slowness = max(0.3, view.slowness)
         queue_wait = queued / slots * times.queued_request_time * slowness
         failure_cost = FAILURE_COST_SECONDS * view.failure_rate
-        round_trip = self._round_trip(view)
+        round_trip = self._round_trips.to(view)
         return Choice(
             view=view,
             expected_latency=processing_time * slowness
@@ -416,14 +409,6 @@
             is_cold=cold,
         )
 
-    def _round_trip(self, view: TargetView) -> float:
-        location = self._location
-        if view.record.domain == location.domain:
-            return 0.0
-        if view.region == location.region:
-            return location.domain_round_trip
-        return self._region_round_trips.get(view.region, location.region_round_trip)
-
     def _processing_times_of(self, criteria: SelectionCriteria) -> ProcessingTimes:
         key = (criteria.route.name, criteria.service)
         times = self._processing_times.get(key)
@@ -431,27 +416,3 @@
             times = ProcessingTimes.initial(criteria.route.objective)
             self._processing_times[key] = times
         return times
-
-
-def _load_per_slot(views: list[TargetView], now: float) -> float:
-    """Return the number of requests per slot over all of ``views``."""
-    return sum(view.occupancy(now) for view in views) / sum(v.slots for v in views)
-
-
-def _without_unhealthy(views: list[TargetView], now: float) -> list[TargetView]:
-    """Leave out unhealthy targets, unless too few healthy ones would remain.
-
-    When many targets look unhealthy, the cause is more likely overload or the network
-    than the targets themselves, and the remaining ones would be overloaded by the
-    requests meant for all of them.
-    """
-    healthy = [view for view in views if _is_healthy(view, now)]
-    if len(healthy) >= MIN_HEALTHY_FRACTION * len(views):
-        return healthy
-    return views
-
-
-def _is_healthy(view: TargetView, now: float) -> bool:
-    if now < view.ejected_until or view.record.state is TargetState.SILENT:
-        return False
-    return view.failure_rate < UNHEALTHY_FAILURE_RATE or view.in_flight == 0
