Report a replica of a domain as ready once it votes

The next coordinator waits two seconds for loans that a majority may have forgotten, then for announcements of targets: not_ready and no_target for 2 to 4.5 s. Operators who restart hosts one by one meet the same.

Change: /readyz of a domain replica's host waits until it votes, and says so.

The new unit test needs the new property and couldn't run before.

--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -154,7 +154,8 @@
             bus=bus, view=context.view, clock=context.clock, domains=context.replicas
         )
         _start_follower(stack, context)
-        _start_domain_replica(stack, context)
+        voter = LeaseVoter(clock=context.clock)
+        _start_domain_replica(stack, context, voter)
 
         def leaving() -> bool:
             planned = settings.name in context.follower.state.stops
@@ -178,7 +179,9 @@
             )
         )
         stack.enter_context(
-            serve_metrics(settings.metrics_address, lambda: _unready_reason(context))
+            serve_metrics(
+                settings.metrics_address, lambda: _unready_reason(context, voter)
+            )
         )
         logger.info("entry: host {} of {} is up.", settings.name, settings.domain)
         yield app
@@ -232,14 +235,16 @@
     stack.enter_context(running_actor(actor, interval=FOLLOWER_TICK_SECONDS))
 
 
-def _start_domain_replica(stack: ExitStack, context: _HostContext) -> None:
+def _start_domain_replica(
+    stack: ExitStack, context: _HostContext, voter: LeaseVoter
+) -> None:
     if context.settings.name not in context.view.replicas:
         return
     replica = DomainReplicaActor.start(
         claims=ClaimReplica(
             clock=context.clock, new_name=lambda: secrets.token_hex(GENERATION_BYTES)
         ),
-        lease=LeaseVoter(clock=context.clock),
+        lease=voter,
         clock=context.clock,
         # The age is infinite until the first copy of the control state arrives.
         control_age=lambda: min(context.follower.age, 1e9),
@@ -337,11 +342,14 @@
     )
 
 
-def _unready_reason(context: _HostContext) -> str:
+def _unready_reason(context: _HostContext, voter: LeaseVoter) -> str:
     if context.follower.state.revision == 0:
         return "no configuration yet: check the link to the control replicas"
     if not context.view.has_quorum:
         return "the domain's replicas are silent: check the links in the domain"
     if not context.view.coordinator:
         return "the domain has no coordinator yet"
+    if context.settings.name in context.view.replicas and not voter.may_vote:
+        # Restarting the next replica now could leave the domain without a majority.
+        return "this replica doesn't vote yet: wait for two seconds after its start"
     return ""
--- a/src/chicoryhold/steering/lease.py
+++ b/src/chicoryhold/steering/lease.py
@@ -25,8 +25,14 @@
         self._candidate = ""
         self._epoch = 0
         self._vote_expires_at = self._started_at + LEASE_SECONDS
+        self._votes_from = self._vote_expires_at
         self._ledger = Ledger()
 
+    @property
+    def may_vote(self) -> bool:
+        """Whether the wait after the start is over."""
+        return self._clock.now() >= self._votes_from
+
     @property
     def coordinator(self) -> str:
         """The candidate that holds the vote now, or an empty string."""
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -13,6 +13,7 @@
     Announcement,
     HeldSlots,
     Hello,
+    LeaseRequest,
     Ledger,
     NotAdmitted,
     Release,
@@ -24,7 +25,7 @@
 from chicoryhold.steering.coordinator import Coordinator
 from chicoryhold.steering.effects import AnswerRequest
 from chicoryhold.steering.fair_queue import FairQueue
-from chicoryhold.steering.lease import LeaseCandidate, LeaseVoter
+from chicoryhold.steering.lease import LEASE_SECONDS, LeaseCandidate, LeaseVoter
 from chicoryhold.steering.shifts import RAMP_SECONDS, ShiftLimiter
 from chicoryhold.steering.targets import ANNOUNCEMENT_TTL_SECONDS, TargetRegistry
 from tests.conftest import FakeClock
@@ -297,6 +298,20 @@
         assert sum(candidate.valid for candidate in candidates.values()) <= 1
 
 
+def test_a_voter_says_when_it_grants_votes_again_after_its_start(clock):
+    # Guards against a host that is ready while the restart of another replica would
+    # leave the domain without a majority.
+    voter = LeaseVoter(clock=clock)
+    request = LeaseRequest(candidate="h1", epoch=1)
+    clock.advance(LEASE_SECONDS - 0.01)
+    assert not voter.may_vote
+    assert not voter.on_request(request).granted
+    clock.advance(0.01)
+    assert voter.may_vote
+    assert voter.on_request(request).granted
+    assert voter.may_vote
+
+
 def test_new_coordinator_sees_the_ledger_that_a_majority_stored(clock):
     names = ("h1", "h2", "h3")
     clock.advance(5)
