Accept announcements while a coordinator waits for earlier loans

Cause: a coordinator that can't know of all earlier loans serves nothing for two seconds, announcements of targets included. After the wait it knew no target, and refused requests with no_target until the targets' next announcement, up to 1 s later.

Change: announcements are accepted meanwhile. They grant nothing.

Measured: before, the new test failed with "'NotCoordinator' object has no attribute 'accepted'"; now it passes.

--- a/src/chicoryhold/steering/coordinator_actor.py
+++ b/src/chicoryhold/steering/coordinator_actor.py
@@ -118,7 +118,7 @@
 
     def _on_request(self, received: PeerRequest) -> None:
         coordinator = self._coordinator
-        if coordinator is None or self._clock.now() < self._serves_from:
+        if coordinator is None or not self._may_serve(received.message):
             known = "" if coordinator else self._view.coordinator
             received.reply.set_result(NotCoordinator(coordinator=known))
             return
@@ -134,6 +134,14 @@
             case LoanGivenBack() as given_back:
                 coordinator.take_back(given_back)
 
+    def _may_serve(self, message: object) -> bool:
+        """Return whether ``message`` needn't wait until earlier loans have expired.
+
+        Announcements grant nothing, and targets are needed as soon as the wait ends.
+        """
+        has_waited = self._clock.now() >= self._serves_from
+        return has_waited or isinstance(message, Announcement)
+
     def _register_reply(self, received: PeerRequest) -> int:
         self._next_ticket += 1
         self._pending_replies[self._next_ticket] = received.reply
--- a/tests/test_coordinator_actor.py
+++ b/tests/test_coordinator_actor.py
@@ -8,16 +8,17 @@
 
 import attrs
 
-from chicoryhold.hosts.actors import Tick
+from chicoryhold.hosts.actors import PeerRequest, Tick
 from chicoryhold.hosts.domain_view import DomainView
-from chicoryhold.hosts.messages import LeaseRequest
+from chicoryhold.hosts.messages import Admit, Admitted, LeaseRequest, NotCoordinator
 from chicoryhold.steering.coordinator_actor import CoordinatorActor
 from chicoryhold.steering.lease import LEASE_SECONDS, LeaseCandidate, LeaseVoter
 from tests.conftest import FakeClock
-from tests.test_steering import create_coordinator
+from tests.test_steering import announcement, create_coordinator
 
 REPLICAS = ("h1", "h2", "h3")
 TICK_SECONDS = 0.05
+LONG_UPTIME_SECONDS = 10.0  # longer than any loan
 
 
 @attrs.define(kw_only=True)
@@ -36,9 +37,12 @@
         return
 
 
-def create_actor(name: str, seed: int, clock: FakeClock) -> CoordinatorActor:
+def create_actor(
+    name: str, seed: int, clock: FakeClock, *, uptime: float
+) -> CoordinatorActor:
+    """Return the actor of ``name``, all voters having started ``uptime`` ago."""
     voters = {voter: LeaseVoter(clock=clock) for voter in REPLICAS}
-    clock.advance(2 * LEASE_SECONDS)
+    clock.advance(uptime)
     return CoordinatorActor(
         candidate=LeaseCandidate(name=name, voters=REPLICAS, clock=clock),
         view=DomainView(replicas=REPLICAS, clock=clock),
@@ -59,12 +63,35 @@
             return
 
 
+def send(actor: CoordinatorActor, message: object) -> object:
+    reply: Future = Future()
+    actor.on_receive(PeerRequest(sender="h1", message=message, reply=reply))
+    return reply.result(0)
+
+
+def test_targets_are_known_when_a_coordinator_has_waited_for_earlier_loans():
+    # Guards against no_target after the wait: its announcements were refused until
+    # then, and a target announces itself only once a second.
+    clock = FakeClock()
+    actor = create_actor("h1", 1, clock, uptime=LEASE_SECONDS)
+    while not actor._candidate.valid:
+        clock.advance(TICK_SECONDS)
+        tick(actor)
+    request = Admit(organisation="", service="menus", patience=1.0)
+    assert isinstance(send(actor, request), NotCoordinator)
+    assert send(actor, announcement(service="menus")).accepted
+    while isinstance(reply := send(actor, request), NotCoordinator):
+        clock.advance(TICK_SECONDS)
+        tick(actor)
+    assert isinstance(reply, Admitted)
+
+
 def test_a_new_coordinator_renews_its_lease_before_it_expires():
     # Guards against the last replica of a domain losing each lease that it wins: its
     # next round was due after the delay between two campaigns.
     for seed in range(20):
         clock = FakeClock()
-        actor = create_actor("h3", seed, clock)
+        actor = create_actor("h3", seed, clock, uptime=LONG_UPTIME_SECONDS)
         while not actor._candidate.valid:
             clock.advance(TICK_SECONDS)
             tick(actor)
