Let requests wait until a new coordinator knows the targets

Cause: a new coordinator starts without targets and refused every request with no_target until the targets of its service had announced themselves, up to 1 s later.

Change: during its first 1.25 s, a request for a service of which no target has announced itself yet is queued. What still has no target then is refused.

Measured: before, the first new test failed with "assert [NotAdmitted(... no_target)] == []"; now both new tests pass, as do the other tests of test_steering.py, test_coordinator_actor.py and test_limits.py (31 in all). The second new test guards the end of the wait; it passed before too.

--- a/src/chicoryhold/steering/coordinator.py
+++ b/src/chicoryhold/steering/coordinator.py
@@ -44,6 +44,8 @@
 GRANT_MARGIN_SECONDS = 1.0
 RETRY_AFTER_OVERLOAD_SECONDS = 0.5
 RETRY_AFTER_NO_TARGET_SECONDS = 1.0
+# Targets announce themselves every second, so a new coordinator knows them by then.
+TARGET_DISCOVERY_SECONDS = 1.25
 
 RATE_EXCEEDED = "rate_exceeded"
 NO_TARGET = "no_target"
@@ -108,6 +110,8 @@
         self._unsaved_loans: list[_UnsavedLoan] = []
         self._ledger_version = 0
         self._last_grant_number = 0
+        self._discovers_targets = True
+        self._knows_targets_from = clock.now() + TARGET_DISCOVERY_SECONDS
 
     @property
     def targets(self) -> TargetRegistry:
@@ -176,6 +180,7 @@
         self._end_timed_out_rounds()
         self._serve_token_queues()
         self._refuse_expired()
+        self._end_target_discovery()
         self._serve_slot_queues()
         self._notify_lenders(self._limits.give_back_ending())
 
@@ -276,7 +281,7 @@
         queue = self._slot_queues.get(service)
         if not queue and self._try_grant(pending):
             return
-        if not self._targets.has_member(service, pending.request.avoid):
+        if not self._may_get_target(service, pending.request.avoid):
             self._refund_and_refuse(pending, NO_TARGET, RETRY_AFTER_NO_TARGET_SECONDS)
             return
         if queue is None:
@@ -287,6 +292,25 @@
         if not queue.push(pending, organisation=organisation, weight=weight):
             self._refund_and_refuse(pending, OVERLOADED, RETRY_AFTER_OVERLOAD_SECONDS)
 
+    def _may_get_target(self, service: str, avoid: tuple[str, ...]) -> bool:
+        """Whether the service has a target outside ``avoid``, or may turn out to."""
+        if self._targets.has_member(service, avoid):
+            return True
+        may_be_unknown = self._clock.now() < self._knows_targets_from
+        return may_be_unknown and not self._targets.has_announced(service)
+
+    def _end_target_discovery(self) -> None:
+        """Refuse what waited for the targets of services that have turned out empty."""
+        if not self._discovers_targets or self._clock.now() < self._knows_targets_from:
+            return
+        self._discovers_targets = False
+        for service, queue in self._slot_queues.items():
+            if queue and not self._targets.has_announced(service):
+                for pending in queue.remove_where(lambda item: True):
+                    self._refund_and_refuse(
+                        pending, NO_TARGET, RETRY_AFTER_NO_TARGET_SECONDS
+                    )
+
     def _serve_slot_queues(self) -> None:
         for service, queue in self._slot_queues.items():
             self._serve_slot_queue(service, queue)
--- a/src/chicoryhold/steering/targets.py
+++ b/src/chicoryhold/steering/targets.py
@@ -114,6 +114,10 @@
             for target in self._services.get(service, ())
         )
 
+    def has_announced(self, service: str) -> bool:
+        """Return whether a target of the service has ever announced itself."""
+        return service in self._services
+
     def free_fraction(self, service: str) -> float:
         """Return the fraction of a service's slots that is free, 0 if it has no slots.
 
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -22,7 +22,7 @@
 from chicoryhold.state.changes import StartShift
 from chicoryhold.state.table import OrganisationLimits
 from chicoryhold.steering.client_blocks import ClientBlocks, parse_block
-from chicoryhold.steering.coordinator import Coordinator
+from chicoryhold.steering.coordinator import TARGET_DISCOVERY_SECONDS, Coordinator
 from chicoryhold.steering.effects import AnswerRequest
 from chicoryhold.steering.fair_queue import FairQueue
 from chicoryhold.steering.lease import LEASE_SECONDS, LeaseCandidate, LeaseVoter
@@ -211,6 +211,27 @@
     assert take_answers(coordinator)[0].reason == "rate_exceeded"
 
 
+def test_a_request_waits_until_a_new_coordinator_knows_the_targets(clock):
+    # Guards against no_target from each new coordinator, until targets have announced
+    # themselves to it.
+    coordinator = create_coordinator(clock)
+    assert admit(coordinator, ticket=1) == []
+    clock.advance(1.0)
+    coordinator.announce(announcement())
+    assert isinstance(take_answers(coordinator)[0], Admitted)
+
+
+def test_a_request_is_refused_once_a_new_coordinator_knows_that_it_has_no_target(clock):
+    coordinator = create_coordinator(clock, limits=OrganisationLimits(rate=1, burst=1))
+    clock.advance(0.2)
+    coordinator.admit(1, Admit(organisation="", service="menus", patience=9.0))
+    clock.advance(TARGET_DISCOVERY_SECONDS - 0.2)
+    coordinator.announce(announcement(service="slots"))
+    coordinator.tick()
+    assert take_answers(coordinator)[0].reason == "no_target"
+    assert admit(coordinator, ticket=2)[0].reason == "no_target"
+
+
 def test_queue_serves_another_organisation_before_the_backlog_of_a_busy_one():
     queue: FairQueue[str] = FairQueue(limit=100)
     for number in range(50):
