Keep the bus's wake-up pipe open while the process stops

Cause: stop() closed the pipe by which other threads wake the bus thread. The permit actor and HTTP threads may outlive the bus; one that sent a message then got an error, which ends the process like a crash if it comes from an actor, or wrote to whatever had been opened under the same number.

Change: the pipe is closed when nothing refers to the bus any more.

--- a/src/chicoryhold/hosts/bus.py
+++ b/src/chicoryhold/hosts/bus.py
@@ -11,6 +11,7 @@
 import os
 import struct
 import threading
+import weakref
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future, TimeoutError as FutureTimeout
 from contextlib import contextmanager
@@ -75,6 +76,9 @@
         self._next_request_id = 1
         self._lock = threading.Lock()
         self._wake_read, self._wake_write = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+        # The pipe outlives stop(), because other threads may still send then.
+        for end in (self._wake_read, self._wake_write):
+            weakref.finalize(self, os.close, end)
         self._dealers: dict[str, zmq.Socket] = {}
         self._stopping = False
         self._context = zmq.Context()
@@ -160,8 +164,6 @@
         self._thread.join()
         self._transport.stop()
         self._context.destroy(linger=0)
-        os.close(self._wake_read)
-        os.close(self._wake_write)
 
     def _enqueue(self, item: _OutgoingMessage | _OutgoingReply | _Connect) -> None:
         self._outbox.append(item)
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -246,6 +246,16 @@
     assert any("bus: can't connect to not an address" in line for line in log)
 
 
+def test_a_message_sent_while_the_process_stops_is_lost_without_an_error():
+    # Guards against actors that fail, and end a stopping process as if it had crashed,
+    # because they outlive the bus.
+    port = free_port("127.0.0.1")
+    with running_bus(make_bus("127.0.0.1", port)) as bus:
+        pass
+    bus.tell("127.0.7.6", FetchChanges(after=1))
+    assert not bus.ask("127.0.7.6", FetchChanges(after=1)).done()
+
+
 class FailingTransport(PlaintextTransport):
     """Raises when the bus opens a connection."""
 
