Keep epochs increasing when a majority of lease voters restarts

Cause: a restarted voter knew no epoch and granted the next one asked for.

Change: a voter notes the epoch of each request, also of those it refuses, as the documentation of its reply says, and grants no new lease below it. While it abstains after its start, it hears the renewals of the current coordinator. It grants a subset of what it granted before, so two leases at once stay impossible.

--- a/src/chicoryhold/steering/lease.py
+++ b/src/chicoryhold/steering/lease.py
@@ -24,6 +24,7 @@
         self._started_at = clock.now()
         self._candidate = ""
         self._epoch = 0
+        self._highest_epoch_seen = 0
         self._vote_expires_at = self._started_at + LEASE_SECONDS
         self._votes_from = self._vote_expires_at
         self._ledger = Ledger()
@@ -40,11 +41,13 @@
 
     @property
     def epoch(self) -> int:
+        """The epoch of the vote that was granted last."""
         return self._epoch
 
     def on_request(self, request: LeaseRequest) -> LeaseReply:
         """Grant, renew or refuse the vote."""
         now = self._clock.now()
+        self._highest_epoch_seen = max(self._highest_epoch_seen, request.epoch)
         granted = self._may_grant(request, now)
         if granted:
             self._candidate = request.candidate
@@ -54,7 +57,7 @@
                 self._store_ledger(request.ledger)
         return LeaseReply(
             granted=granted,
-            epoch=self._epoch,
+            epoch=self._highest_epoch_seen,
             uptime=now - self._started_at,
             ledger=self._ledger,
         )
@@ -62,7 +65,11 @@
     def _may_grant(self, request: LeaseRequest, now: float) -> bool:
         if request.candidate == self._candidate and request.epoch == self._epoch:
             return now < self._vote_expires_at or request.ledger is not None
-        return now >= self._vote_expires_at and request.epoch > self._epoch
+        if now < self._vote_expires_at or request.epoch <= self._epoch:
+            return False
+        # A renewal may be of a lease that was won while this voter was not voting.
+        is_renewal = request.ledger is not None
+        return is_renewal or request.epoch >= self._highest_epoch_seen
 
     def _store_ledger(self, ledger: Ledger) -> None:
         version_key = (ledger.epoch, ledger.version)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -333,6 +333,32 @@
     assert voter.may_vote
 
 
+def test_epochs_do_not_start_again_when_a_majority_of_voters_has_restarted(clock):
+    # Guards against a coordinator whose epoch is below that of the one before it: a
+    # later one would restore the older of their ledgers.
+    names = ("h1", "h2", "h3")
+    voters = {name: LeaseVoter(clock=clock) for name in names}
+    clock.advance(LEASE_SECONDS)
+    first = LeaseCandidate(name="h1", voters=names, clock=clock)
+    for _ in range(2):
+        hold_round(first, first.start_round(None), voters, names)
+        clock.advance(2 * LEASE_SECONDS)
+    assert first.epoch == 2
+    voters["h2"] = LeaseVoter(clock=clock)
+    voters["h3"] = LeaseVoter(clock=clock)
+    hold_round(first, first.start_round(Ledger(epoch=2, version=1)), voters, names)
+    clock.advance(2 * LEASE_SECONDS)
+    second = LeaseCandidate(name="h3", voters=names, clock=clock)
+    while not second.valid:
+        hold_round(second, second.start_round(None), voters, ("h2", "h3"))
+    assert second.epoch == 3
+
+
+def hold_round(candidate, request, voters, asked) -> None:
+    for name in asked:
+        candidate.on_reply(name, voters[name].on_request(request), request)
+
+
 def test_new_coordinator_sees_the_ledger_that_a_majority_stored(clock):
     names = ("h1", "h2", "h3")
     clock.advance(5)
