--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -13,6 +13,7 @@
     Announcement,
     HeldSlots,
     Hello,
+    LeaseRequest,
     Ledger,
     NotAdmitted,
     Release,
@@ -21,10 +22,10 @@
 from chicoryhold.state.changes import StartShift
 from chicoryhold.state.table import OrganisationLimits
 from chicoryhold.steering.client_blocks import ClientBlocks, parse_block
-from chicoryhold.steering.coordinator import Coordinator
+from chicoryhold.steering.coordinator import TARGET_DISCOVERY_SECONDS, Coordinator
 from chicoryhold.steering.effects import AnswerRequest
 from chicoryhold.steering.fair_queue import FairQueue
-from chicoryhold.steering.lease import LeaseCandidate, LeaseVoter
+from chicoryhold.steering.lease import LEASE_SECONDS, LeaseCandidate, LeaseVoter
 from chicoryhold.steering.shifts import RAMP_SECONDS, ShiftLimiter
 from chicoryhold.steering.targets import ANNOUNCEMENT_TTL_SECONDS, TargetRegistry
 from tests.conftest import FakeClock
@@ -210,6 +211,27 @@
     assert take_answers(coordinator)[0].reason == "rate_exceeded"
 
 
+def test_a_request_waits_until_a_new_coordinator_knows_the_targets(clock):
+    # Guards against no_target from each new coordinator, until targets have announced
+    # themselves to it.
+    coordinator = create_coordinator(clock)
+    assert admit(coordinator, ticket=1) == []
+    clock.advance(1.0)
+    coordinator.announce(announcement())
+    assert isinstance(take_answers(coordinator)[0], Admitted)
+
+
+def test_a_request_is_refused_once_a_new_coordinator_knows_that_it_has_no_target(clock):
+    coordinator = create_coordinator(clock, limits=OrganisationLimits(rate=1, burst=1))
+    clock.advance(0.2)
+    coordinator.admit(1, Admit(organisation="", service="menus", patience=9.0))
+    clock.advance(TARGET_DISCOVERY_SECONDS - 0.2)
+    coordinator.announce(announcement(service="slots"))
+    coordinator.tick()
+    assert take_answers(coordinator)[0].reason == "no_target"
+    assert admit(coordinator, ticket=2)[0].reason == "no_target"
+
+
 def test_queue_serves_another_organisation_before_the_backlog_of_a_busy_one():
     queue: FairQueue[str] = FairQueue(limit=100)
     for number in range(50):
@@ -297,6 +319,46 @@
         assert sum(candidate.valid for candidate in candidates.values()) <= 1
 
 
+def test_a_voter_says_when_it_grants_votes_again_after_its_start(clock):
+    # Guards against a host that is ready while the restart of another replica would
+    # leave the domain without a majority.
+    voter = LeaseVoter(clock=clock)
+    request = LeaseRequest(candidate="h1", epoch=1)
+    clock.advance(LEASE_SECONDS - 0.01)
+    assert not voter.may_vote
+    assert not voter.on_request(request).granted
+    clock.advance(0.01)
+    assert voter.may_vote
+    assert voter.on_request(request).granted
+    assert voter.may_vote
+
+
+def test_epochs_do_not_start_again_when_a_majority_of_voters_has_restarted(clock):
+    # Guards against a coordinator whose epoch is below that of the one before it: a
+    # later one would restore the older of their ledgers.
+    names = ("h1", "h2", "h3")
+    voters = {name: LeaseVoter(clock=clock) for name in names}
+    clock.advance(LEASE_SECONDS)
+    first = LeaseCandidate(name="h1", voters=names, clock=clock)
+    for _ in range(2):
+        hold_round(first, first.start_round(None), voters, names)
+        clock.advance(2 * LEASE_SECONDS)
+    assert first.epoch == 2
+    voters["h2"] = LeaseVoter(clock=clock)
+    voters["h3"] = LeaseVoter(clock=clock)
+    hold_round(first, first.start_round(Ledger(epoch=2, version=1)), voters, names)
+    clock.advance(2 * LEASE_SECONDS)
+    second = LeaseCandidate(name="h3", voters=names, clock=clock)
+    while not second.valid:
+        hold_round(second, second.start_round(None), voters, ("h2", "h3"))
+    assert second.epoch == 3
+
+
+def hold_round(candidate, request, voters, asked) -> None:
+    for name in asked:
+        candidate.on_reply(name, voters[name].on_request(request), request)
+
+
 def test_new_coordinator_sees_the_ledger_that_a_majority_stored(clock):
     names = ("h1", "h2", "h3")
     clock.advance(5)
