Ask on when control hosts don't know the limits yet

A control host that doesn't know the limits counted towards the two that are asked for one request, and was asked again for the next. With the two nearest in that state, callers were refused although a third one could have given permits. Such a host is left out for 0.25 s, and its answer doesn't count towards the two.

The test that asked one such host passed before by chance, as any other answer was dropped; it now has two and failed before with the code of the commit before: UNREACHABLE instead of GRANTED.

--- a/src/chicoryhold/limits/permit_client.py
+++ b/src/chicoryhold/limits/permit_client.py
@@ -17,6 +17,7 @@
     UNLIMITED,
     PermitGrant,
     PermitRequest,
+    PermitsUnavailable,
     PermitWant,
 )
 from chicoryhold.limits.permits import PermitCache
@@ -35,6 +36,8 @@
 MAX_HOSTS_ASKED = 2
 # A control host that did not reply in time is not asked for this long.
 AVOID_HOST_SECONDS = 1.0
+# A control host that doesn't know the limits yet is not asked for this long.
+AVOID_UNREADY_HOST_SECONDS = 0.25
 # A denial is repeated for this long without asking a control host.
 DENIAL_CACHE_SECONDS = 0.1
 # Fraction of its usual rate that a host lets pass if it reaches no control host.
@@ -102,12 +105,9 @@
                 return Permission.DENIED
             request = self._create_request(name, now)
         try:
-            for host in self._hosts_to_ask(now):
-                if self._clock.now() >= deadline:
-                    break
-                grant = self._ask(host, request)
-                if grant is not None:
-                    return self._take_grant(request, grant, asked_at=now)
+            grant = self._ask_until_granted(request, now, deadline)
+            if grant is not None:
+                return self._take_grant(request, grant, asked_at=now)
         finally:
             if len(request.wants) > 1:
                 self._is_prefetching = False
@@ -135,12 +135,26 @@
             unused=self._cache.take_expired_count(name),
         )
 
-    def _hosts_to_ask(self, now: float) -> tuple[str, ...]:
-        hosts = self._control_hosts()
-        avoided = {h for h in hosts if now < self._avoided_until.get(h, 0.0)}
-        return tuple(host for host in hosts if host not in avoided)[:MAX_HOSTS_ASKED]
-
-    def _ask(self, host: str, request: PermitRequest) -> PermitGrant | None:
+    def _ask_until_granted(
+        self, request: PermitRequest, now: float, deadline: float
+    ) -> PermitGrant | None:
+        """Ask control hosts in turn; those that don't know the limits don't count."""
+        remaining = MAX_HOSTS_ASKED
+        for host in self._control_hosts():
+            if now < self._avoided_until.get(host, 0.0):
+                continue
+            if not remaining or self._clock.now() >= deadline:
+                return None
+            answer = self._ask(host, request)
+            if isinstance(answer, PermitGrant):
+                return answer
+            if not isinstance(answer, PermitsUnavailable):
+                remaining -= 1
+        return None
+
+    def _ask(
+        self, host: str, request: PermitRequest
+    ) -> PermitGrant | PermitsUnavailable | None:
         timeout = (
             SAME_REGION_TIMEOUT_SECONDS
             if self._is_same_region(host)
@@ -154,7 +168,10 @@
                 "permits: a control host did not reply."
             )
             return None
-        return answer if isinstance(answer, PermitGrant) else None
+        if isinstance(answer, PermitsUnavailable):
+            self._avoided_until[host] = self._clock.now() + AVOID_UNREADY_HOST_SECONDS
+        known = isinstance(answer, (PermitGrant, PermitsUnavailable))
+        return answer if known else None
 
     def _take_grant(
         self, request: PermitRequest, grant: PermitGrant, *, asked_at: float
--- a/tests/test_permit_client.py
+++ b/tests/test_permit_client.py
@@ -122,13 +122,14 @@
 def test_another_control_host_is_asked_when_one_does_not_know_the_limits_yet():
     clock = FakeClock()
     bus = FakeBus(clock)
-    bus.remaining = 1
-    bus.unready = {"c1"}
+    bus.remaining = 3
+    bus.unready = {f"c{number}" for number in range(MAX_HOSTS_ASKED)}
     client = PermitClient(
         bus=bus,
         clock=clock,
-        control_hosts=lambda: ("c1", "c2"),
+        control_hosts=lambda: (*sorted(bus.unready), "ready"),
         is_same_region=lambda host: True,
     )
-    assert ask(client, clock) is Permission.GRANTED
-    assert bus.remaining == 0
+    for _ in range(3):
+        assert ask(client, clock) is Permission.GRANTED
+    assert len(bus.requests) == MAX_HOSTS_ASKED + 3
