Send a change that is too large for a reply as an image

Images are sent in pieces, so a copy that misses such a change now gets an image.

The test failed before: a ChangeBatch instead of SnapshotNeeded.

--- a/src/chicoryhold/control/feed.py
+++ b/src/chicoryhold/control/feed.py
@@ -85,7 +85,7 @@
     def _first_of_newest(self, count: int) -> tuple[Change, ...]:
         """Return the first of the newest ``count`` changes, as many as one reply takes.
 
-        That is at least one, if ``count`` isn't 0.
+        None of them is larger than a reply.
         """
         changes: list[Change] = []
         size = 0
@@ -106,12 +106,18 @@
         return sum(len(each.body) for each in self._newest(count)) <= MAX_REPLY_BYTES
 
     def _prefers_image(self, missing: int) -> bool:
-        """Return whether the newest ``missing`` changes are larger than an image."""
+        """Return whether an image suits a copy better than the newest changes.
+
+        It does if they are larger, or if one of them is too large for a reply.
+        """
         if self._fits_one_reply(missing):
             return False
-        size = sum(len(change.body) for change in self._newest(missing))
+        sizes = [len(change.body) for change in self._newest(missing)]
+        if max(sizes) > MAX_REPLY_BYTES:
+            # Only an image can be sent in several replies.
+            return True
         revision = self._renew_image()
-        return size > len(self._images[revision])
+        return sum(sizes) > len(self._images[revision])
 
     def _renew_image(self, *, at_least: int = 0) -> int:
         """Store a new image unless the changes after the newest one fit one reply.
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -36,19 +36,17 @@
         assert self.state.apply(accepted).accepted
         self.feed.record(accepted)
 
-    def put_configuration(self) -> None:
-        """Accept a new version, as large as that of 80 organisations is."""
+    def put_configuration(self, *, organisations: int = ORGANISATIONS) -> None:
+        """Accept a new version with that many organisations."""
         self._version += 1
-        organisations = tuple(
+        rules = tuple(
             OrganisationRule(
                 name=f"organisation-{number}",
                 keys=(self._random.randbytes(KEY_CHARACTERS // 2).hex(),),
             )
-            for number in range(ORGANISATIONS)
-        )
-        configuration = Configuration(
-            version=self._version, organisations=organisations
+            for number in range(organisations)
         )
+        configuration = Configuration(version=self._version, organisations=rules)
         text = encode(configuration)
         self.accept(PutConfiguration(configuration=configuration, text=text))
 
@@ -127,6 +125,19 @@
     )
 
 
+def test_single_change_that_is_too_large_for_a_reply_is_sent_as_an_image_in_pieces():
+    source = Source()
+    for _ in range(30_000):
+        source.create_organisation()
+    source.put_configuration(organisations=1_200)
+    follower = Follower(clock=FakeClock())
+    sizes = replies_until_confirmed(source, follower, max_replies=60)
+    assert max(sizes) <= LINK_BYTES_PER_FETCH / 4
+    source.put_configuration(organisations=1_200)
+    reply = source.feed.answer(FetchChanges(after=30_001), confirmed_age=0.0)
+    assert isinstance(reply, SnapshotNeeded)
+
+
 def test_copy_that_is_a_few_changes_behind_is_sent_just_these():
     source = Source()
     source.put_configuration()
