Answer no look-up before a restarted control host can know the entry hosts

A control host that has just started knows only the entry hosts that have reported to it so far, and named these, or those of another region if the caller's had none among them. After a restart of all hosts, callers were sent to the first few ready ones, and cached that. It now answers 503 for 1.2 s, in which each entry host has reported and control hosts have told each other twice; callers ask the next one.

--- a/src/chicoryhold/membership/registry.py
+++ b/src/chicoryhold/membership/registry.py
@@ -18,6 +18,8 @@
 ENTRY_HOST_TIMEOUT_SECONDS = 2.0
 CONTROL_HOST_TIMEOUT_SECONDS = 2.5
 EXPIRY_SECONDS = 30.0
+# Entry hosts report to some control host, and that one to the others, twice a second.
+LEARNING_SECONDS = 1.2
 MAX_RELAY_HOSTS = 16
 # Hosts that are cut off from all targets are still listed for callers if fewer of the
 # region's hosts reach targets: those few would be overloaded.
@@ -43,6 +45,7 @@
     def __init__(self, *, own: ControlHost, clock: Clock) -> None:
         self._own = own
         self._clock = clock
+        self._started_at = clock.now()
         self._entry_records: dict[str, _EntryRecord] = {}
         self._control_records: dict[str, tuple[ControlHost, float]] = {}
 
@@ -50,6 +53,11 @@
     def own(self) -> ControlHost:
         return self._own
 
+    @property
+    def is_learning(self) -> bool:
+        """Whether this host has just started and may not have heard of all hosts."""
+        return self._clock.now() - self._started_at < LEARNING_SECONDS
+
     @property
     def control_hosts(self) -> tuple[ControlHost, ...]:
         """The live control hosts, this one first."""
