Let no peer decide a relayed request by an older configuration

A host that relays has checked route and key already, but its peer decides again. A peer whose copy was a version behind answered 404 or 401 for what the host itself had served: callers would have seen a host go back to an older configuration. The relay now states the version; a peer with an older one answers not_ready, and the request goes to another peer. An equal or newer one decides, also against the request.

The new test failed before (no such parameter, and NO_ROUTE by the older index).

--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -19,7 +19,7 @@
 )
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.relay_peers import RelayPeers
-from chicoryhold.gateway.request import GatewayRequest, RelayCall
+from chicoryhold.gateway.request import GatewayRequest, RelayCall, RelayTerms
 from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
@@ -45,12 +45,14 @@
 class RelayedRequest:
     """A request whose route and key were found valid here.
 
-    ``deadline`` is on the local clock. ``allowed_regions`` are the regions that the
+    ``version`` is that of the configuration by which they are. ``deadline`` is on the
+    local clock. ``allowed_regions`` are the regions that the
     request may run in, empty for any; no other region may receive it.
     """
 
     request: GatewayRequest
     route: str
+    version: int
     repeatable: bool
     allowed_regions: frozenset[str]
     deadline: float
@@ -104,7 +106,7 @@
         be cut off. A request that must run at most once is sent only if it is known not
         to have run in any earlier attempt.
         """
-        if relayed.request.is_relayed:
+        if relayed.request.relayed is not None:
             return Err(earlier or _refusal("this entry host reaches no target itself"))
         self._budgets.earn(relayed.route)
         last = _earlier_attempt(earlier) if earlier else None
@@ -164,6 +166,7 @@
             host=request.host,
             key=request.key,
             remaining=max(0.001, relayed.deadline - self._clock.now()),
+            terms=RelayTerms(version=relayed.version),
         )
         outgoing = OutgoingRequest(
             request_id=request.request_id,
--- a/src/chicoryhold/gateway/request.py
+++ b/src/chicoryhold/gateway/request.py
@@ -10,14 +10,24 @@
 from chicoryhold.targets.cancellation import Cancellation
 
 
+@attrs.frozen(kw_only=True)
+class RelayTerms:
+    """What an entry host states of a request that it relays.
+
+    ``version`` is that of its configuration; no older one may decide the request.
+    """
+
+    version: int
+
+
 @attrs.frozen(kw_only=True)
 class GatewayRequest:
     """A caller's request. ``deadline`` and ``arrived_at`` are on the local clock.
 
     ``path`` is the path that routes are matched against; ``target`` is the HTTP
     request target including the query, exactly as the caller sent it. ``headers`` are
-    the headers that a target may see, ``key`` is the caller's API key. ``is_relayed``
-    means that another entry host sent it, in place of the caller.
+    the headers that a target may see, ``key`` is the caller's API key. ``relayed``
+    is what another entry host stated if that one sent it, in place of the caller.
     """
 
     request_id: str
@@ -32,7 +42,7 @@
     arrived_at: float
     deadline: float
     cancellation: Cancellation
-    is_relayed: bool = False
+    relayed: RelayTerms | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -59,6 +69,7 @@
     host: str
     key: str | None = attrs.field(repr=False)
     remaining: float
+    terms: RelayTerms
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -80,7 +80,7 @@
             self._clock.now() - request.arrived_at,
             route=route,
         )
-        if request.is_relayed:
+        if request.relayed is not None:
             self._metrics.count("chicoryhold_relays_served", outcome=outcome)
 
     def _serve(self, request: GatewayRequest, index: RouteIndex) -> ServeResult:
@@ -88,6 +88,9 @@
             return ServeResult(
                 outcome=_refused(RefusalKind.NOT_READY, "no configuration")
             )
+        if request.relayed is not None and request.relayed.version > index.version:
+            message = "the configuration here is older than that of the sender"
+            return ServeResult(outcome=_refused(RefusalKind.NOT_READY, message))
         route = index.route(host=request.host, path=request.path)
         if route is None:
             return ServeResult(outcome=_refused(RefusalKind.NO_ROUTE, "no such route"))
@@ -98,18 +101,18 @@
                 refused = _refused(RefusalKind.KEY_MISSING, "the key is not valid")
                 return ServeResult(outcome=refused, route=route)
         name = organisation.name if organisation else ""
-        outcome = self._deliver(request, route, organisation)
+        outcome = self._deliver(request, route, organisation, index.version)
         return ServeResult(outcome=outcome, route=route, organisation=name)
 
     def _deliver(
         self, request: GatewayRequest, route: RouteRule,
-        organisation: OrganisationRule | None,
+        organisation: OrganisationRule | None, version: int,
     ) -> Outcome:  # fmt: skip
         """Send the request to a target, or to a peer while no target is in reach.
 
         The peer takes the permit of a relayed request.
         """
-        relayed = _relayed_request(request, route, organisation)
+        relayed = _relayed_request(request, route, organisation, version)
         if self._relay.is_needed:
             return self._relay.deliver(relayed)
         refused = self._permit_refusal(request, route, organisation)
@@ -192,11 +195,13 @@
 
 
 def _relayed_request(
-    request: GatewayRequest, route: RouteRule, organisation: OrganisationRule | None
-) -> RelayedRequest:
+    request: GatewayRequest, route: RouteRule, organisation: OrganisationRule | None,
+    version: int,
+) -> RelayedRequest:  # fmt: skip
     return RelayedRequest(
         request=request,
         route=route.name,
+        version=version,
         repeatable=route.repeatable,
         allowed_regions=_allowed_regions(route, organisation),
         deadline=_deadline(request, route),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 from wiring.targets import PlatformHeaders, read_report
 
 from chicoryhold.errors import SettingsError
-from chicoryhold.gateway.request import RelayCall, TargetCall
+from chicoryhold.gateway.request import RelayCall, RelayTerms, TargetCall
 from chicoryhold.http_server import ARRIVED_AT, CANCELLATION
 from chicoryhold.state.targets import TargetState
 from chicoryhold.targets.cancellation import Cancellation
@@ -133,11 +133,12 @@
 
 
 def test_relayed_request_is_sent_with_the_callers_host_and_key():
-    call = RelayCall(host="shop.example", key="k", remaining=0.25)
+    terms = RelayTerms(version=12)
+    call = RelayCall(host="shop.example", key="k", remaining=0.25, terms=terms)
     assert PlatformHeaders().relay_headers(call) == {
         "Host": "shop.example",
         "Deadline-Ms": "250",
-        "Chicoryhold-Relayed": "1",
+        "Chicoryhold-Relayed": "12",
         "Authorization": "Bearer k",
     }
 
@@ -168,7 +169,7 @@
         "HTTP_CONNECTION": "keep-alive, X-Hop",
         "HTTP_X_HOP": "1",
         "HTTP_X_KEPT": "2",
-        "HTTP_CHICORYHOLD_RELAYED": "1",
+        "HTTP_CHICORYHOLD_RELAYED": "12",
         "wsgi.input": _EmptyBody(),
         ARRIVED_AT: 100.0,
         CANCELLATION: Cancellation(),
@@ -177,7 +178,7 @@
         ClientApp(gateway)(environ, lambda *_: None)
     request = gateway.request
     assert request.key == "k"
-    assert request.is_relayed
+    assert request.relayed == RelayTerms(version=12)
     assert request.target == "/a/2f?x=%2F"
     assert request.path == "/a/2f"
     assert request.deadline == 102.0
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,7 +20,7 @@
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.relay import Relay, RelayedRequest
 from chicoryhold.gateway.relay_peers import RelayPeers
-from chicoryhold.gateway.request import GatewayRequest
+from chicoryhold.gateway.request import GatewayRequest, RelayTerms
 from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
@@ -70,7 +70,12 @@
 
 class HeaderTranslator:
     def relay_headers(self, call):
-        return {"Host": call.host, "Key": call.key, "Left": f"{call.remaining:.1f}"}
+        return {
+            "Host": call.host,
+            "Key": call.key,
+            "Left": f"{call.remaining:.1f}",
+            "Version": str(call.terms.version),
+        }
 
 
 def a_request(clock: FakeClock, **fields: object) -> GatewayRequest:
@@ -114,6 +119,7 @@
     relayed = RelayedRequest(
         request=request,
         route="r",
+        version=12,
         repeatable=repeatable,
         allowed_regions=frozenset(regions),
         deadline=clock.now() + 2,
@@ -129,6 +135,7 @@
     assert (sent.body, sent.at_most_once) == (b"body", True)
     assert sent.headers == {
         "X-Kept": "2", "Host": "shop.example", "Key": "k", "Left": "2.0",
+        "Version": "12",
     }  # fmt: skip
 
 
@@ -212,7 +219,7 @@
 
 
 @pytest.mark.parametrize(
-    "fields", [{"peers": ()}, {"peers": (OWN,)}, {"is_relayed": True}]
+    "fields", [{"peers": ()}, {"peers": (OWN,)}, {"relayed": RelayTerms(version=1)}]
 )
 def test_a_request_that_can_not_be_relayed_is_refused_at_once(fields):
     outcome, connections = run(OK, **fields)
--- /dev/null
+++ b/tests/test_relayed_requests.py
@@ -0,0 +1,80 @@
+"""Requests that another entry host has relayed to this one."""
+
+from __future__ import annotations
+
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+from result import Ok
+
+from chicoryhold.callers.refusals import RefusalKind
+from chicoryhold.gateway.request import GatewayRequest, RelayTerms
+from chicoryhold.gateway.service import GatewayService
+from chicoryhold.metrics import Metrics
+from chicoryhold.routing.configuration import (
+    Configuration,
+    RouteRule,
+    WeightedService,
+)
+from chicoryhold.routing.route_index import RouteIndex
+from chicoryhold.targets.cancellation import Cancellation
+from chicoryhold.targets.exchange import TargetResponse
+from tests.conftest import FakeClock
+from tests.test_relay import a_request
+
+VERSION = 4
+
+
+class Delivery:
+    """Keeps what it is given and answers with a response."""
+
+    def __init__(self) -> None:
+        self.delivered: list[object] = []
+
+    def deliver(self, routed):
+        self.delivered.append(routed)
+        return Ok(TargetResponse(status=200, headers=(), body=b""))
+
+
+def serve(path: str, relayed: RelayTerms | None):
+    """Serve a request on a host with the configuration ``VERSION``."""
+    clock = FakeClock()
+    route = RouteRule(
+        name="r",
+        host="shop.example",
+        prefix="/known/",
+        parts=(WeightedService(service="s", weight=1.0),),
+        attempts=2,
+    )
+    index = RouteIndex(Configuration(version=VERSION, routes=(route,)))
+    delivery = Delivery()
+    service = GatewayService(
+        index=lambda: index,
+        copy_age=lambda: 0.0,
+        permits=None,
+        delivery=delivery,
+        relay=SimpleNamespace(is_needed=False),
+        clock=clock,
+        random=Random(1),
+        metrics=Metrics(process="h"),
+    )
+    request: GatewayRequest = a_request(
+        clock, path=path, relayed=relayed, cancellation=Cancellation()
+    )
+    return service.serve(request).outcome, delivery
+
+
+@pytest.mark.parametrize("path", ["/known/x", "/added-in-the-next-version/x"])
+def test_host_does_not_decide_a_relayed_request_by_an_older_configuration(path):
+    outcome, delivery = serve(path, RelayTerms(version=VERSION + 1))
+    assert outcome.err_value.kind is RefusalKind.NOT_READY
+    assert delivery.delivered == []
+
+
+@pytest.mark.parametrize("version", [VERSION - 1, VERSION])
+def test_host_decides_a_relayed_request_by_the_same_or_a_newer_configuration(version):
+    outcome, _ = serve("/known/x", RelayTerms(version=version))
+    assert outcome.is_ok()
+    outcome, _ = serve("/removed/x", RelayTerms(version=version))
+    assert outcome.err_value.kind is RefusalKind.NO_ROUTE
