Keep to a route's attempts when a request is relayed

A relayed request could use all attempts of its route at each of two peers, after some at this host: if a peer broke off after its targets had begun, a repeatable request ran on more targets than the operator allows. The relay now states how many attempts are left, keeps one back for a second peer, and counts those of a peer that broke off as used. A peer uses at most what is stated.

The new tests failed before (the terms had no attempts).

--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -45,7 +45,8 @@
 class RelayedRequest:
     """A request whose route and key were found valid here.
 
-    ``version`` is that of the configuration by which they are. ``deadline`` is on the
+    ``version`` is that of the configuration by which they are. ``attempts`` is the
+    number of targets that the route allows. ``deadline`` is on the
     local clock. ``allowed_regions`` are the regions that the
     request may run in, empty for any; no other region may receive it.
     """
@@ -53,6 +54,7 @@
     request: GatewayRequest
     route: str
     version: int
+    attempts: int
     repeatable: bool
     allowed_regions: frozenset[str]
     deadline: float
@@ -110,15 +112,22 @@
             return Err(earlier or _refusal("this entry host reaches no target itself"))
         self._budgets.earn(relayed.route)
         last = _earlier_attempt(earlier) if earlier else None
+        attempts = relayed.attempts
+        if last is not None and not last.known_not_run:
+            attempts -= 1
         tried: frozenset[str] = frozenset()
-        while len(tried) < MAX_PEERS and self._may_send(relayed, last):
+        while len(tried) < MAX_PEERS and attempts and self._may_send(relayed, last):
             peer = self._peers.choose(
                 allowed_regions=relayed.allowed_regions, tried=tried
             )
             if peer is None:
                 break
             tried |= {peer.name}
-            last = _decisive_attempt(last, self._send(relayed, peer))
+            granted = _attempts_for_peer(relayed, attempts)
+            attempt = self._send(relayed, peer, granted)
+            if not attempt.known_not_run:
+                attempts -= granted
+            last = _decisive_attempt(last, attempt)
         self._metrics.count(
             "chicoryhold_relayed_requests", outcome=last.label if last else NO_PEER
         )
@@ -137,10 +146,12 @@
             return False
         return relayed.repeatable and self._budgets.spend(relayed.route)
 
-    def _send(self, relayed: RelayedRequest, peer: EntryHost) -> _RelayAttempt:
+    def _send(
+        self, relayed: RelayedRequest, peer: EntryHost, attempts: int
+    ) -> _RelayAttempt:
         try:
             with self._peers.in_flight(peer):
-                response = self._exchange(relayed, peer)
+                response = self._exchange(relayed, peer, attempts)
         except ConnectFailed as error:
             self._peers.avoid(peer)
             return _RelayAttempt(
@@ -160,13 +171,15 @@
             )
         return _RelayAttempt(outcome=Ok(response), label="responded", responded=True)
 
-    def _exchange(self, relayed: RelayedRequest, peer: EntryHost) -> TargetResponse:
+    def _exchange(
+        self, relayed: RelayedRequest, peer: EntryHost, attempts: int
+    ) -> TargetResponse:
         request = relayed.request
         call = RelayCall(
             host=request.host,
             key=request.key,
             remaining=max(0.001, relayed.deadline - self._clock.now()),
-            terms=RelayTerms(version=relayed.version),
+            terms=RelayTerms(version=relayed.version, attempts=attempts),
         )
         outgoing = OutgoingRequest(
             request_id=request.request_id,
@@ -196,6 +209,15 @@
         ).info("relay: attempt failed.")
 
 
+def _attempts_for_peer(relayed: RelayedRequest, attempts: int) -> int:
+    """Return how many of ``attempts`` the next peer may use.
+
+    One is kept for another peer, as nobody knows how many were used if this one breaks
+    off. A request that must run at most once isn't sent again then.
+    """
+    return attempts - 1 if relayed.repeatable and attempts > 1 else attempts
+
+
 def _decisive_attempt(
     last: _RelayAttempt | None, attempt: _RelayAttempt
 ) -> _RelayAttempt:
--- a/src/chicoryhold/gateway/request.py
+++ b/src/chicoryhold/gateway/request.py
@@ -15,9 +15,11 @@
     """What an entry host states of a request that it relays.
 
     ``version`` is that of its configuration; no older one may decide the request.
+    ``attempts`` is the number of targets that the request may still be sent to.
     """
 
     version: int
+    attempts: int
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -146,6 +146,9 @@
         self, request: GatewayRequest, route: RouteRule,
         organisation: OrganisationRule | None,
     ) -> RoutedRequest:  # fmt: skip
+        if request.relayed is not None:
+            attempts = min(route.attempts, request.relayed.attempts)
+            route = attrs.evolve(route, attempts=attempts)
         return RoutedRequest(
             request=request,
             route=route,
@@ -202,6 +205,7 @@
         request=request,
         route=route.name,
         version=version,
+        attempts=max(1, route.attempts),
         repeatable=route.repeatable,
         allowed_regions=_allowed_regions(route, organisation),
         deadline=_deadline(request, route),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -133,12 +133,12 @@
 
 
 def test_relayed_request_is_sent_with_the_callers_host_and_key():
-    terms = RelayTerms(version=12)
+    terms = RelayTerms(version=12, attempts=1)
     call = RelayCall(host="shop.example", key="k", remaining=0.25, terms=terms)
     assert PlatformHeaders().relay_headers(call) == {
         "Host": "shop.example",
         "Deadline-Ms": "250",
-        "Chicoryhold-Relayed": "12",
+        "Chicoryhold-Relayed": "12,1",
         "Authorization": "Bearer k",
     }
 
@@ -169,7 +169,7 @@
         "HTTP_CONNECTION": "keep-alive, X-Hop",
         "HTTP_X_HOP": "1",
         "HTTP_X_KEPT": "2",
-        "HTTP_CHICORYHOLD_RELAYED": "12",
+        "HTTP_CHICORYHOLD_RELAYED": "12,1",
         "wsgi.input": _EmptyBody(),
         ARRIVED_AT: 100.0,
         CANCELLATION: Cancellation(),
@@ -178,7 +178,7 @@
         ClientApp(gateway)(environ, lambda *_: None)
     request = gateway.request
     assert request.key == "k"
-    assert request.relayed == RelayTerms(version=12)
+    assert request.relayed == RelayTerms(version=12, attempts=1)
     assert request.target == "/a/2f?x=%2F"
     assert request.path == "/a/2f"
     assert request.deadline == 102.0
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -74,7 +74,7 @@
             "Host": call.host,
             "Key": call.key,
             "Left": f"{call.remaining:.1f}",
-            "Version": str(call.terms.version),
+            "Terms": f"{call.terms.version},{call.terms.attempts}",
         }
 
 
@@ -98,7 +98,8 @@
 
 def run(
     *results: object, repeatable: bool = False, peers=PEERS, regions=(),
-    cancelled: bool = False, earlier: Refusal | None = None, **fields: object,
+    cancelled: bool = False, earlier: Refusal | None = None, attempts: int = 2,
+    **fields: object,
 ):  # fmt: skip
     clock = FakeClock()
     connections = Connections(clock, *results)
@@ -120,6 +121,7 @@
         request=request,
         route="r",
         version=12,
+        attempts=attempts,
         repeatable=repeatable,
         allowed_regions=frozenset(regions),
         deadline=clock.now() + 2,
@@ -135,7 +137,7 @@
     assert (sent.body, sent.at_most_once) == (b"body", True)
     assert sent.headers == {
         "X-Kept": "2", "Host": "shop.example", "Key": "k", "Left": "2.0",
-        "Version": "12",
+        "Terms": "12,2",
     }  # fmt: skip
 
 
@@ -179,6 +181,23 @@
     assert outcome.err_value.ran is RunStatus.UNKNOWN
 
 
+@pytest.mark.parametrize(("attempts", "sent"), [(1, [1]), (2, [1, 1]), (3, [2, 1])])
+def test_peers_that_break_off_send_a_request_to_no_more_targets_than_its_route_allows(
+    attempts, sent
+):
+    broken = ExchangeFailed("reset")
+    _, connections = run(broken, broken, repeatable=True, attempts=attempts)
+    terms = [request.headers["Terms"] for request in connections.requests]
+    assert terms == [f"12,{granted}" for granted in sent]
+
+
+def test_an_attempt_at_a_target_before_the_cut_counts_among_those_of_the_route():
+    earlier = failed_at_target(RunStatus.UNKNOWN)
+    outcome, connections = run(OK, repeatable=True, earlier=earlier, attempts=1)
+    assert connections.requests == []
+    assert outcome == Err(earlier)
+
+
 def test_a_request_whose_caller_left_is_sent_to_no_peer():
     outcome, connections = run(OK, repeatable=True, cancelled=True)
     assert connections.addresses == []
@@ -219,7 +238,8 @@
 
 
 @pytest.mark.parametrize(
-    "fields", [{"peers": ()}, {"peers": (OWN,)}, {"relayed": RelayTerms(version=1)}]
+    "fields",
+    [{"peers": ()}, {"peers": (OWN,)}, {"relayed": RelayTerms(version=1, attempts=1)}],
 )
 def test_a_request_that_can_not_be_relayed_is_refused_at_once(fields):
     outcome, connections = run(OK, **fields)
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -67,14 +67,21 @@
 
 @pytest.mark.parametrize("path", ["/known/x", "/added-in-the-next-version/x"])
 def test_host_does_not_decide_a_relayed_request_by_an_older_configuration(path):
-    outcome, delivery = serve(path, RelayTerms(version=VERSION + 1))
+    outcome, delivery = serve(path, RelayTerms(version=VERSION + 1, attempts=1))
     assert outcome.err_value.kind is RefusalKind.NOT_READY
     assert delivery.delivered == []
 
 
 @pytest.mark.parametrize("version", [VERSION - 1, VERSION])
 def test_host_decides_a_relayed_request_by_the_same_or_a_newer_configuration(version):
-    outcome, _ = serve("/known/x", RelayTerms(version=version))
+    outcome, _ = serve("/known/x", RelayTerms(version=version, attempts=1))
     assert outcome.is_ok()
-    outcome, _ = serve("/removed/x", RelayTerms(version=version))
+    outcome, _ = serve("/removed/x", RelayTerms(version=version, attempts=1))
     assert outcome.err_value.kind is RefusalKind.NO_ROUTE
+
+
+def test_host_sends_a_relayed_request_to_no_more_targets_than_the_sender_allows():
+    _, delivery = serve("/known/x", RelayTerms(version=VERSION, attempts=1))
+    _, unlimited = serve("/known/x", None)
+    assert delivery.delivered[0].route.attempts == 1
+    assert unlimited.delivered[0].route.attempts == 2
