Charge the retry budget when a peer's targets rejected a relayed request

A relayed request that a peer refused as not run went to a second peer without limit. The refusal may mean that a target had received and rejected it, so while many hosts are cut off and targets are full, a service would get far more arrivals than retries allow, and most when it can bear them least. Now only requests that the peer says it hasn't sent to a target (not_ready, no_target), or that didn't reach the peer, are sent on free of charge; all others need the budget.

--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -30,6 +30,8 @@
 MIN_REMAINING_SECONDS = 0.05  # with less time left, no peer could respond
 NO_PEER_RETRY_AFTER_SECONDS = 0.1  # the caller's next host may reach targets
 NO_PEER = "no_peer"  # the outcome in metrics
+# A peer that refuses for these reasons hasn't sent the request to a target.
+UNTRIED_KINDS = frozenset({RefusalKind.NOT_READY, RefusalKind.NO_TARGET})
 REFUSED_STATUS = 503  # a peer's statement that the request didn't run there
 
 Outcome = Result[TargetResponse, Refusal]
@@ -40,6 +42,9 @@
 
     def relay_headers(self, call: RelayCall) -> Mapping[str, str]: ...
 
+    def refusal_kind(self, response: TargetResponse) -> RefusalKind | None:
+        """Return the kind of a peer's own refusal."""
+
 
 @attrs.frozen(kw_only=True)
 class RelayedRequest:
@@ -64,13 +69,15 @@
 class _RelayAttempt:
     """The result of sending a request to one peer.
 
-    ``known_not_run`` means that the peer hasn't run the request and never will.
-    ``label`` is the outcome in metrics.
+    ``known_not_run`` means that the peer hasn't run the request and never will,
+    ``untried`` that it hasn't sent it to a target either. ``label`` is the outcome in
+    metrics.
     """
 
     outcome: Outcome
     label: str
     known_not_run: bool = False
+    untried: bool = False
     responded: bool = False
 
 
@@ -140,11 +147,12 @@
             return False
         if relayed.deadline - self._clock.now() < MIN_REMAINING_SECONDS:
             return False
-        if last is None or last.known_not_run:
+        if last is None or last.untried:
             return True
         if last.responded:
             return False
-        return relayed.repeatable and self._budgets.spend(relayed.route)
+        may_run = last.known_not_run or relayed.repeatable
+        return may_run and self._budgets.spend(relayed.route)
 
     def _send(
         self, relayed: RelayedRequest, peer: EntryHost, attempts: int
@@ -158,6 +166,7 @@
                 outcome=Err(_refusal(str(error))),
                 label="unreachable",
                 known_not_run=True,
+                untried=True,
             )
         except ExchangeFailed as error:
             if not isinstance(error, ExchangeCancelled):
@@ -166,8 +175,12 @@
             return _failed_attempt(error)
         if response.status == REFUSED_STATUS:
             self._peers.avoid(peer)
+            kind = self._header_translator.refusal_kind(response)
             return _RelayAttempt(
-                outcome=Ok(response), label="refused", known_not_run=True
+                outcome=Ok(response),
+                label="refused",
+                known_not_run=True,
+                untried=kind in UNTRIED_KINDS,
             )
         return _RelayAttempt(outcome=Ok(response), label="responded", responded=True)
 
@@ -235,6 +248,7 @@
         outcome=Err(refusal),
         label=NO_PEER,
         known_not_run=refusal.ran is RunStatus.NOT_RUN,
+        untried=refusal.kind in UNTRIED_KINDS,
     )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,6 +9,7 @@
 from wiring.settings import control_settings, read_settings
 from wiring.targets import PlatformHeaders, read_report
 
+from chicoryhold.callers.refusals import RefusalKind
 from chicoryhold.errors import SettingsError
 from chicoryhold.gateway.request import RelayCall, RelayTerms, TargetCall
 from chicoryhold.http_server import ARRIVED_AT, CANCELLATION
@@ -143,6 +144,19 @@
     }
 
 
+@pytest.mark.parametrize(
+    ("body", "kind"),
+    [
+        (b'{"refused": "not_ready", "message": "m"}', RefusalKind.NOT_READY),
+        (b'{"refused": "something new"}', None),
+        (b"from the target itself", None),
+    ],
+)
+def test_kind_of_a_peers_refusal_is_read(body, kind):
+    response = TargetResponse(status=503, headers=(), body=body)
+    assert PlatformHeaders().refusal_kind(response) is kind
+
+
 class _RecordingGateway:
     """Records the request that it is given, then raises ``InterruptedError``."""
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -21,7 +21,11 @@
 from chicoryhold.gateway.relay import Relay, RelayedRequest
 from chicoryhold.gateway.relay_peers import RelayPeers
 from chicoryhold.gateway.request import GatewayRequest, RelayTerms
-from chicoryhold.gateway.retry_budgets import RetryBudgets
+from chicoryhold.gateway.retry_budgets import (
+    INITIAL_RETRIES,
+    RETRIES_EARNED_PER_REQUEST,
+    RetryBudgets,
+)
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
 from chicoryhold.targets.cancellation import Cancellation
@@ -29,6 +33,7 @@
 from tests.conftest import FakeClock
 
 OK = TargetResponse(status=200, headers=(), body=b"whole")
+OVERLOADED = TargetResponse(status=503, headers=(), body=b"overloaded")
 REFUSED = TargetResponse(status=503, headers=(("Retry-After", "0.4"),), body=b"")
 OVER_RATE = TargetResponse(status=429, headers=(("Retry-After", "0.5"),), body=b"")
 
@@ -69,6 +74,9 @@
 
 
 class HeaderTranslator:
+    def refusal_kind(self, response):
+        return RefusalKind.OVERLOADED if response is OVERLOADED else None
+
     def relay_headers(self, call):
         return {
             "Host": call.host,
@@ -96,14 +104,8 @@
     return GatewayRequest(**{**defaults, **fields})
 
 
-def run(
-    *results: object, repeatable: bool = False, peers=PEERS, regions=(),
-    cancelled: bool = False, earlier: Refusal | None = None, attempts: int = 2,
-    **fields: object,
-):  # fmt: skip
-    clock = FakeClock()
-    connections = Connections(clock, *results)
-    relay = Relay(
+def create_relay(connections: Connections, clock: FakeClock, *, peers=PEERS) -> Relay:
+    return Relay(
         reachability=TargetReachability(clock=clock),
         peers=RelayPeers(
             own=lambda: OWN, known=lambda: peers, clock=clock, random=Random(1)
@@ -114,6 +116,28 @@
         clock=clock,
         metrics=Metrics(process="own"),
     )
+
+
+def a_relayed_request(clock: FakeClock) -> RelayedRequest:
+    return RelayedRequest(
+        request=a_request(clock),
+        route="r",
+        version=12,
+        attempts=2,
+        repeatable=False,
+        allowed_regions=frozenset(),
+        deadline=clock.now() + 2,
+    )
+
+
+def run(
+    *results: object, repeatable: bool = False, peers=PEERS, regions=(),
+    cancelled: bool = False, earlier: Refusal | None = None, attempts: int = 2,
+    **fields: object,
+):  # fmt: skip
+    clock = FakeClock()
+    connections = Connections(clock, *results)
+    relay = create_relay(connections, clock, peers=peers)
     request = a_request(clock, **fields)
     if cancelled:
         request.cancellation.set()
@@ -149,6 +173,17 @@
     assert len(set(connections.addresses)) == 2
 
 
+def test_requests_that_a_peers_targets_rejected_are_sent_again_within_the_budget():
+    clock = FakeClock()
+    requests = 200
+    connections = Connections(clock, *[OVERLOADED] * (2 * requests))
+    relay = create_relay(connections, clock)
+    for _ in range(requests):
+        relay.deliver(a_relayed_request(clock))
+    budget = INITIAL_RETRIES + RETRIES_EARNED_PER_REQUEST * requests
+    assert requests < len(connections.requests) <= requests + budget
+
+
 def test_a_peers_second_refusal_is_returned_with_its_retry_after():
     outcome, connections = run(ConnectFailed("refused"), REFUSED, OK)
     assert outcome == Ok(REFUSED)
