Answer no 429 after a peer that may have run a relayed request

429 promises that a request hasn't run. After one peer had broken off and another one answered 429, the caller got the 429 although the first may have run it. Like a 503, it now leaves the outcome unknown. Only repeatable requests are sent again, so none could run twice by it.

--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -17,6 +17,7 @@
     ExchangeFailed,
     ExchangeTimeout,
 )
+from chicoryhold.gateway.delivery import NOT_RUN_STATUSES
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.relay_peers import RelayPeers
 from chicoryhold.gateway.request import GatewayRequest, RelayCall, RelayTerms
@@ -182,7 +183,12 @@
                 known_not_run=True,
                 untried=kind in UNTRIED_KINDS,
             )
-        return _RelayAttempt(outcome=Ok(response), label="responded", responded=True)
+        return _RelayAttempt(
+            outcome=Ok(response),
+            label="responded",
+            known_not_run=response.status in NOT_RUN_STATUSES,
+            responded=True,
+        )
 
     def _exchange(
         self, relayed: RelayedRequest, peer: EntryHost, attempts: int
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -210,8 +210,9 @@
     assert outcome.err_value.ran is RunStatus.UNKNOWN
 
 
-def test_a_refusal_does_not_hide_that_another_peer_may_have_run_the_request():
-    outcome, connections = run(ExchangeFailed("reset"), REFUSED, repeatable=True)
+@pytest.mark.parametrize("second", [REFUSED, OVER_RATE])
+def test_a_refusal_does_not_hide_that_another_peer_may_have_run_the_request(second):
+    outcome, connections = run(ExchangeFailed("reset"), second, repeatable=True)
     assert len(connections.addresses) == 2
     assert outcome.err_value.ran is RunStatus.UNKNOWN
 
