Keep half of the callers' threads free of relays

A host that relays holds a caller's thread until the peer responds. Two hosts that are both cut off and list each other can fill their threads with requests that wait for the other one, until the deadlines pass. At most 80 requests are relayed at a time, of 160 threads; the rest are refused at once as not run.

The test states the bound; it couldn't run before.

--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Mapping
 from typing import Protocol
 
@@ -28,6 +29,9 @@
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
 
 MAX_PEERS = 2  # to which one request is relayed, one after the other
+# Fewer than the threads for callers. The others stay free for what peers relay here:
+# two hosts that relay to each other would otherwise wait for each other's threads.
+MAX_IN_FLIGHT = 80
 MIN_REMAINING_SECONDS = 0.05  # with less time left, no peer could respond
 NO_PEER_RETRY_AFTER_SECONDS = 0.1  # the caller's next host may reach targets
 NO_PEER = "no_peer"  # the outcome in metrics
@@ -101,6 +105,7 @@
         self._budgets = budgets
         self._clock = clock
         self._metrics = metrics
+        self._free = threading.BoundedSemaphore(MAX_IN_FLIGHT)
 
     @property
     def is_needed(self) -> bool:
@@ -118,6 +123,14 @@
         """
         if relayed.request.relayed is not None:
             return Err(earlier or _refusal("this entry host reaches no target itself"))
+        if not self._free.acquire(blocking=False):
+            return Err(earlier or _refusal("too many requests are being relayed"))
+        try:
+            return self._deliver(relayed, earlier)
+        finally:
+            self._free.release()
+
+    def _deliver(self, relayed: RelayedRequest, earlier: Refusal | None) -> Outcome:
         self._budgets.earn(relayed.route)
         last = _earlier_attempt(earlier) if earlier else None
         attempts = relayed.attempts
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -18,7 +18,7 @@
     ExchangeTimeout,
 )
 from chicoryhold.gateway.reachability import TargetReachability
-from chicoryhold.gateway.relay import Relay, RelayedRequest
+from chicoryhold.gateway.relay import MAX_IN_FLIGHT, Relay, RelayedRequest
 from chicoryhold.gateway.relay_peers import RelayPeers
 from chicoryhold.gateway.request import GatewayRequest, RelayTerms
 from chicoryhold.gateway.retry_budgets import (
@@ -234,6 +234,27 @@
     assert outcome == Err(earlier)
 
 
+def test_relayed_requests_leave_threads_for_those_that_peers_relay_here():
+    clock = FakeClock()
+    refusals = []
+
+    class Nested(Connections):
+        """Relays one more request while it waits for a response."""
+
+        def exchange(self, address, request, **deadlines):
+            if len(self.requests) <= MAX_IN_FLIGHT:
+                self.requests.append(request)
+                refusals.append(relay.deliver(a_relayed_request(clock)))
+            return OK
+
+    connections = Nested(clock)
+    relay = create_relay(connections, clock)
+    assert relay.deliver(a_relayed_request(clock)) == Ok(OK)
+    assert len(connections.requests) == MAX_IN_FLIGHT
+    assert [outcome.is_err() for outcome in refusals].count(True) == 1
+    assert relay.deliver(a_relayed_request(clock)) == Ok(OK)
+
+
 def test_a_request_whose_caller_left_is_sent_to_no_peer():
     outcome, connections = run(OK, repeatable=True, cancelled=True)
     assert connections.addresses == []
