Use another region's targets while none of the own region can be reached

Found by a reader, who looked for the cause of the stranded hosts elsewhere: if a host reaches no target of its own region but those of another one, it isn't cut off, and since most local targets looked unhealthy, all of them were used as if none were.

If no connection to any local target could be opened lately, the request goes to another region, where its homes allow that. Each local target is tried again when its ejection ends. Targets that answer with failures are reachable, so a region under overload isn't left.

--- a/src/chicoryhold/routing/health.py
+++ b/src/chicoryhold/routing/health.py
@@ -28,6 +28,11 @@
     return views
 
 
+def all_out_of_reach(views: list[TargetView], now: float) -> bool:
+    """Return whether no connection to any of ``views`` could be opened lately."""
+    return all(view.is_unreachable and now < view.ejected_until for view in views)
+
+
 def _is_healthy(view: TargetView, now: float) -> bool:
     if now < view.ejected_until or view.record.state is TargetState.SILENT:
         return False
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -18,7 +18,11 @@
 from chicoryhold.clock import Clock
 from chicoryhold.routing.affinity import hash_fraction, rendezvous_score, stable_hash
 from chicoryhold.routing.configuration import RouteRule, ServiceRule
-from chicoryhold.routing.health import load_per_slot, without_unhealthy
+from chicoryhold.routing.health import (
+    all_out_of_reach,
+    load_per_slot,
+    without_unhealthy,
+)
 from chicoryhold.routing.round_trips import RoundTrips
 from chicoryhold.routing.spill import SpilloverController
 from chicoryhold.routing.target_view import LoadReport, TargetView
@@ -296,15 +300,18 @@
         """Return the targets that were considered, and the best of them.
 
         Targets of another region are considered only if the local region has no warm
-        target or the request spills over; cold targets of another region only if
-        there is no warm target at all.
+        target in reach or the request spills over; cold targets of another region only
+        if there is no warm target at all.
         """
         region = self._location.region
         warm = [view for view in eligible if not view.is_cold(now)]
         cold = [view for view in eligible if view.is_cold(now)]
         local = without_unhealthy([v for v in warm if v.region == region], now)
         remote = without_unhealthy([v for v in warm if v.region != region], now)
-        if remote and (not local or self._spills_over(criteria, local, remote, now)):
+        if remote and (
+            all_out_of_reach(local, now)
+            or self._spills_over(criteria, local, remote, now)
+        ):
             return remote, self._fastest_remote(criteria, remote, now)
         local += [view for view in cold if view.region == region or not local]
         return local, self._fastest(criteria, local, now)
--- a/src/chicoryhold/routing/target_view.py
+++ b/src/chicoryhold/routing/target_view.py
@@ -34,11 +34,12 @@
 class TargetView:
     """State of one target. Times are on the local clock, in seconds.
 
-    ``in_flight`` counts this host's own requests at the target. ``failures`` counts
-    the failures since the last success, ``failure_rate`` is the smoothed fraction of
-    exchanges that failed, ``failed_at`` the time of the last failure. ``slowness`` is
-    the smoothed ratio of the target's processing times to the expected ones.
-    ``other_requests`` is the smoothed number of requests from other hosts at the
+    ``in_flight`` counts this host's own requests at the target. ``failures`` counts the
+    failures since the last success, ``failure_rate`` is the smoothed fraction of
+    exchanges that failed, ``failed_at`` the time of the last failure,
+    ``is_unreachable`` whether that one was a connection that couldn't be opened.
+    ``slowness`` is the smoothed ratio of the target's processing times to the expected
+    ones. ``other_requests`` is the smoothed number of requests from other hosts at the
     target. ``cold_tokens`` is the number of requests, at most one, that this host may
     send to the target now while it is cold; it grows by ``cold_rate`` per second.
     """
@@ -53,6 +54,7 @@
     failures: int = 0
     failure_rate: float = 0.0
     failed_at: float = float("-inf")
+    is_unreachable: bool = False
     slowness: float = 1.0
     ejected_until: float = float("-inf")
     next_ejection_seconds: float = MIN_EJECTION_SECONDS
@@ -121,6 +123,7 @@
     def record_success(self, *, ratio: float) -> None:
         """Record a success; ``ratio`` is its processing time to the expected one."""
         self.failures = 0
+        self.is_unreachable = False
         self.failure_rate *= 1 - SMOOTHING_FACTOR
         self.next_ejection_seconds = MIN_EJECTION_SECONDS
         self.slowness += SMOOTHING_FACTOR * (ratio - self.slowness)
@@ -129,6 +132,7 @@
         """Count a failure and return whether the target is now ejected for a time."""
         self.failures += 1
         self.failed_at = now
+        self.is_unreachable = unreachable
         self.failure_rate += SMOOTHING_FACTOR * (1 - self.failure_rate)
         if not unreachable and self.failures < EJECT_AFTER_FAILURES:
             return False
@@ -141,6 +145,7 @@
     def forget_failures(self) -> None:
         """Treat the target as if it had not failed."""
         self.failures = 0
+        self.is_unreachable = False
         self.failure_rate = 0.0
         self.ejected_until = float("-inf")
         self.next_ejection_seconds = MIN_EJECTION_SECONDS
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -338,3 +338,31 @@
     assert healthy.ejected_until < clock.now()
     assert (healthy.failures, healthy.failure_rate) == (0, 0.0)
     assert sick.failures == 1
+
+
+def failures_until_the_end(*, unreachable: bool) -> int:
+    """Return how many of 100 requests fail while no local target responds."""
+    clock = FakeClock()
+    local = ("north-a", "north-a", "north-b", "north-b")
+    chooser = a_chooser(*local, "south-a", "south-a", clock=clock)
+    failed = 0
+    for number in range(100):
+        criteria = SelectionCriteria(
+            route=ROUTE, service="menu", affinity_key=f"key-{number}"
+        )
+        choice = chooser.choose(criteria)
+        clock.advance(0.05)
+        if choice.view.region == "north":
+            chooser.record_failure(choice, unreachable=unreachable)
+            failed += 1
+        else:
+            chooser.record_success(choice, criteria, seconds=0.2, load=None)
+    return failed
+
+
+def test_host_that_reaches_only_targets_of_another_region_uses_these():
+    assert failures_until_the_end(unreachable=True) <= 20
+
+
+def test_region_whose_targets_answer_with_failures_is_not_left():
+    assert failures_until_the_end(unreachable=False) == 100
