Keep one target record from stopping the prober

A record with port 70000 ended the prober's thread with an OverflowError, and one with a host name failed the whole probe or blocked it in the resolver.

A probe now parses IP numbers only and skips other addresses, each on its own; only a failure to create sockets is raised. Addresses that couldn't be tried, because they are invalid or this host has no free port, don't count as probed, so the probe returns the failed addresses too. A reset after the handshake counts as reached. The prober's thread ends the process if it fails, and a target's report must have an IP and a port from 1 to 65535.

IPv6 addresses are written in brackets; a host without IPv6 skips them. The fakes of the prober return the new type; their assertions are unchanged.

--- a/src/chicoryhold/gateway/target_prober.py
+++ b/src/chicoryhold/gateway/target_prober.py
@@ -13,7 +13,9 @@
 from loguru import logger
 
 from chicoryhold.clock import Clock
+from chicoryhold.crash import create_critical_thread
 from chicoryhold.gateway.reachability import ProbeResult, TargetReachability
+from chicoryhold.targets.probe import ProbeOutcome
 
 VERDICT_PROBES = 5  # targets whose failure leads to the verdict
 RETURN_PROBES = 3  # targets tried at a time while the host is cut off
@@ -35,11 +37,9 @@
 
 
 class Prober(Protocol):
-    """Returns those of ``addresses`` at which a connection could be opened."""
+    """Tries to open a connection to each of ``addresses``."""
 
-    def __call__(
-        self, addresses: Iterable[str], *, timeout: float
-    ) -> tuple[str, ...]: ...
+    def __call__(self, addresses: Iterable[str], *, timeout: float) -> ProbeOutcome: ...
 
 
 def choose_probe_targets(
@@ -106,7 +106,7 @@
     @contextmanager
     def running(self) -> Iterator[None]:
         """Probe for the duration of the block."""
-        thread = threading.Thread(target=self._run, name="prober", daemon=True)
+        thread = create_critical_thread(self._run, name="prober")
         thread.start()
         try:
             yield
@@ -145,11 +145,14 @@
             failed=frozenset() if was_cut_off else self._reachability.failed_addresses,
         )
         timeout = RETURN_TIMEOUT_SECONDS if was_cut_off else VERDICT_TIMEOUT_SECONDS
-        reached = self._probe(
+        outcome = self._probe(
             [candidate.address for candidate in chosen], timeout=timeout
         )
+        reached = len(outcome.reached)
         result = ProbeResult(
-            started_at=self._started_at, probed=len(chosen), reached=len(reached)
+            started_at=self._started_at,
+            probed=reached + len(outcome.failed),
+            reached=reached,
         )
         if self._reachability.record_probe(result):
             self._log(chosen)
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -65,7 +65,7 @@
 from chicoryhold.steering.shifts import ShiftChooser, ShiftLimiter
 from chicoryhold.steering.targets import TargetRegistry
 from chicoryhold.targets.connections import TargetConnections
-from chicoryhold.targets.probe import reached_addresses
+from chicoryhold.targets.probe import probe_addresses
 
 USAGE = """Runs one entry host.
 
@@ -317,7 +317,7 @@
 def _create_prober(context: _HostContext) -> TargetProber:
     return TargetProber(
         reachability=context.reachability,
-        probe=partial(reached_addresses, clock=context.clock),
+        probe=partial(probe_addresses, clock=context.clock),
         clock=context.clock,
         candidates=context.granted.candidates,
         random=Random(context.settings.name),
--- a/src/chicoryhold/programs/gateway_links.py
+++ b/src/chicoryhold/programs/gateway_links.py
@@ -22,7 +22,7 @@
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.dialect import TargetDialect
 from chicoryhold.targets.link_failures import LinkFailure
-from chicoryhold.targets.probe import reached_addresses
+from chicoryhold.targets.probe import probe_addresses
 
 CONNECT_TIMEOUT_SECONDS = 0.4  # two round trips to the farthest region, plus a margin
 # Responses over open connections stop arriving this long before connects fail.
@@ -101,7 +101,7 @@
 ) -> TargetProber:
     return TargetProber(
         reachability=links.reachability,
-        probe=partial(reached_addresses, clock=links.clock),
+        probe=partial(probe_addresses, clock=links.clock),
         clock=links.clock,
         candidates=lambda: probe_candidates(
             view.record for view in links.chooser.views.values()
--- a/src/chicoryhold/targets/probe.py
+++ b/src/chicoryhold/targets/probe.py
@@ -2,45 +2,92 @@
 
 from __future__ import annotations
 
+import errno
 import select
 import socket
-from collections.abc import Iterable, Iterator
-from contextlib import ExitStack, contextmanager
+from collections.abc import Iterable
+from contextlib import ExitStack
+
+import attrs
 
 from chicoryhold.clock import Clock
+from chicoryhold.targets.address import TargetAddress, parse_address
 
 MILLISECONDS_PER_SECOND = 1000
+# Errors of a connect that sent nothing since this host had no port or memory left.
+LOCAL_ERRORS = frozenset(
+    {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.ENOBUFS, errno.ENOMEM}
+)
+# A target that rejects a connect causes ECONNREFUSED; these follow a handshake.
+ERRORS_AFTER_HANDSHAKE = frozenset({errno.ECONNRESET, errno.EPIPE})
+
 
+@attrs.frozen(kw_only=True)
+class ProbeOutcome:
+    """The addresses that a probe reached and those that it tried in vain.
+
+    Addresses at which no connect could be tried are in neither.
+    """
 
-def reached_addresses(
+    reached: tuple[str, ...]
+    failed: tuple[str, ...]
+
+
+def probe_addresses(
     addresses: Iterable[str], *, timeout: float, clock: Clock
-) -> tuple[str, ...]:
-    """Return the addresses at which a connection was opened within ``timeout``.
+) -> ProbeOutcome:
+    """Try to open a connection to each of ``addresses`` within ``timeout``.
 
     Returns as soon as one was opened or all have failed. The connections are closed.
+    Invalid addresses are skipped. Raises ``OSError`` if no socket can be created.
     """
     deadline = clock.now() + timeout
+    pending: dict[int, tuple[str, socket.socket]] = {}
+    failed: list[str] = []
     with ExitStack() as stack:
-        pending = {}
         for address in addresses:
-            connecting = stack.enter_context(_connecting(address))
-            pending[connecting.fileno()] = (address, connecting)
-        return _wait_for_first(pending, deadline, clock)
+            target = _parse(address)
+            connecting = _create_socket(target) if target else None
+            if target is None or connecting is None:
+                continue
+            stack.enter_context(connecting)
+            error = _start_connecting(connecting, target)
+            if error in (0, errno.EINPROGRESS):
+                pending[connecting.fileno()] = (address, connecting)
+            elif error not in LOCAL_ERRORS:
+                failed.append(address)
+        reached = _wait_for_first(pending, failed, deadline, clock)
+    return ProbeOutcome(reached=reached, failed=tuple(failed))
 
 
-@contextmanager
-def _connecting(address: str) -> Iterator[socket.socket]:
-    host, _, port = address.rpartition(":")
-    with socket.socket() as connecting:
-        connecting.setblocking(False)
-        # A failure that is known at once is reported by the poll like a later one.
-        connecting.connect_ex((host, int(port)))
-        yield connecting
+def _parse(address: str) -> TargetAddress | None:
+    try:
+        return parse_address(address)
+    except ValueError:
+        return None
+
+
+def _create_socket(target: TargetAddress) -> socket.socket | None:
+    """Return a socket, or ``None`` if this host lacks the version of IP."""
+    try:
+        return socket.socket(target.family)
+    except OSError as error:
+        if error.errno == errno.EAFNOSUPPORT:
+            return None
+        raise
+
+
+def _start_connecting(connecting: socket.socket, target: TargetAddress) -> int:
+    """Return 0 or the error number of the connect."""
+    connecting.setblocking(False)
+    return connecting.connect_ex((str(target.ip), target.port))
 
 
 def _wait_for_first(
-    pending: dict[int, tuple[str, socket.socket]], deadline: float, clock: Clock
-) -> tuple[str, ...]:
+    pending: dict[int, tuple[str, socket.socket]], failed: list[str],
+    deadline: float, clock: Clock,
+) -> tuple[str, ...]:  # fmt: skip
+    """Return the addresses reached first; add those that failed to ``failed``."""
     poll = select.poll()
     for descriptor in pending:
         poll.register(descriptor, select.POLLOUT)
@@ -52,18 +99,15 @@
         for descriptor, _ in events:
             poll.unregister(descriptor)
             address, connecting = pending.pop(descriptor)
-            if _is_connected(connecting):
-                reached.append(address)
-        if reached or not events and remaining <= 0:
+            (reached if _has_connected(connecting) else failed).append(address)
+        if reached:
             return tuple(reached)
+        if not events and remaining <= 0:
+            failed += [address for address, _ in pending.values()]
+            break
     return ()
 
 
-def _is_connected(connecting: socket.socket) -> bool:
-    if connecting.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-        return False
-    try:
-        connecting.getpeername()
-    except OSError:
-        return False
-    return True
+def _has_connected(connecting: socket.socket) -> bool:
+    error = connecting.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return error == 0 or error in ERRORS_AFTER_HANDSHAKE
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -17,6 +17,7 @@
 from chicoryhold.steering.shifts import ShiftChooser
 from chicoryhold.steering.targets import EJECTION_FAILURE_THRESHOLD
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
+from chicoryhold.targets.probe import ProbeOutcome
 from tests.conftest import FakeClock
 
 OK = TargetResponse(status=200, headers=(), body=b"whole")
@@ -71,8 +72,8 @@
 
     def probe(self, addresses, *, timeout):
         if self.is_cut or self.known_targets_are_gone:
-            return ()
-        return tuple(addresses)
+            return ProbeOutcome(reached=(), failed=tuple(addresses))
+        return ProbeOutcome(reached=tuple(addresses), failed=())
 
     def exchange(self, address, request, *, deadline, stale_connection_deadline):
         if self.is_cut:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -100,6 +100,15 @@
         ("info.slots", "6"),
         ("info.slots", 0),
         ("address", "nowhere"),
+        ("address", "target.example:80"),
+        ("address", "10.0.0.9:0"),
+        ("address", "10.0.0.9:65536"),
+        ("address", "10.0.0.9:70000"),
+        ("address", "10.0.0.9:\uff18\uff10"),
+        ("address", "10.0.0.9 :80"),
+        ("address", "::1:80"),
+        ("address", "[10.0.0.9]:80"),
+        ("address", "[fe80::1%lo]:80"),
         ("born", 1.5),
     ],
 )
@@ -108,6 +117,12 @@
         read_report("i-1", with_value(REPORT, path, value))
 
 
+@pytest.mark.parametrize("address", ["10.0.0.9:1", "10.0.0.9:65535", "[::1]:80"])
+def test_the_address_of_a_target_report_is_an_ip_and_a_port(address):
+    report = with_value(REPORT, "address", address)
+    assert read_report("i-1", report).address == address
+
+
 def test_response_metadata_is_read_from_status_and_headers():
     header_translator = PlatformHeaders()
 
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import errno
+import os
 import socket
+import struct
 from collections.abc import Iterator
 from contextlib import contextmanager
 from random import Random
@@ -11,16 +13,17 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from chicoryhold.clock import BootClock
+from chicoryhold.clock import BootClock, Clock
 from chicoryhold.gateway.reachability import ProbeResult, TargetReachability
 from chicoryhold.gateway.target_prober import (
     ProbeCandidate,
+    Prober,
     TargetProber,
     choose_probe_targets,
 )
 from chicoryhold.programs.gateway_links import probe_candidates
 from chicoryhold.state.targets import TargetState
-from chicoryhold.targets.probe import reached_addresses
+from chicoryhold.targets.probe import ProbeOutcome, probe_addresses
 from chicoryhold.trial.fleet import wait_until
 from tests.conftest import FakeClock
 from tests.test_targets_state import a_record
@@ -51,11 +54,12 @@
     def reaches(self, address: str) -> bool:
         return not self.is_cut and address not in self.dead
 
-    def probe(self, addresses, *, timeout: float) -> tuple[str, ...]:
+    def probe(self, addresses, *, timeout: float) -> ProbeOutcome:
         self.probed.append(tuple(addresses))
         reached = tuple(address for address in addresses if self.reaches(address))
+        failed = tuple(address for address in addresses if address not in reached)
         self.clock.advance(0.001 if reached else timeout)
-        return reached
+        return ProbeOutcome(reached=reached, failed=failed)
 
 
 class Host:
@@ -196,27 +200,31 @@
     assert [record.address for record in chosen] == ["c:80", "b:80", "a:80"]
 
 
+def prober_of(host: Host, probe: Prober) -> TargetProber:
+    """Return another prober for ``host``, with its own ``probe``."""
+    return TargetProber(
+        reachability=host.reachability,
+        probe=probe,
+        clock=host.clock,
+        candidates=lambda: TARGETS,
+        random=host.random,
+        component="gateway",
+        meanwhile="relaying",
+    )
+
+
 def test_a_host_without_free_descriptors_goes_on_probing():
     host = Host()
     probe = host.network.probe
     failures = iter([OSError(errno.EMFILE, "too many open files")] * 3)
 
-    def failing_probe(addresses, *, timeout: float) -> tuple[str, ...]:
+    def failing_probe(addresses, *, timeout: float) -> ProbeOutcome:
         for error in failures:
             raise error
         return probe(addresses, timeout=timeout)
 
-    prober = TargetProber(
-        reachability=host.reachability,
-        probe=failing_probe,
-        clock=host.clock,
-        candidates=lambda: TARGETS,
-        random=host.random,
-        component="gateway",
-        meanwhile="relaying",
-    )
     host.network.is_cut = True
-    with prober.running():
+    with prober_of(host, failing_probe).running():
         host.connect(TARGETS[0].address)
         host.connect(TARGETS[1].address)
         wait_until(lambda: host.reachability.is_cut_off, what="cut off", timeout=5.0)
@@ -226,6 +234,12 @@
         )
 
 
+def probe(
+    addresses: list[str], *, timeout: float, clock: Clock | None = None
+) -> ProbeOutcome:
+    return probe_addresses(addresses, timeout=timeout, clock=clock or BootClock())
+
+
 @contextmanager
 def listening() -> Iterator[str]:
     with socket.create_server(("127.0.0.1", 0)) as server:
@@ -253,8 +267,8 @@
     clock = BootClock()
     started = clock.now()
     with hanging() as dead, listening() as alive:
-        reached = reached_addresses([dead, alive], timeout=5.0, clock=clock)
-    assert reached == (alive,)
+        outcome = probe([dead, alive], timeout=5.0, clock=clock)
+    assert outcome.reached == (alive,)
     assert clock.now() - started < 2.0
 
 
@@ -263,5 +277,112 @@
     clock = BootClock()
     started = clock.now()
     with kind() as first, kind() as second:
-        assert reached_addresses([first, second], timeout=0.2, clock=clock) == ()
+        outcome = probe([first, second], timeout=0.2, clock=clock)
+        assert outcome.reached == ()
+        assert set(outcome.failed) == {first, second}
     assert clock.now() - started < 2.0
+
+
+@pytest.mark.parametrize(
+    "invalid",
+    [
+        "nowhere",
+        ":80",
+        "127.0.0.1:x",
+        "127.0.0.1:0",
+        "127.0.0.1:70000",
+        "target.invalid:80",
+        "localhost:80",
+        "[fe80::1%lo]:80",
+    ],
+)
+def test_a_probe_skips_an_address_that_is_invalid(invalid):
+    with listening() as alive:
+        assert probe([invalid, alive], timeout=5.0).reached == (alive,)
+    with refusing() as dead:
+        assert probe([invalid, dead], timeout=5.0).failed == (dead,)
+
+
+def test_a_probe_looks_no_name_up():
+    with listening() as alive:
+        _, _, port = alive.rpartition(":")
+        outcome = probe([f"localhost:{port}"], timeout=0.2)
+    assert outcome == ProbeOutcome(reached=(), failed=())
+
+
+def test_a_probe_reaches_an_ipv6_address():
+    with socket.create_server(("::1", 0), family=socket.AF_INET6) as server:
+        address = f"[::1]:{server.getsockname()[1]}"
+        assert probe([address], timeout=5.0).reached == (address,)
+
+
+def test_a_host_without_ipv6_skips_ipv6_addresses(monkeypatch):
+    class Ipv4Socket(socket.socket):
+        def __init__(self, family=socket.AF_INET, *args, **kwargs) -> None:
+            if family == socket.AF_INET6:
+                raise OSError(errno.EAFNOSUPPORT, "not supported")
+            super().__init__(family, *args, **kwargs)
+
+    with listening() as alive:
+        monkeypatch.setattr(socket, "socket", Ipv4Socket)
+        assert probe(["[::1]:80", alive], timeout=5.0).reached == (alive,)
+
+
+def test_a_target_is_not_out_of_reach_because_this_host_has_no_free_port(monkeypatch):
+    class PortlessSocket(socket.socket):
+        def connect_ex(self, address) -> int:
+            return errno.EADDRNOTAVAIL
+
+    monkeypatch.setattr(socket, "socket", PortlessSocket)
+    outcome = probe(["127.0.0.1:80", "127.0.0.1:81"], timeout=0.2)
+    assert outcome == ProbeOutcome(reached=(), failed=())
+
+
+def test_a_host_without_free_ports_is_not_taken_for_one_that_is_cut_off():
+    host = Host()
+    prober = prober_of(
+        host, lambda addresses, *, timeout: ProbeOutcome(reached=(), failed=())
+    )
+    host.network.is_cut = True
+    host.connect(TARGETS[0].address)
+    host.connect(TARGETS[1].address)
+    prober.probe_once()
+    assert not host.reachability.is_cut_off
+
+
+def test_a_connection_that_is_reset_after_its_handshake_reached_the_target():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        class ResettingClock(BootClock):
+            """Resets the connection between the connect and the poll."""
+
+            calls = 0
+
+            def now(self) -> float:
+                self.calls += 1
+                if self.calls == 2:
+                    accepted, _ = server.accept()
+                    no_linger = struct.pack("ii", 1, 0)
+                    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+                    accepted.close()
+                return super().now()
+
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        outcome = probe([address], timeout=5.0, clock=ResettingClock())
+    assert outcome.reached == (address,)
+
+
+def test_a_prober_thread_that_fails_ends_the_process(monkeypatch):
+    exit_codes: list[int] = []
+    monkeypatch.setattr(os, "_exit", exit_codes.append)
+
+    def failing_probe(addresses, *, timeout: float) -> ProbeOutcome:
+        raise RuntimeError("a programming error")
+
+    host = Host()
+    host.network.is_cut = True
+    with prober_of(host, failing_probe).running():
+        host.connect(TARGETS[0].address)
+        host.connect(TARGETS[1].address)
+        wait_until(lambda: bool(exit_codes), what="exit", timeout=5.0)
+    assert exit_codes == [70]
