Probe only targets that were granted lately

An entry host remembered 64 targets of any age and probed random ones, so after a replacement of targets a few failures could lead to the verdict that it was cut off. Fewer than SUSPICION_FAILURES recent targets lead to no verdict, as before.

While the host is cut off, old targets are still probed: it tells callers to leave, so it may get no grant that would show that the cut has ended.

--- a/src/chicoryhold/gateway/target_prober.py
+++ b/src/chicoryhold/gateway/target_prober.py
@@ -28,12 +28,16 @@
 
 @attrs.frozen(kw_only=True)
 class ProbeCandidate:
-    """A target that may be probed; ``is_ready`` means that it should respond."""
+    """A target that may be probed; ``is_ready`` means that it should respond.
+
+    ``age`` is the seconds since it was last known to exist.
+    """
 
     address: str
     service: str
     domain: str
     is_ready: bool = True
+    age: float = 0.0
 
 
 class Prober(Protocol):
@@ -49,7 +53,7 @@
     """Return up to ``count`` random targets from different services and domains.
 
     Targets at the addresses in ``failed`` and those that aren't ready are used only if
-    there are no others.
+    there are no others. Among equals, those of the lowest age are preferred.
     """
     remaining = list(candidates)
     random.shuffle(remaining)
@@ -57,12 +61,13 @@
     domains: Counter[str] = Counter()
     chosen: list[ProbeCandidate] = []
 
-    def cost(candidate: ProbeCandidate) -> tuple[bool, bool, int, int]:
+    def cost(candidate: ProbeCandidate) -> tuple[bool, bool, int, int, float]:
         return (
             not candidate.is_ready,
             candidate.address in failed,
             services[candidate.service],
             domains[candidate.domain],
+            candidate.age,
         )
 
     while remaining and len(chosen) < count:
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -223,7 +223,7 @@
         view=DomainView(replicas=replicas, clock=clock),
         hosts=hosts,
         reachability=TargetReachability(clock=clock),
-        granted=GrantedTargets(),
+        granted=GrantedTargets(clock=clock),
     )
 
 
@@ -319,7 +319,9 @@
         reachability=context.reachability,
         probe=partial(probe_addresses, clock=context.clock),
         clock=context.clock,
-        candidates=context.granted.candidates,
+        candidates=lambda: context.granted.candidates(
+            include_old=context.reachability.is_cut_off
+        ),
         random=Random(context.settings.name),
         component="entry",
         meanwhile="refusing requests",
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -475,7 +475,7 @@
         connections=TargetConnections(clock=clock),
         shifts=NoShifts(),
         reachability=TargetReachability(clock=clock),
-        granted=GrantedTargets(),
+        granted=GrantedTargets(clock=clock),
         clock=clock,
     )
     forwarded = ForwardedRequest(
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -49,12 +49,14 @@
         self.is_cut = False
         self.known_targets_are_gone = False
         self.reachability = TargetReachability(clock=self.clock)
-        granted = GrantedTargets()
+        granted = GrantedTargets(clock=self.clock)
         self.prober = TargetProber(
             reachability=self.reachability,
             probe=self.probe,
             clock=self.clock,
-            candidates=granted.candidates,
+            candidates=lambda: granted.candidates(
+                include_old=self.reachability.is_cut_off
+            ),
             random=Random(1),
             component="entry",
             meanwhile="refusing requests",
