--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -56,9 +56,9 @@
     """A request whose route and key were found valid here.
 
     ``version`` is that of the configuration by which they are. ``attempts`` is the
-    number of targets that the route allows. ``deadline`` is on the
-    local clock. ``allowed_regions`` are the regions that the
-    request may run in, empty for any; no other region may receive it.
+    number of targets that the route allows. ``deadline`` is on the local clock.
+    ``allowed_regions`` are the regions that the request may run in, empty for any; no
+    other region may receive it.
     """
 
     request: GatewayRequest
