Close the connections to peers when a cut has ended

Nothing closed the idle connections that a host had opened to relay requests, as only later requests over the same pool check them. They belong to TargetLinks now, which closes them when the verdict ends; those still in use at that time are closed after their exchange.

create_relay takes them from the links, so it needs no dialect. Host.port in test_cut_off_host is annotated as the str that it is.

--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -213,7 +213,6 @@
             links,
             own=gateway.describe,
             peers=lambda: control_hosts.relay_hosts,
-            dialect=dialect,
             header_translator=header_translator,
             metrics=metrics,
         )
--- a/src/chicoryhold/programs/gateway_links.py
+++ b/src/chicoryhold/programs/gateway_links.py
@@ -34,11 +34,13 @@
     """The connections of one host to targets, and whether it reaches any.
 
     While it is cut off, idle connections are closed, since nothing shows when they are
-    usable again. Afterwards, the failures of that time don't count against targets.
+    usable again. Afterwards, the failures of that time don't count against targets, and
+    the connections to peers, ``relay_connections``, are closed.
     """
 
     chooser: TargetChooser
     connections: TargetConnections
+    relay_connections: TargetConnections
     reachability: TargetReachability
     clock: Clock
 
@@ -52,6 +54,7 @@
         else:
             since = self.reachability.cut_off_since - UNNOTICED_SECONDS
             self.chooser.forget_failures(since=since)
+            self.relay_connections.close_all_idle()
 
 
 def create_target_links(
@@ -77,8 +80,19 @@
         record_connect_time=record_opened,
         record_link_failure=record_failure,
     )
+    # Their outcomes say nothing about targets, so they aren't reported.
+    relay_connections = TargetConnections(
+        clock=clock,
+        dialect=dialect,
+        connect_timeout=CONNECT_TIMEOUT_SECONDS,
+        may_keep_idle=lambda: reachability.is_cut_off,
+    )
     return TargetLinks(
-        chooser=chooser, connections=connections, reachability=reachability, clock=clock
+        chooser=chooser,
+        connections=connections,
+        relay_connections=relay_connections,
+        reachability=reachability,
+        clock=clock,
     )
 
 
@@ -115,18 +129,16 @@
 
 def create_relay(
     links: TargetLinks, *, own: Callable[[], EntryHost],
-    peers: Callable[[], tuple[EntryHost, ...]], dialect: TargetDialect,
+    peers: Callable[[], tuple[EntryHost, ...]],
     header_translator: RelayHeaderTranslator, metrics: Metrics,
 ) -> Relay:  # fmt: skip
-    """Return a relay with its own connections, which say nothing about targets."""
+    """Return a relay that uses the relay connections of ``links``."""
     return Relay(
         reachability=links.reachability,
         peers=RelayPeers(
             own=own, known=peers, clock=links.clock, random=Random(own().name)
         ),
-        connections=TargetConnections(
-            clock=links.clock, dialect=dialect, connect_timeout=CONNECT_TIMEOUT_SECONDS
-        ),
+        connections=links.relay_connections,
         header_translator=header_translator,
         budgets=RetryBudgets(),
         clock=links.clock,
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -59,7 +59,8 @@
     Each response is checked to be complete and to belong to its request.
     ``record_connect_time`` is called with the address and the seconds that opening
     each new connection took, ``record_link_failure`` with the address and the kind of
-    each failure to open one or to get a response over one.
+    each failure to open one or to get a response over one. While ``may_keep_idle``
+    returns false, connections are closed after their exchange.
     """
 
     def __init__(
@@ -71,9 +72,11 @@
         record_link_failure: Callable[[str, LinkFailure], None] = (
             lambda address, failure: None
         ),
+        may_keep_idle: Callable[[], bool] = lambda: True,
     ) -> None:  # fmt: skip
         self._record_connect_time = record_connect_time
         self._record_link_failure = record_link_failure
+        self._may_keep_idle = may_keep_idle
         self._clock = clock
         self._connect_timeout = connect_timeout
         self._dialect = dialect
@@ -223,7 +226,9 @@
         )
         with self._lock:
             idle = self._idle.setdefault(address, [])
-            if len(idle) < MAX_IDLE_CONNECTIONS_PER_TARGET:
+            has_room = len(idle) < MAX_IDLE_CONNECTIONS_PER_TARGET
+            # Asked under the lock, so that a later close_all_idle finds the entry.
+            if has_room and self._may_keep_idle():
                 idle.append(entry)
                 return
         connection.close()
--- a/tests/links.py
+++ b/tests/links.py
@@ -25,11 +25,16 @@
 
 
 class StandInTarget:
-    """Responds to every request and counts how often each request id ran."""
+    """Responds to every request and counts how often each request id ran.
+
+    While ``may_respond`` is cleared, requests run and get no response.
+    """
 
     def __init__(self) -> None:
         self.runs: Counter[str] = Counter()
-        runs = self.runs
+        self.may_respond = threading.Event()
+        self.may_respond.set()
+        runs, may_respond = self.runs, self.may_respond
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
@@ -38,6 +43,7 @@
                 self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 request_id = self.headers["Request-Id"]
                 runs[request_id] += 1
+                may_respond.wait()
                 self.send_response(200)
                 self.send_header("Request-Id", request_id)
                 self.send_header("Content-Length", "2")
--- a/tests/test_cut_off_host.py
+++ b/tests/test_cut_off_host.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
+from pathlib import Path
 from random import Random
 
 import attrs
@@ -50,6 +51,8 @@
 NOTICE_SECONDS = 4.0  # callers are owed service from then on
 RETURN_SECONDS = 1.0
 WAIT_SECONDS = 10.0
+CONCURRENT_REQUESTS = 20
+ESTABLISHED, CLOSE_WAIT = "01", "08"  # states in /proc/net/tcp
 CONFIGURATION = Configuration(
     version=1,
     routes=tuple(
@@ -84,7 +87,7 @@
 class Host:
     """A running entry host with its own links to the targets."""
 
-    port: int
+    port: str
     links: TargetLinks
     target_links: list[Link]
     permits: Permits
@@ -155,7 +158,6 @@
             links,
             own=lambda: own,
             peers=peers,
-            dialect=DIALECT,
             header_translator=PlatformHeaders(),
             metrics=metrics,
         ),
@@ -183,6 +185,17 @@
     def runs(self) -> Counter[str]:
         return sum((target.runs for target in self.targets), Counter())
 
+    @contextmanager
+    def holding_responses(self) -> Iterator[None]:
+        """Let requests run, and respond to them when the block ends."""
+        for target in self.targets:
+            target.may_respond.clear()
+        try:
+            yield
+        finally:
+            for target in self.targets:
+                target.may_respond.set()
+
 
 @pytest.fixture
 def fleet() -> Iterator[Fleet]:
@@ -202,6 +215,16 @@
         yield Fleet(cut_host=cut_host, peer=peer, targets=targets)
 
 
+def open_connections(port: str) -> int:
+    """Return how many connections to ``port`` this process hasn't closed."""
+    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return sum(
+        int(remote.rpartition(":")[2], 16) == int(port)
+        and state in (ESTABLISHED, CLOSE_WAIT)
+        for _, _, remote, state, *_ in rows
+    )
+
+
 _request_numbers = itertools.count()
 
 
@@ -310,6 +333,44 @@
     assert set(others.values()) == {200}
 
 
+def test_no_connection_to_a_peer_stays_open_after_the_cut(fleet):
+    host = fleet.cut_host
+    host.cut(Cut.REFUSE)
+    assert send_until(host, lambda: host.is_cut_off, NOTICE_SECONDS)
+    with ThreadPoolExecutor(CONCURRENT_REQUESTS) as pool:
+        list(pool.map(lambda _: send(host, "menu"), range(CONCURRENT_REQUESTS)))
+    assert open_connections(fleet.peer.port) > 0
+    host.restore()
+    wait_until(
+        lambda: open_connections(fleet.peer.port) == 0,
+        what="connections to the peer closed",
+        timeout=RETURN_SECONDS + 1.0,
+    )
+
+
+def test_a_relayed_request_that_outlasts_the_cut_leaves_no_connection_open(fleet):
+    host = fleet.cut_host
+    host.cut(Cut.REFUSE)
+    assert send_until(host, lambda: host.is_cut_off, NOTICE_SECONDS)
+    runs = fleet.runs().total()
+    with ThreadPoolExecutor(1) as pool, fleet.holding_responses():
+        sending = pool.submit(send, host, "ledger")
+        wait_until(
+            lambda: fleet.runs().total() > runs, what="run", timeout=RETURN_SECONDS
+        )
+        host.restore()
+        wait_until(
+            lambda: not host.is_cut_off, what="reachable again", timeout=RETURN_SECONDS
+        )
+        assert not sending.done()
+    assert sending.result()[1] == 200
+    wait_until(
+        lambda: open_connections(fleet.peer.port) == 0,
+        what="connections to the peer closed",
+        timeout=RETURN_SECONDS,
+    )
+
+
 def test_a_host_whose_peers_are_cut_off_as_well_refuses_at_once(fleet):
     for host in (fleet.cut_host, fleet.peer):
         host.cut(Cut.REFUSE)
