--- a/tests/links.py
+++ b/tests/links.py
@@ -92,9 +92,17 @@
         if how is Cut.HANG:
             self._flowing.clear()
             self._fill_backlog()
-        elif how is Cut.RESET:
+            return
+        self._reserve_port()
+        if how is Cut.RESET:
             self._reset_connections()
 
+    def _reserve_port(self) -> None:
+        """Keep the port, which refuses connects, from being used by another process."""
+        unused = self._substitutes.enter_context(socket.socket())
+        unused.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        unused.bind((IP, self._port))
+
     def restore(self) -> None:
         self._substitutes.close()
         self._listener = socket.create_server((IP, self._port))
