Stay with a source until it can have been confirmed after a restart of all

A starting host now stays for up to 1.5 s, longer than an election, and a source that is confirmed for the first time answers the fetches that wait there at once. Look-ups of a restarted control host start after 0.8 s instead of 1.2 s: presence messages are sent twice a second. The tests failed before (the second source was asked after 1.4 s; the fetch wasn't answered).

--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -28,6 +28,8 @@
 STALE_SOURCE_AGE_SECONDS = 3.0
 SOURCE_BACKOFF_SECONDS = 10.0
 REPORT_EXPIRY_SECONDS = 10.0
+# Longer than an election. After all hosts have started, no source is confirmed before.
+UNCONFIRMED_PATIENCE_SECONDS = 1.5
 
 FetchReply = ChangeBatch | SnapshotNeeded | ImagePiece | SourceUnavailable
 
@@ -90,6 +92,7 @@
         self._next_fetch_at = 0.0
         self._needs_image = False
         self._is_confirmed = False
+        self._unconfirmed_since = float("inf")
 
     def on_receive(self, message: object) -> None:
         match message:
@@ -187,9 +190,19 @@
         elif (
             self._has_caught_up_with(batch)
             and batch.confirmed_age > self._timing.stale_age
+            and not self._awaits_confirmation(batch)
         ):
             self._back_off("the source is stale")
 
+    def _awaits_confirmation(self, batch: ChangeBatch) -> bool:
+        """Whether to stay with a source that isn't confirmed yet, as nobody may be."""
+        is_confirmed = batch.confirmed_age < UNCONFIRMED_AGE_SECONDS
+        if is_confirmed or self._follower.state.revision > 0:
+            return False
+        now = self._clock.now()
+        self._unconfirmed_since = min(self._unconfirmed_since, now)
+        return now - self._unconfirmed_since < UNCONFIRMED_PATIENCE_SECONDS
+
     def _log_catching_up(self, batch: ChangeBatch, result: BatchResult) -> None:
         """Log each batch until the copy was first confirmed."""
         if self._is_confirmed:
@@ -231,6 +244,7 @@
             reason=reason,
         ).info("follower: backing off from the source.")
         now = self._clock.now()
+        self._unconfirmed_since = float("inf")
         self._fetch_in_flight = False
         self._backoff_until[self._source] = now + SOURCE_BACKOFF_SECONDS
         self._suggested_source = suggested
--- a/src/chicoryhold/control/pending_fetches.py
+++ b/src/chicoryhold/control/pending_fetches.py
@@ -7,6 +7,7 @@
 import attrs
 
 from chicoryhold.clock import Clock
+from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.control.feed import ChangeFeed
 from chicoryhold.control.messages import FetchChanges, SourceUnavailable
 
@@ -39,6 +40,7 @@
         self._feed = feed
         self._clock = clock
         self._pending: list[_PendingFetch] = []
+        self._is_confirmed = False
 
     def add(self, request: FetchChanges, reply: Future) -> None:
         deadline = self._clock.now() + self._max_wait
@@ -47,11 +49,20 @@
         )
 
     def answer_ready(self, *, confirmed_age: float) -> None:
-        """Answer the fetches that have an update or have waited for ``max_wait``."""
+        """Answer the fetches that have an update or have waited for ``max_wait``.
+
+        That the copy here is confirmed now, and wasn't before, is an update for all.
+        """
         now = self._clock.now()
+        was_confirmed, self._is_confirmed = (
+            self._is_confirmed,
+            confirmed_age < UNCONFIRMED_AGE_SECONDS,
+        )
+        is_news = self._is_confirmed and not was_confirmed
         waiting = []
         for pending in self._pending:
-            if self._feed.has_update_for(pending.request) or now >= pending.deadline:
+            has_update = is_news or self._feed.has_update_for(pending.request)
+            if has_update or now >= pending.deadline:
                 batch = self._feed.answer(pending.request, confirmed_age=confirmed_age)
                 pending.reply.set_result(batch)
             else:
--- a/src/chicoryhold/membership/registry.py
+++ b/src/chicoryhold/membership/registry.py
@@ -19,7 +19,7 @@
 CONTROL_HOST_TIMEOUT_SECONDS = 2.5
 EXPIRY_SECONDS = 30.0
 # Entry hosts report to some control host, and that one to the others, twice a second.
-LEARNING_SECONDS = 1.2
+LEARNING_SECONDS = 0.8
 MAX_RELAY_HOSTS = 16
 # Hosts that are cut off from all targets are still listed for callers if fewer of the
 # region's hosts reach targets: those few would be overloaded.
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -7,6 +7,7 @@
 from concurrent.futures import Future
 
 import attrs
+import pytest
 
 from chicoryhold.callers.authentication import Authenticator
 from chicoryhold.callers.refusals import RefusalKind
@@ -17,6 +18,7 @@
 from chicoryhold.control.follower import Follower
 from chicoryhold.control.follower_actor import FollowerActor
 from chicoryhold.control.messages import ChangeBatch, FetchChanges, FetchImage
+from chicoryhold.control.pending_fetches import PendingFetches
 from chicoryhold.hosts.actors import Tick
 from chicoryhold.hosts.domain_view import DomainView
 from chicoryhold.metrics import Metrics
@@ -55,9 +57,11 @@
     confirmed_age: float
     name: str = "own"
     requests: list[FetchChanges] = attrs.field(factory=list)
+    peers: list[str] = attrs.field(factory=list)
 
     def ask(self, peer: str, request: FetchChanges) -> Future:
         self.requests.append(request)
+        self.peers.append(peer)
         batch = ChangeBatch(
             after=request.after,
             revision=len(self.changes),
@@ -109,12 +113,15 @@
     return bus_of([*older, PutTable(text=newest)], confirmed_age=0.1)
 
 
-def start(bus: BatchBus, *, on_applied=None) -> tuple[Follower, FollowerActor]:
-    clock = FakeClock()
+def start(
+    bus: BatchBus, *, on_applied=None, sources: tuple[str, ...] = ("control",),
+    clock: FakeClock | None = None,
+) -> tuple[Follower, FollowerActor]:  # fmt: skip
+    clock = clock or FakeClock()
     follower = Follower(clock=clock)
     actor = FollowerActor(
         follower=follower,
-        sources=lambda: ("control",),
+        sources=lambda: sources,
         bus=bus,
         clock=clock,
         domain="d",
@@ -123,10 +130,10 @@
     return follower, actor
 
 
-def replies(actor: FollowerActor) -> Iterator[None]:
+def replies(actor: FollowerActor, count: int = REPLIES) -> Iterator[None]:
     """Start the actor and yield after each of the first replies that it handles."""
     actor.on_receive(Tick())
-    for _ in range(REPLIES):
+    for _ in range(count):
         try:
             actor.on_receive(actor.actor_inbox.get_nowait().message)
         except queue.Empty:
@@ -315,3 +322,40 @@
     batch = feed.answer(FetchChanges(after=50), confirmed_age=0.0)
     follower.on_batch(batch, sent_at=clock.now())
     assert follower.state.revision == 60
+
+
+@pytest.mark.parametrize(("seconds", "asked"), [(1.4, {"first"}), (1.7, {"second"})])
+def test_starting_host_waits_for_an_unconfirmed_source_as_long_as_an_election(
+    seconds, asked
+):
+    clock = FakeClock()
+    bus = configuration_bus(confirmed_age=UNCONFIRMED_AGE_SECONDS)
+    follower, actor = start(bus, sources=("first", "second"), clock=clock)
+    for _ in replies(actor, count=4):
+        pass
+    clock.advance(seconds)
+    bus.peers.clear()
+    for _ in replies(actor, count=1):
+        pass
+    clock.advance(0.1)
+    for _ in replies(actor, count=1):
+        pass
+    assert set(bus.peers[-1:]) == asked
+
+
+def test_pending_fetch_is_answered_when_its_source_is_first_confirmed():
+    clock = FakeClock()
+    state = ControlState()
+    feed = ChangeFeed(state=state)
+    accept(state, feed, count=3, prefix="o")
+    pending = PendingFetches(feed=feed, clock=clock)
+    reply: Future = Future()
+    pending.add(FetchChanges(after=3), reply)
+    pending.answer_ready(confirmed_age=UNCONFIRMED_AGE_SECONDS)
+    assert not reply.done()
+    pending.answer_ready(confirmed_age=0.1)
+    assert reply.result(timeout=0).confirmed_age == 0.1
+    later: Future = Future()
+    pending.add(FetchChanges(after=3), later)
+    pending.answer_ready(confirmed_age=0.1)
+    assert not later.done()
--- a/tests/test_control_app.py
+++ b/tests/test_control_app.py
@@ -45,7 +45,7 @@
     client = Client(ControlApp(plane=None, registry=registry))
     registry.record_entry_report(entry_host("far", "south"))
     assert client.get("/resolve?region=north").status_code == 503
-    clock.advance(LEARNING_SECONDS)
+    clock.advance(LEARNING_SECONDS + 0.1)
     for name, region in (("far", "south"), ("near", "north")):
         registry.record_entry_report(entry_host(name, region))
     response = client.get("/resolve?region=north")
