--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -20,12 +20,8 @@
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata, TargetCall
 from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.routing.configuration import RouteRule
-from chicoryhold.routing.target_choice import (
-    Choice,
-    Overloaded,
-    SelectionCriteria,
-    TargetChooser,
-)
+from chicoryhold.routing.selection import Choice, Overloaded, SelectionCriteria
+from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
 
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -38,7 +38,8 @@
 from chicoryhold.programs.host_bus import create_bus
 from chicoryhold.programs.host_settings import GatewaySettings
 from chicoryhold.routing.route_index import RouteIndex
-from chicoryhold.routing.target_choice import HostLocation, TargetChooser
+from chicoryhold.routing.selection import HostLocation
+from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.state.targets import TargetRecord, TargetState
 from chicoryhold.targets.dialect import TargetDialect
 
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -11,19 +11,23 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable, Mapping
-
-import attrs
+from collections.abc import Callable, Iterable
 
 from chicoryhold.clock import Clock
 from chicoryhold.routing.affinity import hash_fraction, rendezvous_score, stable_hash
-from chicoryhold.routing.configuration import RouteRule, ServiceRule
+from chicoryhold.routing.configuration import ServiceRule
 from chicoryhold.routing.health import (
     all_out_of_reach,
     load_per_slot,
     without_unhealthy,
 )
 from chicoryhold.routing.round_trips import RoundTrips
+from chicoryhold.routing.selection import (
+    Choice,
+    HostLocation,
+    Overloaded,
+    SelectionCriteria,
+)
 from chicoryhold.routing.spill import SpilloverController
 from chicoryhold.routing.target_view import LoadReport, TargetView
 from chicoryhold.routing.work_times import ProcessingTimes
@@ -42,72 +46,6 @@
 FAILURE_COST_SECONDS = 1.0  # added to the expected latency if failure is certain
 
 
-@attrs.frozen(kw_only=True)
-class SelectionCriteria:
-    """What a request requires of a target.
-
-    ``allowed_regions`` are the regions that the request may run in, empty for any.
-    ``avoid`` holds the instances that it was already sent to. Rank 0 is the most
-    urgent. ``time_left`` is the time until the request's deadline, in seconds.
-    """
-
-    route: RouteRule
-    service: str
-    affinity_key: str
-    allowed_regions: frozenset[str] = frozenset()
-    avoid: frozenset[str] = frozenset()
-    rank: int = 0
-    time_left: float = float("inf")
-
-
-@attrs.frozen(kw_only=True)
-class Choice:
-    """The chosen target and the estimates that led to the choice, in seconds.
-
-    ``queue_wait`` is the part of ``expected_latency`` that the request spends in the
-    target's queue. ``is_affinity_hit`` means that the target is expected to have
-    recently handled the affinity key, ``is_cross_region`` that it is in another region,
-    ``is_cold`` that it is cold.
-    """
-
-    view: TargetView
-    expected_latency: float
-    queue_wait: float
-    processing_time: float
-    is_affinity_hit: bool
-    is_cross_region: bool = False
-    is_cold: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class Overloaded:
-    """All eligible targets are so busy that the response would be late.
-
-    ``queue_wait`` is the wait at the best target in seconds, ``load`` the number of
-    requests per slot.
-    """
-
-    queue_wait: float
-    load: float
-
-
-@attrs.frozen(kw_only=True)
-class HostLocation:
-    """The location of this host, and its round trip times in seconds.
-
-    ``regions`` maps each failure domain to its region. ``domain_round_trip`` applies
-    to other domains of the same region, ``region_round_trip`` to another region until
-    the round trip there has been measured.
-    """
-
-    host: str
-    domain: str
-    region: str
-    regions: Mapping[str, str]
-    domain_round_trip: float
-    region_round_trip: float
-
-
 class TargetChooser:
     """Tracks the state of targets and chooses one per request. Thread-safe.
 
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -30,7 +30,8 @@
     RouteRule,
     WeightedService,
 )
-from chicoryhold.routing.target_choice import HostLocation, TargetChooser
+from chicoryhold.routing.selection import HostLocation
+from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.state.changes import (
     Change,
     CreateOrganisation,
--- a/tests/test_cut_off_host.py
+++ b/tests/test_cut_off_host.py
@@ -39,7 +39,8 @@
     WeightedService,
 )
 from chicoryhold.routing.route_index import RouteIndex
-from chicoryhold.routing.target_choice import HostLocation, TargetChooser
+from chicoryhold.routing.selection import HostLocation
+from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.trial.fleet import wait_until
 from tests.links import IP, Cut, Link, StandInTarget
 from tests.test_targets_state import a_record
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -9,14 +9,14 @@
     ServiceRule,
     WeightedService,
 )
-from chicoryhold.routing.spill import SpilloverController
-from chicoryhold.routing.target_choice import (
+from chicoryhold.routing.selection import (
     Choice,
     HostLocation,
     Overloaded,
     SelectionCriteria,
-    TargetChooser,
 )
+from chicoryhold.routing.spill import SpilloverController
+from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.routing.target_view import LoadReport
 from chicoryhold.state.targets import TargetState
 from tests.conftest import FakeClock
