Log and count which limits targets name, and what is sent there

The answer's statement is now decoded at the platform's boundary, its changes are logged, and each host logs every 2 s what it sent to targets with a limit; two metrics count the same. A value that can't be read is no statement; a failure without one doesn't end a limit.

--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -21,6 +21,7 @@
 from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.routing.configuration import RouteRule
 from chicoryhold.routing.selection import Choice, Overloaded, SelectionCriteria
+from chicoryhold.routing.stated_limits import RateStatement, StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
@@ -84,13 +85,14 @@
     def __init__(
         self, *, chooser: TargetChooser, connections: TargetConnections,
         header_translator: TargetHeaderTranslator, budgets: RetryBudgets, clock: Clock,
-        is_cut_off: Callable[[], bool] = lambda: False,
+        limits: StatedLimits, is_cut_off: Callable[[], bool] = lambda: False,
     ) -> None:  # fmt: skip
         self._chooser = chooser
         self._connections = connections
         self._header_translator = header_translator
         self._budgets = budgets
         self._clock = clock
+        self._limits = limits
         self._is_cut_off = is_cut_off
 
     def deliver(self, routed: RoutedRequest) -> Outcome:
@@ -165,6 +167,7 @@
     ) -> _AttemptResult:
         started = self._clock.now()
         record = choice.view.record
+        self._limits.record_sent(record.instance)
         try:
             response = self._connections.exchange(
                 record.address,
@@ -226,6 +229,7 @@
         response: TargetResponse, started: float,
     ) -> _AttemptResult:  # fmt: skip
         metadata = self._header_translator.response_metadata(response)
+        self._record_limit(choice, metadata, response)
         if metadata.other_instance:
             self._record_failure(
                 routed, choice, attempt, "another instance has the address"
@@ -250,6 +254,17 @@
         )
         return _AttemptResult(outcome=Ok(response), known_not_run=False, failed=False)
 
+    def _record_limit(
+        self, choice: Choice, metadata: ResponseMetadata, response: TargetResponse
+    ) -> None:
+        """Note the target's limit. Its failures don't show that it names none."""
+        is_failure = response.status >= MIN_FAILURE_STATUS or metadata.did_not_run
+        if is_failure and metadata.limit == RateStatement():
+            return
+        if metadata.other_instance:
+            return
+        self._limits.record_answer(choice.view.record, metadata.limit)
+
     def _handle_exchange_error(
         self, routed: RoutedRequest, choice: Choice, attempt: int,
         error: ExchangeFailed, started: float,
--- a/src/chicoryhold/gateway/request.py
+++ b/src/chicoryhold/gateway/request.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from chicoryhold.routing.stated_limits import RateStatement
 from chicoryhold.routing.target_view import LoadReport
 from chicoryhold.targets.cancellation import Cancellation
 
@@ -79,9 +80,11 @@
     """What a target's response states in addition to its content.
 
     ``did_not_run`` is the target's own statement that it did not run the request.
-    ``other_instance`` means that another process now has the address.
+    ``other_instance`` means that another process now has the address. ``limit`` is
+    what it says about the requests per second that it takes from all hosts together.
     """
 
     did_not_run: bool = False
     other_instance: bool = False
     load: LoadReport | None = None
+    limit: RateStatement = RateStatement()
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -39,6 +39,7 @@
 from chicoryhold.programs.host_settings import GatewaySettings
 from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.routing.selection import HostLocation
+from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.state.targets import TargetRecord, TargetState
 from chicoryhold.targets.dialect import TargetDialect
@@ -59,11 +60,12 @@
 
     def __init__(
         self, *, settings: GatewaySettings, follower: Follower, chooser: TargetChooser,
-        links: TargetLinks, metrics: Metrics, clock: BootClock,
+        limits: StatedLimits, links: TargetLinks, metrics: Metrics, clock: BootClock,
     ) -> None:  # fmt: skip
         self._settings = settings
         self._follower = follower
         self._chooser = chooser
+        self._limits = limits
         self._links = links
         self._preconnected: frozenset[str] = frozenset()
         self._clock = clock
@@ -140,6 +142,9 @@
             evacuated=state.evacuated,
             service_rule=self._route_index.service,
         )
+        self._limits.keep_only(
+            {instance: view.record for instance, view in self._chooser.views.items()}
+        )
         self._preconnect_remote_targets(state.targets)
         if self.ready != was_ready:
             self._announce()
@@ -194,10 +199,12 @@
         links = create_target_links(
             chooser=chooser, dialect=dialect, clock=clock, metrics=metrics
         )
+        limits = StatedLimits(clock=clock, metrics=metrics)
         gateway = Gateway(
             settings=settings,
             follower=follower,
             chooser=chooser,
+            limits=limits,
             links=links,
             metrics=metrics,
             clock=clock,
@@ -208,6 +215,7 @@
             header_translator=header_translator,
             budgets=RetryBudgets(),
             clock=clock,
+            limits=limits,
             is_cut_off=lambda: links.reachability.is_cut_off,
         )
         relay = create_relay(
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -31,6 +31,7 @@
     WeightedService,
 )
 from chicoryhold.routing.selection import HostLocation
+from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.state.changes import (
     Change,
@@ -161,6 +162,7 @@
         settings=settings,
         follower=follower,
         chooser=chooser,
+        limits=StatedLimits(clock=clock, metrics=metrics),
         links=links,
         metrics=metrics,
         clock=clock,
--- a/tests/test_cut_off_host.py
+++ b/tests/test_cut_off_host.py
@@ -40,6 +40,7 @@
 )
 from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.routing.selection import HostLocation
+from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.trial.fleet import wait_until
 from tests.links import IP, Cut, Link, StandInTarget
@@ -151,6 +152,7 @@
             chooser=chooser,
             connections=links.connections,
             header_translator=PlatformHeaders(),
+            limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
             budgets=RetryBudgets(),
             clock=clock,
             is_cut_off=lambda: links.reachability.is_cut_off,
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -15,7 +15,9 @@
 from chicoryhold.gateway.delivery import Delivery, RoutedRequest
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata
 from chicoryhold.gateway.retry_budgets import RetryBudgets
+from chicoryhold.metrics import Metrics
 from chicoryhold.routing.configuration import RouteRule, WeightedService
+from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.exchange import TargetResponse
 from tests.conftest import FakeClock
@@ -67,6 +69,7 @@
         chooser=chooser,
         connections=connections,
         header_translator=HeaderTranslator(),
+        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
         budgets=RetryBudgets(),
         clock=clock,
     )
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -23,6 +23,8 @@
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata
 from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.hosts.messages import Admitted
+from chicoryhold.metrics import Metrics
+from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.connections import (
@@ -380,6 +382,7 @@
         chooser=chooser,
         connections=TargetConnections(clock=clock, dialect=LENIENT),
         header_translator=HeaderTranslator(),
+        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
         budgets=RetryBudgets(),
         clock=clock,
     )
