Log which requests ran at a target when it ended

A host now collects the keyed digests of requests whose connections ended without an answer, checks whether the target's port refuses connections or a newer process has replaced it, and logs both together. Resets by targets that still run, timeouts and cuts of the host's own links are no crashes.

--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -16,9 +16,11 @@
     ExchangeCancelled,
     ExchangeFailed,
     ExchangeTimeout,
+    InvalidResponse,
 )
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata, TargetCall
 from chicoryhold.gateway.retry_budgets import RetryBudgets
+from chicoryhold.quarantine.crash_watch import CrashWatch
 from chicoryhold.routing.configuration import RouteRule
 from chicoryhold.routing.selection import Choice, Overloaded, SelectionCriteria
 from chicoryhold.routing.stated_limits import RateStatement, StatedLimits
@@ -52,7 +54,8 @@
     """A request with its route and service, ready to be sent to targets.
 
     ``deadline`` is on the local clock. ``allowed_regions`` are the regions that the
-    request may run in, empty for any. Rank 0 is the most urgent.
+    request may run in, empty for any. ``digest`` names the request when it comes again.
+    Rank 0 is the most urgent.
     """
 
     request: GatewayRequest
@@ -61,6 +64,7 @@
     organisation: str
     allowed_regions: frozenset[str]
     deadline: float
+    digest: bytes
     rank: int = 0
 
 
@@ -85,7 +89,8 @@
     def __init__(
         self, *, chooser: TargetChooser, connections: TargetConnections,
         header_translator: TargetHeaderTranslator, budgets: RetryBudgets, clock: Clock,
-        limits: StatedLimits, is_cut_off: Callable[[], bool] = lambda: False,
+        limits: StatedLimits, crashes: CrashWatch,
+        is_cut_off: Callable[[], bool] = lambda: False,
     ) -> None:  # fmt: skip
         self._chooser = chooser
         self._connections = connections
@@ -93,6 +98,7 @@
         self._budgets = budgets
         self._clock = clock
         self._limits = limits
+        self._crashes = crashes
         self._is_cut_off = is_cut_off
 
     def deliver(self, routed: RoutedRequest) -> Outcome:
@@ -283,6 +289,8 @@
             self._log_failed_attempt(routed, choice, attempt, str(error))
         else:
             self._record_failure(routed, choice, attempt, error)
+        if not timed_out and not isinstance(error, InvalidResponse):
+            self._crashes.record_lost(choice.view.record, routed.digest)
         kind = RefusalKind.TIMED_OUT if timed_out else RefusalKind.ANSWER_BROKEN
         return _AttemptResult(
             outcome=_failure(kind, RunStatus.UNKNOWN, error), known_not_run=False
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -17,6 +17,7 @@
 from chicoryhold.keys import key_digest
 from chicoryhold.limits.permit_client import Permission, PermitClient
 from chicoryhold.metrics import Metrics
+from chicoryhold.quarantine.digest import request_digest
 from chicoryhold.routing.configuration import OrganisationRule, RouteRule
 from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.targets.exchange import TargetResponse
@@ -157,6 +158,7 @@
             rank=_rank(route, organisation),
             allowed_regions=_allowed_regions(route, organisation),
             deadline=_deadline(request, route),
+            digest=request_digest(request),
         )
 
     def _choose_service(self, route: RouteRule) -> str:
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import Executor, ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
 from random import Random
 from typing import Protocol
@@ -39,6 +40,7 @@
 )
 from chicoryhold.programs.host_bus import create_bus
 from chicoryhold.programs.host_settings import GatewaySettings
+from chicoryhold.quarantine.crash_watch import CrashWatch
 from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.routing.selection import HostLocation
 from chicoryhold.routing.stated_limits import StatedLimits
@@ -50,6 +52,7 @@
 PRESENCE_TICK_SECONDS = 0.1
 FETCH_TIMING = FetchTiming(timeout=0.9, stale_age=1.2, retry_delay=0.05)
 DOMAIN_ROUND_TRIP_SECONDS = 0.001
+CRASH_CHECK_THREADS = 2
 INITIAL_REGION_ROUND_TRIP_SECONDS = 0.1  # used until one has been measured
 
 
@@ -62,12 +65,14 @@
 
     def __init__(
         self, *, settings: GatewaySettings, follower: Follower, chooser: TargetChooser,
-        limits: StatedLimits, links: TargetLinks, metrics: Metrics, clock: BootClock,
+        limits: StatedLimits, crashes: CrashWatch, links: TargetLinks, metrics: Metrics,
+        clock: BootClock,
     ) -> None:  # fmt: skip
         self._settings = settings
         self._follower = follower
         self._chooser = chooser
         self._limits = limits
+        self._crashes = crashes
         self._links = links
         self._preconnected: frozenset[str] = frozenset()
         self._clock = clock
@@ -147,6 +152,7 @@
         self._limits.keep_only(
             {instance: view.record for instance, view in self._chooser.views.items()}
         )
+        self._crashes.record_targets(state.targets)
         self._preconnect_remote_targets(state.targets)
         if self.ready != was_ready:
             self._announce()
@@ -206,11 +212,19 @@
         links = create_target_links(
             chooser=chooser, dialect=dialect, clock=clock, metrics=metrics
         )
+        crashes = CrashWatch(
+            on_crash=lambda report: None,
+            executor=stack.enter_context(_crash_check_threads()),
+            clock=clock,
+            metrics=metrics,
+            is_cut_off=lambda: links.reachability.is_cut_off,
+        )
         gateway = Gateway(
             settings=settings,
             follower=follower,
             chooser=chooser,
             limits=limits,
+            crashes=crashes,
             links=links,
             metrics=metrics,
             clock=clock,
@@ -222,6 +236,7 @@
             budgets=RetryBudgets(),
             clock=clock,
             limits=limits,
+            crashes=crashes,
             is_cut_off=lambda: links.reachability.is_cut_off,
         )
         relay = create_relay(
@@ -253,6 +268,16 @@
         logger.info("gateway: stopping.")
 
 
+@contextmanager
+def _crash_check_threads() -> Iterator[Executor]:
+    """Run checks of targets on threads that the stop doesn't wait for."""
+    executor = ThreadPoolExecutor(CRASH_CHECK_THREADS, thread_name_prefix="crash")
+    try:
+        yield executor
+    finally:
+        executor.shutdown(wait=False, cancel_futures=True)
+
+
 def _host_location(settings: GatewaySettings) -> HostLocation:
     return HostLocation(
         host=settings.name,
--- /dev/null
+++ b/tests/crash_fakes.py
@@ -0,0 +1,40 @@
+"""A crash watch for tests, which checks targets at once and records the reports."""
+
+from __future__ import annotations
+
+from concurrent.futures import Executor, Future
+
+import attrs
+
+from chicoryhold.clock import Clock
+from chicoryhold.metrics import Metrics
+from chicoryhold.quarantine.crash_watch import CrashWatch
+from chicoryhold.quarantine.messages import CrashReport
+
+
+class ImmediateExecutor(Executor):
+    """Runs each call in the calling thread."""
+
+    def submit(self, fn, /, *args, **kwargs) -> Future:
+        future: Future = Future()
+        future.set_result(fn(*args, **kwargs))
+        return future
+
+
+@attrs.define(kw_only=True)
+class CrashedTargets:
+    """Which addresses refuse connections, and what was reported."""
+
+    refusing: set[str] = attrs.field(factory=set)
+    reports: list[CrashReport] = attrs.field(factory=list)
+    is_cut_off: bool = False
+
+    def watch(self, clock: Clock) -> CrashWatch:
+        return CrashWatch(
+            on_crash=self.reports.append,
+            executor=ImmediateExecutor(),
+            clock=clock,
+            metrics=Metrics(process="test"),
+            is_cut_off=lambda: self.is_cut_off,
+            is_refusing=lambda address: address in self.refusing,
+        )
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -42,6 +42,7 @@
 from chicoryhold.state.control_state import ControlState
 from chicoryhold.targets.dialect import OWN_DIALECT
 from tests.conftest import FakeClock
+from tests.crash_fakes import CrashedTargets
 from tests.test_control_state import HEADING, change
 from tests.test_target_choice import FakePermits
 
@@ -169,6 +170,7 @@
         follower=follower,
         chooser=chooser,
         limits=StatedLimits(clock=clock, metrics=metrics),
+        crashes=CrashedTargets().watch(clock),
         links=links,
         metrics=metrics,
         clock=clock,
--- a/tests/test_cut_off_host.py
+++ b/tests/test_cut_off_host.py
@@ -43,6 +43,7 @@
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.trial.fleet import wait_until
+from tests.crash_fakes import CrashedTargets
 from tests.links import IP, Cut, Link, StandInTarget
 from tests.test_target_choice import FakePermits
 from tests.test_targets_state import a_record
@@ -159,6 +160,7 @@
             connections=links.connections,
             header_translator=PlatformHeaders(),
             limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+            crashes=CrashedTargets().watch(clock),
             budgets=RetryBudgets(),
             clock=clock,
             is_cut_off=lambda: links.reachability.is_cut_off,
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -21,6 +21,7 @@
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.exchange import TargetResponse
 from tests.conftest import FakeClock
+from tests.crash_fakes import CrashedTargets
 from tests.test_target_choice import a_chooser, report_full
 
 OK = TargetResponse(status=200, headers=(), body=b"whole")
@@ -70,6 +71,7 @@
         connections=connections,
         header_translator=HeaderTranslator(),
         limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+        crashes=CrashedTargets().watch(clock),
         budgets=RetryBudgets(),
         clock=clock,
     )
@@ -106,6 +108,7 @@
         organisation="",
         allowed_regions=frozenset(),
         deadline=request.deadline,
+        digest=b"digest",
     )
     return delivery.deliver(routed), connections.addresses
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -34,6 +34,7 @@
 from chicoryhold.targets.dialect import Dialect
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
 from chicoryhold.targets.response_memory import ResponseMemory
+from tests.crash_fakes import CrashedTargets
 from tests.sick_target import (
     BLOCK,
     ID_HEADER,
@@ -383,6 +384,7 @@
         connections=TargetConnections(clock=clock, dialect=LENIENT),
         header_translator=HeaderTranslator(),
         limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+        crashes=CrashedTargets().watch(clock),
         budgets=RetryBudgets(),
         clock=clock,
     )
@@ -407,6 +409,7 @@
         organisation="",
         allowed_regions=frozenset(),
         deadline=request.deadline,
+        digest=b"digest",
     )
     return delivery.deliver(routed), chooser
 
