Send no request again that has crashed three targets

Class: a failure attributed to the resource at which it shows, in place of the work that causes it.

Change: entry hosts report the keyed digests of the requests that ran at each target when it crashed to all control hosts. These find the culprits: the request at most of the crashes that no other culprit explains, three of them, or five where two requests can't be told apart. Entry hosts hear of it through a pending request, so within a round trip, and with each presence reply. Then each host refuses the request as not run, with 503 and Retry-After, also if a peer relays it. Any answer of a target clears a request at all hosts, and a late report that explains a request's crashes releases it. After 300 s, differing by up to 60 s between hosts, it is sent again; one more crash then doubles the time. A request at two crashes of its host isn't sent to a third target at once. Crashes, digests and quarantined requests are bounded in number. New fields have defaults; a control host of an older build drops the new kinds.

--- a/src/chicoryhold/callers/refusals.py
+++ b/src/chicoryhold/callers/refusals.py
@@ -27,6 +27,7 @@
     RATE_EXCEEDED = ("rate_exceeded", 429)
     ANSWER_BROKEN = ("answer_broken", 502)
     NO_TARGET = ("no_target", 503)
+    QUARANTINED = ("quarantined", 503)
     OVERLOADED = ("overloaded", 503)
     NOT_READY = ("not_ready", 503)
     TIMED_OUT = ("timed_out", 504)
--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -21,6 +21,7 @@
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata, TargetCall
 from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.quarantine.crash_watch import CrashWatch
+from chicoryhold.quarantine.guard import RequestGuard
 from chicoryhold.routing.configuration import RouteRule
 from chicoryhold.routing.selection import Choice, Overloaded, SelectionCriteria
 from chicoryhold.routing.stated_limits import RateStatement, StatedLimits
@@ -89,7 +90,7 @@
     def __init__(
         self, *, chooser: TargetChooser, connections: TargetConnections,
         header_translator: TargetHeaderTranslator, budgets: RetryBudgets, clock: Clock,
-        limits: StatedLimits, crashes: CrashWatch,
+        limits: StatedLimits, crashes: CrashWatch, guard: RequestGuard,
         is_cut_off: Callable[[], bool] = lambda: False,
     ) -> None:  # fmt: skip
         self._chooser = chooser
@@ -99,6 +100,7 @@
         self._clock = clock
         self._limits = limits
         self._crashes = crashes
+        self._guard = guard
         self._is_cut_off = is_cut_off
 
     def deliver(self, routed: RoutedRequest) -> Outcome:
@@ -166,6 +168,10 @@
             return False
         if routed.deadline - self._clock.now() < MIN_REMAINING_SECONDS:
             return False
+        if self._guard.quarantine_seconds(routed.digest):
+            return False
+        if not last.known_not_run and not self._guard.may_retry(routed.digest):
+            return False
         return self._budgets.spend(routed.service)
 
     def _run_attempt(
@@ -247,6 +253,7 @@
                 routed, choice, attempt, "the target did not run the request"
             )
             return _AttemptResult(outcome=_rejected_by_target(), known_not_run=True)
+        self._guard.record_success(routed.digest)
         if response.status >= MIN_FAILURE_STATUS or response.status in NOT_RUN_STATUSES:
             self._record_failure(routed, choice, attempt, f"status {response.status}")
             return _AttemptResult(
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -18,6 +18,7 @@
 from chicoryhold.limits.permit_client import Permission, PermitClient
 from chicoryhold.metrics import Metrics
 from chicoryhold.quarantine.digest import request_digest
+from chicoryhold.quarantine.guard import RequestGuard
 from chicoryhold.routing.configuration import OrganisationRule, RouteRule
 from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.targets.exchange import TargetResponse
@@ -48,8 +49,8 @@
 
     def __init__(
         self, *, index: Callable[[], RouteIndex], copy_age: Callable[[], float],
-        permits: PermitClient, delivery: Delivery, relay: Relay, clock: Clock,
-        random: Random, metrics: Metrics,
+        permits: PermitClient, delivery: Delivery, relay: Relay, guard: RequestGuard,
+        clock: Clock, random: Random, metrics: Metrics,
     ) -> None:  # fmt: skip
         self._copy_age = copy_age
         self._metrics = metrics
@@ -59,6 +60,7 @@
         self._delivery = delivery
         self._clock = clock
         self._random = random
+        self._guard = guard
 
     def serve(self, request: GatewayRequest) -> ServeResult:
         """Return the target's response or a refusal; refusals are logged."""
@@ -113,13 +115,23 @@
 
         The peer takes the permit of a relayed request.
         """
+        digest = request_digest(
+            method=request.method,
+            host=request.host,
+            target=request.target,
+            key=request.key,
+            body=request.body,
+        )
+        quarantined = self._guard.refusal(digest)
+        if quarantined is not None:
+            return Err(quarantined)
         relayed = _relayed_request(request, route, organisation, version)
         if self._relay.is_needed:
             return self._relay.deliver(relayed)
         refused = self._permit_refusal(request, route, organisation)
         if refused is not None:
             return refused
-        routed = self._routed_request(request, route, organisation)
+        routed = self._routed_request(request, route, organisation, digest)
         outcome = self._delivery.deliver(routed)
         if self._relay.is_needed and outcome.is_err():
             return self._relay.deliver(relayed, earlier=outcome.err_value)
@@ -145,7 +157,7 @@
 
     def _routed_request(
         self, request: GatewayRequest, route: RouteRule,
-        organisation: OrganisationRule | None,
+        organisation: OrganisationRule | None, digest: bytes,
     ) -> RoutedRequest:  # fmt: skip
         if request.relayed is not None:
             attempts = min(route.attempts, request.relayed.attempts)
@@ -158,7 +170,7 @@
             rank=_rank(route, organisation),
             allowed_regions=_allowed_regions(route, organisation),
             deadline=_deadline(request, route),
-            digest=request_digest(request),
+            digest=digest,
         )
 
     def _choose_service(self, route: RouteRule) -> str:
--- a/src/chicoryhold/membership/messages.py
+++ b/src/chicoryhold/membership/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chicoryhold.codec import message
+from chicoryhold.quarantine.messages import CrashReport, QuarantinedRequest
 from chicoryhold.state.changes import Change, Outcome
 
 
@@ -50,10 +51,12 @@
     """The report of an entry host to a control host, sent periodically.
 
     ``limits`` are those that differ from what the control host is known to have.
+    ``crashes`` are the host's latest reports.
     """
 
     host: EntryHost
     limits: tuple[SeenLimit, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
 
 
 @message
@@ -62,13 +65,15 @@
 
     ``entry_hosts`` is the number of entry hosts in its registry, silent ones included.
     If the receiver is cut off from all targets, ``relay_hosts`` are entry hosts that
-    aren't. ``limits`` are those of all targets that the sender knows.
+    aren't. ``limits`` are those of all targets that the sender knows, ``quarantined``
+    the requests that no host may send.
     """
 
     hosts: tuple[ControlHost, ...]
     entry_hosts: int = 0
     relay_hosts: tuple[EntryHost, ...] = ()
     limits: tuple[SeenLimit, ...] = ()
+    quarantined: tuple[QuarantinedRequest, ...] = ()
 
 
 @message
@@ -92,13 +97,15 @@
     """The report of a control host to the others, sent periodically and on changes.
 
     It lists the live entry hosts that report to the sender directly, and the targets
-    that reported to it since its last message, and limits of targets.
+    that reported to it since its last message, limits of targets, and the requests that
+    no host may send.
     """
 
     host: ControlHost
     entry_hosts: tuple[SeenEntryHost, ...]
     targets: tuple[SeenTarget, ...]
     limits: tuple[SeenLimit, ...] = ()
+    quarantined: tuple[QuarantinedRequest, ...] = ()
 
 
 @message
--- a/src/chicoryhold/membership/presence_actor.py
+++ b/src/chicoryhold/membership/presence_actor.py
@@ -18,10 +18,13 @@
     EntryPresence,
 )
 from chicoryhold.membership.registry import sort_by_proximity
+from chicoryhold.quarantine.guard import RequestGuard
+from chicoryhold.quarantine.messages import QuarantineChanged, WatchQuarantine
 from chicoryhold.routing.stated_limits import StatedLimits
 
 REPORT_INTERVAL_SECONDS = 0.5
 DISCOVERY_INTERVAL_SECONDS = 0.05  # while no control host replies
+WATCH_INTERVAL_SECONDS = 2.0  # the request is repeated, as its reply may get lost
 REACHABLE_SECONDS = 1.2  # a host counts as reachable this long after its reply
 SECOND_HOST_INTERVAL_REPORTS = 2  # every second one also goes to a second host
 ROTATION_INTERVAL_REPORTS = 8  # every eighth one also goes to the next host in turn
@@ -38,6 +41,11 @@
     reply: ControlHosts
 
 
+@attrs.frozen(kw_only=True)
+class _QuarantineChanged:
+    reply: QuarantineChanged
+
+
 class ControlHostList:
     """The control hosts that an entry host knows, in order of proximity.
 
@@ -122,12 +130,13 @@
 
     While none replies it reports to all of them, more often. ``describe`` returns the
     state to report. ``on_reachable`` is called when one replies after a time in which
-    none did. ``limits`` are passed on to control hosts, and taken from them.
+    none did. ``limits`` are passed on to control hosts, and taken from them, as are the
+    crashes that ``guard`` has noticed and the requests that it keeps back.
     """
 
     def __init__(
         self, *, control_hosts: ControlHostList, bus: Bus, clock: Clock,
-        describe: Callable[[], EntryHost], limits: StatedLimits,
+        describe: Callable[[], EntryHost], limits: StatedLimits, guard: RequestGuard,
         on_reachable: Callable[[], None] = lambda: None,
     ) -> None:  # fmt: skip
         super().__init__()
@@ -137,6 +146,9 @@
         self._clock = clock
         self._describe = describe
         self._limits = limits
+        self._guard = guard
+        self._watch: Future | None = None
+        self._next_watch_at = 0.0
         self._next_due = 0.0
         self._pending: list[Future] = []
         self._report_count = 0
@@ -146,11 +158,17 @@
             case Tick():
                 if self._clock.now() >= self._next_due:
                     self._report()
+                if self._clock.now() >= self._next_watch_at:
+                    self._watch_quarantine()
+            case _QuarantineChanged():
+                self._guard.merge(message.reply.requests)
+                self._watch_quarantine()
             case ReportNow():
                 self._report()
             case _ReplyReceived():
                 was_unreachable = not self._control_hosts.reachable
                 self._limits.merge_reply(message.reply.limits)
+                self._guard.merge(message.reply.quarantined)
                 if self._control_hosts.record_reply(message.name, message.reply):
                     logger.bind(hosts=list(self._control_hosts.names)).info(
                         "presence: the control hosts changed."
@@ -164,11 +182,31 @@
         self._next_due = self._clock.now() + interval
         for future in self._pending:
             self._bus.forget(future)
-        presence = EntryPresence(host=self._describe(), limits=self._limits.untold())
+        presence = EntryPresence(
+            host=self._describe(),
+            limits=self._limits.untold(),
+            crashes=self._guard.recent_reports(),
+        )
         self._pending = [
             self._send_report(name, presence) for name in self._choose_recipients()
         ]
 
+    def _watch_quarantine(self) -> None:
+        """Let the nearest control host reply as soon as the quarantine changes."""
+        nearest = self._control_hosts.reachable[:1]
+        if not nearest:
+            return
+        self._next_watch_at = self._clock.now() + WATCH_INTERVAL_SECONDS
+        if self._watch is not None:
+            self._bus.forget(self._watch)
+        self._watch = self._bus.ask(nearest[0], WatchQuarantine())
+        tell_reply(
+            self._watch,
+            self.actor_ref,
+            kinds=QuarantineChanged,
+            message=lambda reply: _QuarantineChanged(reply=reply),
+        )
+
     def _choose_recipients(self) -> tuple[str, ...]:
         names = self._control_hosts.names_live_first
         self._report_count += 1
--- a/src/chicoryhold/membership/registry_actor.py
+++ b/src/chicoryhold/membership/registry_actor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from concurrent.futures import Future
 
 from loguru import logger
 
@@ -17,6 +18,13 @@
 )
 from chicoryhold.membership.registry import HostRegistry
 from chicoryhold.membership.target_reports import TargetReports
+from chicoryhold.quarantine.messages import (
+    CrashReport,
+    QuarantineChanged,
+    RequestSucceeded,
+    WatchQuarantine,
+)
+from chicoryhold.quarantine.records import CrashRecords
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.state.targets import TargetRecord
 
@@ -31,13 +39,14 @@
     ``limits`` are those of targets, which entry hosts report. ``leads`` returns whether
     this host leads the replicated log; only the leader marks targets as silent, through
     ``record_silent``. ``targets`` returns all targets that exist, by instance.
+    ``crashes`` are the reports of all entry hosts about requests that crash targets.
     """
 
     def __init__(
         self, *, registry: HostRegistry, reports: TargetReports, bus: Bus, clock: Clock,
         peers: Callable[[], tuple[str, ...]], leads: Callable[[], bool],
         record_silent: Callable[[tuple[TargetRecord, ...]], None], limits: StatedLimits,
-        targets: Callable[[], Mapping[str, TargetRecord]],
+        targets: Callable[[], Mapping[str, TargetRecord]], crashes: CrashRecords,
     ) -> None:  # fmt: skip
         super().__init__()
         self._registry = registry
@@ -49,6 +58,8 @@
         self._record_silent = record_silent
         self._limits = limits
         self._targets = targets
+        self._crashes = crashes
+        self._watchers: dict[str, Future] = {}
         self._tick_count = 0
         self._was_leader = False
         self._next_due = 0.0
@@ -59,15 +70,39 @@
                 self._tick()
             case PeerRequest(message=EntryPresence() as presence):
                 self._on_entry_presence(presence, message)
+            case PeerRequest(message=WatchQuarantine()):
+                self._watchers[message.sender] = message.reply
+            case PeerRequest(message=CrashReport() as report):
+                self._on_crash(report)
+            case PeerRequest(message=RequestSucceeded() as success):
+                self._on_success(success)
             case PeerRequest(message=ControlPresence() as presence):
                 self._registry.merge_control_presence(presence)
                 self._limits.merge(presence.limits)
+                if self._crashes.merge(presence.quarantined):
+                    self._tell_watchers()
                 self._reports.record_remote_reports(presence.targets)
 
+    def _on_crash(self, report: CrashReport) -> None:
+        if self._crashes.record_crash(report):
+            self._tell_watchers()
+
+    def _on_success(self, success: RequestSucceeded) -> None:
+        if self._crashes.record_success(success.request):
+            self._tell_watchers()
+
+    def _tell_watchers(self) -> None:
+        changed = QuarantineChanged(requests=self._crashes.quarantine.all())
+        watchers, self._watchers = self._watchers, {}
+        for reply in watchers.values():
+            reply.set_result(changed)
+
     def _on_entry_presence(self, presence: EntryPresence, request: PeerRequest) -> None:
         host = presence.host
         changed = self._registry.record_entry_report(host)
         self._limits.merge(presence.limits)
+        for report in presence.crashes:
+            self._on_crash(report)
         request.reply.set_result(
             ControlHosts(
                 hosts=self._registry.control_hosts,
@@ -76,6 +111,7 @@
                     () if host.reaches_targets else self._registry.relay_hosts(host)
                 ),
                 limits=self._limits.all(),
+                quarantined=self._crashes.quarantine.all(),
             )
         )
         if changed:
@@ -104,6 +140,7 @@
             entry_hosts=self._registry.direct_reports(),
             targets=self._reports.take_unannounced(),
             limits=self._limits_to_tell(),
+            quarantined=self._crashes.quarantine.all(),
         )
         for peer in self._peers():
             if peer != self._bus.name:
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -46,6 +46,14 @@
     ControlHostSettings,
     RateTolerance,
 )
+from chicoryhold.quarantine.evidence import CrashEvidence
+from chicoryhold.quarantine.messages import (
+    CrashReport,
+    RequestSucceeded,
+    WatchQuarantine,
+)
+from chicoryhold.quarantine.quarantine import Quarantine
+from chicoryhold.quarantine.records import CrashRecords
 from chicoryhold.routing.configuration import OrganisationRule
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.state.control_state import ControlState
@@ -126,6 +134,10 @@
             record_silent=plane.record_silent,
             limits=StatedLimits(clock=clock, metrics=metrics),
             targets=lambda: {record.instance: record for record in state.targets},
+            crashes=CrashRecords(
+                evidence=CrashEvidence(clock=clock),
+                quarantine=Quarantine(clock=clock, metrics=metrics),
+            ),
         )
         stack.enter_context(
             running_actor(registry_actor, interval=REGISTRY_TICK_SECONDS)
@@ -248,7 +260,10 @@
     )  # fmt: skip
     for kind in replica_kinds:
         bus.handle(kind, forward_to(actor))
-    for kind in (EntryPresence, ControlPresence):
+    registry_kinds = (
+        EntryPresence, ControlPresence, CrashReport, RequestSucceeded, WatchQuarantine,
+    )  # fmt: skip
+    for kind in registry_kinds:
         bus.handle(kind, forward_to(registry))
     for kind in (PermitRequest, PermitLoanRequest, PermitLoan):
         bus.handle(kind, forward_to(permits))
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -41,6 +41,8 @@
 from chicoryhold.programs.host_bus import create_bus
 from chicoryhold.programs.host_settings import GatewaySettings
 from chicoryhold.quarantine.crash_watch import CrashWatch
+from chicoryhold.quarantine.evidence import AMBIGUOUS_CRASHES, CrashEvidence
+from chicoryhold.quarantine.guard import RequestGuard
 from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.routing.selection import HostLocation
 from chicoryhold.routing.stated_limits import StatedLimits
@@ -212,8 +214,16 @@
         links = create_target_links(
             chooser=chooser, dialect=dialect, clock=clock, metrics=metrics
         )
+        guard = RequestGuard(
+            # This host's crashes alone tell less than those that control hosts know.
+            evidence=CrashEvidence(clock=clock, confirming_crashes=AMBIGUOUS_CRASHES),
+            clock=clock,
+            metrics=metrics,
+            random=Random(settings.name),
+            tell=lambda message: _tell_control_hosts(bus, control_hosts, message),
+        )
         crashes = CrashWatch(
-            on_crash=lambda report: None,
+            on_crash=guard.record_crash,
             executor=stack.enter_context(_crash_check_threads()),
             clock=clock,
             metrics=metrics,
@@ -237,6 +247,7 @@
             clock=clock,
             limits=limits,
             crashes=crashes,
+            guard=guard,
             is_cut_off=lambda: links.reachability.is_cut_off,
         )
         relay = create_relay(
@@ -247,12 +258,14 @@
             metrics=metrics,
         )
         gateway.service = _create_service(
-            settings, gateway, delivery, relay, permit_sources, bus
+            settings, gateway, delivery, relay, permit_sources, guard, bus
         )
         prober = create_prober(
             links, name=settings.name, on_change=gateway.apply_reachability
         )
-        _start_actors(stack, settings, gateway, follower, control_hosts, limits, bus)
+        _start_actors(
+            stack, settings, gateway, follower, control_hosts, limits, guard, bus
+        )
         stack.enter_context(prober.running())
         stack.enter_context(
             serve_metrics(
@@ -268,6 +281,13 @@
         logger.info("gateway: stopping.")
 
 
+def _tell_control_hosts(
+    bus: Bus, control_hosts: ControlHostList, message: object
+) -> None:
+    for name in control_hosts.names:
+        bus.tell(name, message)
+
+
 @contextmanager
 def _crash_check_threads() -> Iterator[Executor]:
     """Run checks of targets on threads that the stop doesn't wait for."""
@@ -303,7 +323,7 @@
 
 def _create_service(
     settings: GatewaySettings, gateway: Gateway, delivery: Delivery, relay: Relay,
-    permit_sources: PermitSources, bus: Bus,
+    permit_sources: PermitSources, guard: RequestGuard, bus: Bus,
 ) -> GatewayService:  # fmt: skip
     clock = gateway.clock
     permits = PermitClient(bus=bus, clock=clock, control_hosts=permit_sources)
@@ -313,6 +333,7 @@
         permits=permits,
         delivery=delivery,
         relay=relay,
+        guard=guard,
         clock=clock,
         random=Random(settings.name),
         metrics=gateway.metrics,
@@ -321,7 +342,8 @@
 
 def _start_actors(
     stack: ExitStack, settings: GatewaySettings, gateway: Gateway, follower: Follower,
-    control_hosts: ControlHostList, limits: StatedLimits, bus: Bus,
+    control_hosts: ControlHostList, limits: StatedLimits, guard: RequestGuard,
+    bus: Bus,
 ) -> None:  # fmt: skip
     follower_actor = FollowerActor.start(
         follower=follower,
@@ -340,6 +362,7 @@
         clock=gateway.clock,
         describe=gateway.describe,
         limits=limits,
+        guard=guard,
         on_reachable=lambda: follower_actor.tell(Tick()),
     )
     gateway.on_change(lambda: presence.tell(ReportNow()))
--- a/src/chicoryhold/quarantine/digest.py
+++ b/src/chicoryhold/quarantine/digest.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-from typing import Protocol
 
 from chicoryhold.keys import key_digest
 
@@ -11,40 +10,21 @@
 LOGGED_CHARACTERS = 8
 
 
-class IdentifiedRequest(Protocol):
-    """What makes a request the same one when it comes again.
-
-    ``target`` is the HTTP request target with the query, ``key`` the caller's API key.
-    """
-
-    @property
-    def method(self) -> str: ...
-
-    @property
-    def host(self) -> str: ...
-
-    @property
-    def target(self) -> str: ...
-
-    @property
-    def key(self) -> str | None: ...
-
-    @property
-    def body(self) -> bytes: ...
-
-
-def request_digest(request: IdentifiedRequest) -> bytes:
+def request_digest(
+    *, method: str, host: str, target: str, key: str | None, body: bytes
+) -> bytes:
     """Return the same digest at every host for the same caller, path and body.
 
-    It is keyed by the caller's API key, so that nobody who lacks the key can guess the
-    body from the digest. Requests of open routes have no key and no caller.
+    ``target`` is the HTTP request target with the query, ``key`` the caller's API key.
+    The digest is keyed by it, so that nobody who lacks the key can guess the body.
+    Requests of open routes have no key and no caller.
     """
-    secret = bytes.fromhex(key_digest(request.key or ""))
+    secret = bytes.fromhex(key_digest(key or ""))
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES, key=secret)
-    for part in (request.method, request.host, request.target):
+    for part in (method, host, target):
         encoded = part.encode()
         digest.update(len(encoded).to_bytes(4) + encoded)
-    digest.update(request.body)
+    digest.update(body)
     return digest.digest()
 
 
--- a/tests/crash_fakes.py
+++ b/tests/crash_fakes.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from concurrent.futures import Executor, Future
+from random import Random
 
 import attrs
 
 from chicoryhold.clock import Clock
 from chicoryhold.metrics import Metrics
 from chicoryhold.quarantine.crash_watch import CrashWatch
+from chicoryhold.quarantine.evidence import AMBIGUOUS_CRASHES, CrashEvidence
+from chicoryhold.quarantine.guard import RequestGuard
 from chicoryhold.quarantine.messages import CrashReport
 
 
@@ -38,3 +41,15 @@
             is_cut_off=lambda: self.is_cut_off,
             is_refusing=lambda address: address in self.refusing,
         )
+
+
+def a_guard(clock: Clock, *, told: list[object] | None = None) -> RequestGuard:
+    """Return a guard whose messages to control hosts are added to ``told``."""
+    told = told if told is not None else []
+    return RequestGuard(
+        evidence=CrashEvidence(clock=clock, confirming_crashes=AMBIGUOUS_CRASHES),
+        clock=clock,
+        metrics=Metrics(process="test"),
+        random=Random(1),
+        tell=told.append,
+    )
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -67,19 +67,19 @@
     assert is_refusing(address)
 
 
-@attrs.frozen(kw_only=True)
-class Request:
-    method: str = "POST"
-    host: str = "shop.example"
-    target: str = "/pay?x=1"
-    key: str | None = "key"
-    body: bytes = b"body"
+REQUEST = {
+    "method": "POST",
+    "host": "shop.example",
+    "target": "/pay?x=1",
+    "key": "key",
+    "body": b"body",
+}
 
 
 def test_the_digest_tells_callers_paths_and_bodies_apart():
-    same = request_digest(Request())
-    assert request_digest(Request()) == same
+    same = request_digest(**REQUEST)
+    assert request_digest(**REQUEST) == same
     for field in ("method", "host", "target", "key"):
-        assert request_digest(attrs.evolve(Request(), **{field: "other"})) != same
-    assert request_digest(attrs.evolve(Request(), body=b"other")) != same
-    assert request_digest(attrs.evolve(Request(), key=None)) != same
+        assert request_digest(**{**REQUEST, field: "other"}) != same
+    assert request_digest(**{**REQUEST, "body": b"other"}) != same
+    assert request_digest(**{**REQUEST, "key": None}) != same
--- a/tests/test_cut_off_host.py
+++ b/tests/test_cut_off_host.py
@@ -43,7 +43,7 @@
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.trial.fleet import wait_until
-from tests.crash_fakes import CrashedTargets
+from tests.crash_fakes import CrashedTargets, a_guard
 from tests.links import IP, Cut, Link, StandInTarget
 from tests.test_target_choice import FakePermits
 from tests.test_targets_state import a_record
@@ -161,10 +161,12 @@
             header_translator=PlatformHeaders(),
             limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
             crashes=CrashedTargets().watch(clock),
+            guard=a_guard(clock),
             budgets=RetryBudgets(),
             clock=clock,
             is_cut_off=lambda: links.reachability.is_cut_off,
         ),
+        guard=a_guard(clock),
         relay=create_relay(
             links,
             own=lambda: own,
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -16,12 +16,14 @@
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata
 from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.metrics import Metrics
+from chicoryhold.quarantine.evidence import AMBIGUOUS_CRASHES
+from chicoryhold.quarantine.messages import CrashReport, RequestSucceeded
 from chicoryhold.routing.configuration import RouteRule, WeightedService
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.exchange import TargetResponse
 from tests.conftest import FakeClock
-from tests.crash_fakes import CrashedTargets
+from tests.crash_fakes import CrashedTargets, a_guard
 from tests.test_target_choice import a_chooser, report_full
 
 OK = TargetResponse(status=200, headers=(), body=b"whole")
@@ -59,9 +61,14 @@
 
 def run(
     *results: object, repeatable: bool, attempts: int = 2, cancelled: bool = False,
-    waiting: int = 0,
+    waiting: int = 0, crashes_before: int = 0, told: list[object] | None = None,
 ):  # fmt: skip
     clock = FakeClock()
+    guard = a_guard(clock, told=told)
+    for number in range(crashes_before):
+        guard.record_crash(
+            CrashReport(instance=f"i-{number}", born_ms=1, requests=(b"digest",))
+        )
     connections = Connections(clock, *results)
     chooser = a_chooser("north-a", "north-a", "north-b", clock=clock)
     if waiting:
@@ -72,6 +79,7 @@
         header_translator=HeaderTranslator(),
         limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
         crashes=CrashedTargets().watch(clock),
+        guard=guard,
         budgets=RetryBudgets(),
         clock=clock,
     )
@@ -122,6 +130,39 @@
     assert outcome.is_ok() or outcome.err_value.ran is RunStatus.UNKNOWN
 
 
+def test_a_request_is_not_sent_to_a_third_target_at_once_after_two_crashes():
+    outcome, addresses = run(
+        ExchangeFailed("closed"), OK, repeatable=True, crashes_before=1
+    )
+    assert (outcome, len(addresses)) == (Ok(OK), 2)
+    outcome, addresses = run(
+        ExchangeFailed("closed"), OK, repeatable=True, crashes_before=2
+    )
+    assert len(addresses) == 1
+    assert outcome.err_value.ran is RunStatus.UNKNOWN
+
+
+def test_a_quarantined_request_is_not_retried_even_if_it_has_not_run():
+    outcome, addresses = run(
+        ConnectFailed("refused"), OK, repeatable=True, crashes_before=AMBIGUOUS_CRASHES
+    )
+    assert len(addresses) == 1
+    assert outcome.err_value.ran is RunStatus.NOT_RUN
+
+
+@pytest.mark.parametrize("answer", [OK, FAILED, PLAIN_503])
+def test_an_answer_clears_a_request_of_the_crashes_that_it_was_at(answer):
+    told: list[object] = []
+    run(answer, repeatable=False, crashes_before=2, told=told)
+    assert told[-1] == RequestSucceeded(request=b"digest")
+
+
+def test_a_target_that_rejects_a_request_clears_it_of_nothing():
+    told: list[object] = []
+    run(NOT_RUN, NOT_RUN, repeatable=False, crashes_before=2, told=told)
+    assert not any(isinstance(each, RequestSucceeded) for each in told)
+
+
 @pytest.mark.parametrize("first_result", [ConnectFailed("refused"), NOT_RUN])
 def test_a_request_that_did_not_run_is_sent_to_another_target(first_result):
     outcome, addresses = run(first_result, OK, repeatable=False)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -34,7 +34,7 @@
 from chicoryhold.targets.dialect import Dialect
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
 from chicoryhold.targets.response_memory import ResponseMemory
-from tests.crash_fakes import CrashedTargets
+from tests.crash_fakes import CrashedTargets, a_guard
 from tests.sick_target import (
     BLOCK,
     ID_HEADER,
@@ -385,6 +385,7 @@
         header_translator=HeaderTranslator(),
         limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
         crashes=CrashedTargets().watch(clock),
+        guard=a_guard(clock),
         budgets=RetryBudgets(),
         clock=clock,
     )
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -13,6 +13,7 @@
 from chicoryhold.metrics import Metrics
 from chicoryhold.routing.stated_limits import StatedLimits
 from tests.conftest import FakeClock
+from tests.crash_fakes import a_guard
 
 SEEDS = ("10.1.0.1", "10.2.0.1", "10.3.0.1")
 OWN = EntryHost(name="own", domain="b", region="r", address="10.2.0.9:80", ready=False)
@@ -54,6 +55,7 @@
         clock=clock,
         describe=lambda: OWN,
         limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+        guard=a_guard(clock),
         on_reachable=lambda: reached.append(control_hosts.reachable),
     )
     actor.on_receive(Tick())
@@ -78,6 +80,7 @@
         clock=clock,
         describe=lambda: OWN,
         limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+        guard=a_guard(clock),
     )
     actor.on_receive(Tick())
     bus.asked["10.1.0.1"].set_result(ControlHosts(hosts=(), entry_hosts=1))
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -8,10 +8,13 @@
 import pytest
 from result import Ok
 
-from chicoryhold.callers.refusals import RefusalKind
+from chicoryhold.callers.refusals import RefusalKind, RunStatus
 from chicoryhold.gateway.request import GatewayRequest, RelayTerms
 from chicoryhold.gateway.service import GatewayService
 from chicoryhold.metrics import Metrics
+from chicoryhold.quarantine.digest import request_digest
+from chicoryhold.quarantine.evidence import AMBIGUOUS_CRASHES
+from chicoryhold.quarantine.messages import CrashReport
 from chicoryhold.routing.configuration import (
     Configuration,
     RouteRule,
@@ -21,6 +24,7 @@
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.exchange import TargetResponse
 from tests.conftest import FakeClock
+from tests.crash_fakes import a_guard
 from tests.test_relay import a_request
 
 VERSION = 4
@@ -37,7 +41,17 @@
         return Ok(TargetResponse(status=200, headers=(), body=b""))
 
 
-def serve(path: str, relayed: RelayTerms | None):
+def digest_of(request: GatewayRequest) -> bytes:
+    return request_digest(
+        method=request.method,
+        host=request.host,
+        target=request.target,
+        key=request.key,
+        body=request.body,
+    )
+
+
+def serve(path: str, relayed: RelayTerms | None, *, crashes: int = 0):
     """Serve a request on a host with the configuration ``VERSION``."""
     clock = FakeClock()
     route = RouteRule(
@@ -49,19 +63,25 @@
     )
     index = RouteIndex(Configuration(version=VERSION, routes=(route,)))
     delivery = Delivery()
+    request = a_request(clock, path=path, relayed=relayed, cancellation=Cancellation())
+    guard = a_guard(clock)
+    for number in range(crashes):
+        guard.record_crash(
+            CrashReport(
+                instance=f"i-{number}", born_ms=1, requests=(digest_of(request),)
+            )
+        )
     service = GatewayService(
         index=lambda: index,
         copy_age=lambda: 0.0,
         permits=None,
         delivery=delivery,
         relay=SimpleNamespace(is_needed=False),
+        guard=guard,
         clock=clock,
         random=Random(1),
         metrics=Metrics(process="h"),
     )
-    request: GatewayRequest = a_request(
-        clock, path=path, relayed=relayed, cancellation=Cancellation()
-    )
     return service.serve(request).outcome, delivery
 
 
@@ -85,3 +105,12 @@
     _, unlimited = serve("/known/x", None)
     assert delivery.delivered[0].route.attempts == 1
     assert unlimited.delivered[0].route.attempts == 2
+
+
+@pytest.mark.parametrize("relayed", [None, RelayTerms(version=VERSION, attempts=1)])
+def test_a_request_that_crashes_targets_is_refused_before_it_takes_a_permit(relayed):
+    outcome, delivery = serve("/known/x", relayed, crashes=AMBIGUOUS_CRASHES)
+    refusal = outcome.err_value
+    assert (refusal.kind, refusal.ran) == (RefusalKind.QUARANTINED, RunStatus.NOT_RUN)
+    assert refusal.retry_after > 0
+    assert delivery.delivered == []
