Borrow permits from one control host of each domain

Each control host mints the whole share of its domain, and a domain borrowed from all control hosts, those of its own domain included. Rates of organisations were exceeded in the same way, by the same loans.

A domain now borrows from the one control host of each other domain that the entry hosts there ask first, and none of its own. While a host can't reach that one it uses another, which then has one burst more to give.

--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -26,6 +26,7 @@
 from chicoryhold.control.storage import Storage, open_storage, read_identity
 from chicoryhold.hosts.actors import forward_to, running_actor
 from chicoryhold.hosts.bus import Bus, running_bus
+from chicoryhold.limits.lenders import lenders
 from chicoryhold.limits.messages import PermitLoan, PermitLoanRequest, PermitRequest
 from chicoryhold.limits.permit_actor import PermitActor
 from chicoryhold.limits.permits import Allowance, PermitAllocator
@@ -206,11 +207,6 @@
         clock=clock,
     )
 
-    def lenders() -> tuple[str, ...]:
-        return tuple(
-            host.name for host in registry.control_hosts if host.name != settings.name
-        )
-
     return PermitActor.start(
         allocator=allocator,
         target_allocator=TargetPermitAllocator(
@@ -218,7 +214,7 @@
         ),
         bus=bus,
         clock=clock,
-        peers=lenders,
+        peers=lambda: lenders(registry.control_hosts, domain=settings.domain),
         knows_limits=lambda: replica.copy_confirmed_at > float("-inf"),
     )
 
--- a/tests/fleet_permits.py
+++ b/tests/fleet_permits.py
@@ -8,26 +8,42 @@
 
 from chicoryhold.hosts.actors import PeerRequest
 from chicoryhold.limits.control_host_calls import PermitSources
+from chicoryhold.limits.lenders import lenders
 from chicoryhold.limits.permit_actor import PermitActor
 from chicoryhold.limits.permits import PermitAllocator
 from chicoryhold.limits.target_permit_client import TargetPermitClient
 from chicoryhold.limits.target_permits import TargetPermitAllocator
+from chicoryhold.membership.messages import ControlHost
 from chicoryhold.metrics import Metrics
 from tests.conftest import FakeClock
 
 
 class FleetPermits:
-    """One control host in each domain. Messages to those in ``down`` are lost."""
+    """Control hosts of each domain. Messages to those in ``down`` are lost.
 
-    def __init__(self, *, clock: FakeClock, domains: tuple[str, ...]) -> None:
+    The first one of a domain has the domain's name.
+    """
+
+    def __init__(
+        self, *, clock: FakeClock, domains: tuple[str, ...], hosts_per_domain: int = 1
+    ) -> None:
         self.clock = clock
         self.domains = domains
         self.down: set[str] = set()
         self.messages = 0
-        self.actors = {domain: self.start(domain) for domain in domains}
+        self.control_hosts = tuple(
+            ControlHost(name=domain + "+" * number, domain=domain, region="r")
+            for domain in domains
+            for number in range(hosts_per_domain)
+        )
+        self.actors = {
+            host.name: self.start(host.name, domain=host.domain)
+            for host in self.control_hosts
+        }
 
-    def start(self, domain: str) -> PermitActor:
+    def start(self, name: str, *, domain: str = "") -> PermitActor:
         """Return the actor of a control host that has just started."""
+        domain = domain or name
         return PermitActor(
             allocator=PermitAllocator(
                 domains=len(self.domains),
@@ -37,9 +53,9 @@
             target_allocator=TargetPermitAllocator(
                 domain=domain, domains=self.domains, clock=self.clock
             ),
-            bus=_Bus(fleet=self, sender=domain),
+            bus=_Bus(fleet=self, sender=name),
             clock=self.clock,
-            peers=lambda: tuple(each for each in self.domains if each != domain),
+            peers=lambda: lenders(self.control_hosts, domain=domain),
             knows_limits=lambda: True,
         )
 
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -39,11 +39,16 @@
     """Hosts that know the limits of targets, and send requests to them."""
 
     def __init__(
-        self, *, hosts: int, targets: int, rates: dict[str, float], seed: int = 1
-    ) -> None:
+        self, *, hosts: int, targets: int, rates: dict[str, float], seed: int = 1,
+        control_hosts_per_domain: int = 1, domains: tuple[str, ...] = DOMAINS,
+    ) -> None:  # fmt: skip
         self.clock = FakeClock()
         self.random = Random(seed)
-        self.permits = FleetPermits(clock=self.clock, domains=DOMAINS)
+        self.permits = FleetPermits(
+            clock=self.clock,
+            domains=domains,
+            hosts_per_domain=control_hosts_per_domain,
+        )
         self.records = [target(n, "north-a") for n in range(targets)]
         self.hosts = [self.start(n, rates) for n in range(hosts)]
         self.sent: dict[str, list[float]] = {}
@@ -102,6 +107,20 @@
     assert most_in_a_window(fleet.sent["i-0"]) <= allowed(4.0)
 
 
+@pytest.mark.parametrize("rate", [4.0, 9.9, 60.0])
+def test_several_control_hosts_in_each_domain_grant_no_more_than_one(rate):
+    fleet = Fleet(
+        hosts=182,
+        targets=1,
+        rates={"i-0": rate},
+        control_hosts_per_domain=2,
+        domains=(*DOMAINS, "east-a", "east-b", "east-c"),
+    )
+    fleet.run(20, per_second=300)
+    assert most_in_a_window(fleet.sent["i-0"]) <= allowed(rate)
+    assert len(fleet.sent["i-0"]) <= rate * 20 + 2 * rate + EXTRA_REQUESTS
+
+
 def test_hosts_that_have_just_started_are_bound_by_the_limits_that_others_know():
     fleet = Fleet(hosts=27, targets=1, rates={"i-0": 4.0})
     fleet.run(4, per_second=100)
