Send no request again that has crashed three targets, on the own interface

Each entry host now tells all others which requests ran at a target when it ended, and each decides by the same evidence. Grants name the target's process, so a newer one at the same address shows that the former has ended.

The simulated target can crash for some seconds and keep its record; the load tool sends headers and checks that no request reaches targets more than three times once its third crash is known. The metrics of this part are exported beside the existing meter.

--- a/features/promise_08_not_run.feature
+++ b/features/promise_08_not_run.feature
@@ -43,3 +43,12 @@
     When "clinic" pays with key "a" and its secret in the body
     Then it is refused as "bad_request" and "unknown"
     And the request ran once
+
+  @promise_08
+  Scenario: A request that crashes targets is refused by every host after three of them
+    When "clinic" sends "GET /slots/1" that crashes targets until every host refuses it
+    Then it crashed at most 5 targets
+    And no host sent it 2 s after the third crash
+    And every refusal of the last round was "quarantined" and "not_run"
+    When "clinic" keeps sending "GET /slots/2" until answered
+    Then the answer is 200
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -11,7 +11,7 @@
 import urllib3
 from behave import given, then, when
 
-from chicoryhold.load.target_rules import check_limit
+from chicoryhold.load.target_rules import check_crashes, check_limit
 from chicoryhold.trial.caller import Caller, Response
 from chicoryhold.trial.fleet import wait_until
 from features.support import (
@@ -437,6 +437,55 @@
     wait_until(lambda: pay(context, name, text).refused, what="a refusal", timeout=20)
 
 
+@when(
+    '"{name:Quoted}" sends "{request:Quoted}" that crashes targets until every host '
+    "refuses it"
+)
+def step_send_deadly(context, name, request):
+    hosts = [
+        host
+        for host, member in context.fleet.members.items()
+        if "callers" in member.addresses
+    ]
+
+    def send_to_all():
+        context.last_round = [
+            send(context, name, request, host=host, headers={"Trial": "crash 0.5"})
+            for host in hosts
+        ]
+        return all(each.refused == "quarantined" for each in context.last_round)
+
+    wait_until(send_to_all, what="a refusal by every host", timeout=30)
+    for target in list_targets(context):
+        context.fleet.wait_target_listening(target)
+
+
+@then("it crashed at most {count:d} targets")
+def step_crashed(context, count):
+    result = check_crashes(deadly_runs(context), known_seconds=0.0)
+    assert 3 <= result.crashes <= count, result
+
+
+@then("no host sent it {seconds:d} s after the third crash")
+def step_not_sent_again(context, seconds):
+    result = check_crashes(deadly_runs(context), known_seconds=float(seconds))
+    assert result.is_kept and not result.late_retries, result
+
+
+@then('every refusal of the last round was "{kind:Quoted}" and "{ran:Quoted}"')
+def step_last_round(context, kind, ran):
+    kinds = {(each.refused, each.ran) for each in context.last_round}
+    assert kinds == {(kind, ran)}, kinds
+
+
+def deadly_runs(context):
+    return [
+        request["at"]
+        for request in executed_requests(context)
+        if context.marker in request["path"]
+    ]
+
+
 @when('every target of "{service:Quoted}" names a limit of {rate:d}')
 def step_name_limit(context, service, rate):
     context.limit_named_at = time.monotonic()
--- a/src/chicoryhold/callers/forwarding.py
+++ b/src/chicoryhold/callers/forwarding.py
@@ -8,9 +8,16 @@
 from chicoryhold.callers.granted_targets import GrantedTargets
 from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
 from chicoryhold.clock import Clock
-from chicoryhold.errors import ConnectFailed, ExchangeFailed, InvalidResponse
+from chicoryhold.errors import (
+    ConnectFailed,
+    ExchangeFailed,
+    ExchangeTimeout,
+    InvalidResponse,
+)
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.hosts.messages import Admit, Admitted, NotAdmitted
+from chicoryhold.quarantine.crash_watch import CrashWatch
+from chicoryhold.quarantine.guard import RequestGuard
 from chicoryhold.routing.stated_limits import RateStatement, parse_rate
 from chicoryhold.steering.admission_client import AdmissionClient
 from chicoryhold.steering.retry_budget import RetryBudget
@@ -32,12 +39,23 @@
 
 @attrs.frozen(kw_only=True)
 class ForwardedRequest:
-    """An authorized request. ``deadline`` is a time on the clock of this host."""
+    """An authorized request. ``deadline`` is a time on the clock of this host.
+
+    ``digest`` names the request when it comes again.
+    """
 
     organisation: str
     service: str
     request: OutgoingRequest
     deadline: float
+    digest: bytes
+
+
+@attrs.frozen(kw_only=True)
+class _GrantedProcess:
+    instance: str
+    address: str
+    born_ms: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -58,8 +76,10 @@
     def __init__(
         self, *, admission: AdmissionClient, connections: TargetConnections,
         shifts: ShiftChooser, reachability: TargetReachability,
-        granted: GrantedTargets, clock: Clock,
+        granted: GrantedTargets, crashes: CrashWatch, guard: RequestGuard, clock: Clock,
     ) -> None:  # fmt: skip
+        self._crashes = crashes
+        self._guard = guard
         self._reachability = reachability
         self._granted = granted
         self._next_trial_at = float("-inf")
@@ -112,6 +132,7 @@
         state.attempts += 1
         state.tried_addresses += (reply.address,)
         self._granted.add(reply.address, service=forwarded.service)
+        self._crashes.record_targets((_process_of(reply),))
         return self._exchange(forwarded, reply, state)
 
     def _admit_shifted(
@@ -146,6 +167,8 @@
             latency = self._clock.now() - started
             ok = response.status < 500
             limit = _stated_limit(response)
+            if not _is_shed(response):
+                self._guard.record_success(forwarded.digest)
         except ConnectFailed as error:
             latency = self._failure_latency(started)
             return Err(_failure(RefusalKind.NO_TARGET, RunStatus.NOT_RUN, error))
@@ -154,11 +177,16 @@
             return Err(_failure(RefusalKind.ANSWER_BROKEN, RunStatus.UNKNOWN, error))
         except ExchangeFailed as error:
             latency = self._failure_latency(started)
+            if not isinstance(error, ExchangeTimeout):
+                self._record_lost(forwarded, admitted)
             return Err(_failure(RefusalKind.TIMED_OUT, RunStatus.UNKNOWN, error))
         finally:
             self._admission.release(admitted.grant, ok=ok, latency=latency, limit=limit)
         return _refusal_if_shed(response)
 
+    def _record_lost(self, forwarded: ForwardedRequest, admitted: Admitted) -> None:
+        self._crashes.record_lost(_process_of(admitted), forwarded.digest)
+
     def _failure_latency(self, started: float) -> float | None:
         """Return the latency of a failure, or ``None`` if it may be this host's own."""
         if self._reachability.needs_probe:
@@ -187,9 +215,19 @@
         not_run = outcome.err_value.ran is RunStatus.NOT_RUN
         if forwarded.request.at_most_once and not not_run:
             return False
+        if self._guard.refusal(forwarded.digest) is not None:
+            return False
+        if not not_run and not self._guard.may_retry(forwarded.digest):
+            return False
         return self._retry_budget.spend()
 
 
+def _process_of(admitted: Admitted) -> _GrantedProcess:
+    # A coordinator of an older build doesn't name the process.
+    instance = admitted.instance or admitted.address
+    return _GrantedProcess(instance=instance, address=admitted.address)
+
+
 def _stated_limit(response: TargetResponse) -> RateStatement | None:
     """Return what the answer says of the target's limit; ``None`` for nothing.
 
@@ -201,10 +239,14 @@
     return None if is_failure and statement == RateStatement() else statement
 
 
-def _refusal_if_shed(response: TargetResponse) -> Result[TargetResponse, Refusal]:
-    """Return a refusal if the target shed the request and says that it did not run."""
+def _is_shed(response: TargetResponse) -> bool:
+    """Whether the target shed the request and says that it did not run."""
     headers = {name.lower(): value for name, value in response.headers}
-    if response.status != SHED_STATUS or headers.get(RAN_HEADER.lower()) != "no":
+    return response.status == SHED_STATUS and headers.get(RAN_HEADER.lower()) == "no"
+
+
+def _refusal_if_shed(response: TargetResponse) -> Result[TargetResponse, Refusal]:
+    if not _is_shed(response):
         return Ok(response)
     message = "the target is overloaded: send the request again later"
     return Err(
--- a/src/chicoryhold/callers/service.py
+++ b/src/chicoryhold/callers/service.py
@@ -20,6 +20,8 @@
 from chicoryhold.clock import Clock
 from chicoryhold.control.follower import Follower
 from chicoryhold.hosts.messages import StoredAnswer
+from chicoryhold.quarantine.digest import request_digest
+from chicoryhold.quarantine.guard import RequestGuard
 from chicoryhold.state.table import Route
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
 
@@ -43,15 +45,27 @@
     timeout: float
     deadline: float
 
+    @property
+    def digest(self) -> bytes:
+        """Names the request when it comes again."""
+        return request_digest(
+            method=self.caller.method,
+            host="",
+            target=self.caller.request_target,
+            key=self.caller.key,
+            body=self.caller.body,
+        )
+
 
 class CallerService:
     """Handles callers' requests. Thread-safe."""
 
     def __init__(
         self, *, follower: Follower, authenticator: Authenticator,
-        claims: ClaimClient, forwarder: Forwarder, clock: Clock,
+        claims: ClaimClient, forwarder: Forwarder, guard: RequestGuard, clock: Clock,
         observe: RequestObserver,
     ) -> None:  # fmt: skip
+        self._guard = guard
         self._follower = follower
         self._authenticator = authenticator
         self._claims = claims
@@ -108,6 +122,9 @@
         return outcome
 
     def _run(self, authorized: _AuthorizedRequest) -> Outcome:
+        quarantined = self._guard.refusal(authorized.digest)
+        if quarantined is not None:
+            return Err(quarantined)
         if authorized.route.repeatable or authorized.caller.idempotency_key is None:
             return self._forwarder.run(self._forwarded_request(authorized))
         return self._run_at_most_once(authorized)
@@ -131,6 +148,7 @@
             service=authorized.route.service,
             request=request,
             deadline=authorized.deadline,
+            digest=authorized.digest,
         )
 
     # Requests that may run at most once
--- a/src/chicoryhold/hosts/messages.py
+++ b/src/chicoryhold/hosts/messages.py
@@ -211,12 +211,14 @@
 class Admitted:
     """Grants a slot on the target at ``address`` until it is released.
 
-    ``waited`` is how long the coordinator queued the request, in seconds.
+    ``waited`` is how long the coordinator queued the request, in seconds; ``instance``
+    names the target's process.
     """
 
     grant: str
     address: str
     waited: float
+    instance: str = ""
 
 
 @message
--- a/src/chicoryhold/load/experiment.py
+++ b/src/chicoryhold/load/experiment.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import attrs
 from attrs.validators import ge, gt
 
@@ -20,6 +22,7 @@
     path: str
     body: str = ""
     rate: float = attrs.field(validator=gt(0))
+    headers: Mapping[str, str] = {}
     surge: float = attrs.field(default=1.0, validator=ge(0))
     surge_from: float = 0.0
     surge_to: float = 0.0
@@ -41,13 +44,22 @@
     rate: float = attrs.field(validator=ge(0))
 
 
+@attrs.frozen(kw_only=True)
+class CrashingRequest:
+    """A request that crashes the simulated targets at ``addresses``, by its path."""
+
+    path: str
+    addresses: tuple[str, ...]
+
+
 @attrs.frozen(kw_only=True)
 class Experiment:
     """A load experiment.
 
     The entry hosts are looked up at ``known_host``. ``scale`` is a note on the size of
     the experiment, copied into the results. All hosts must keep the limits of
-    ``limited_targets`` ``limit_known_seconds`` after these were first named.
+    ``limited_targets`` ``limit_known_seconds`` after these were first named, and send
+    no ``crashing_requests`` as long after the third crash.
     """
 
     seed: int
@@ -57,4 +69,5 @@
     scale: str = ""
     traffic: tuple[Traffic, ...]
     limited_targets: tuple[LimitedTarget, ...] = ()
+    crashing_requests: tuple[CrashingRequest, ...] = ()
     limit_known_seconds: float = attrs.field(default=4.0, validator=ge(0))
--- a/src/chicoryhold/load/runner.py
+++ b/src/chicoryhold/load/runner.py
@@ -21,8 +21,13 @@
 from hdrh.histogram import HdrHistogram
 
 from chicoryhold.errors import ExperimentError
-from chicoryhold.load.experiment import Experiment, LimitedTarget, Traffic
-from chicoryhold.load.target_rules import check_limit
+from chicoryhold.load.experiment import (
+    CrashingRequest,
+    Experiment,
+    LimitedTarget,
+    Traffic,
+)
+from chicoryhold.load.target_rules import check_crashes, check_limit
 
 MAX_LATENCY_MICROSECONDS = 60_000_000
 SIGNIFICANT_DIGITS = 3
@@ -66,6 +71,16 @@
     allowed: float
 
 
+@attrs.frozen(kw_only=True)
+class CrashingRequestResult:
+    """How often a request crashed targets; see ``load/target_rules.py``."""
+
+    path: str
+    crashes: int
+    late_retries: int
+    is_kept: bool
+
+
 @attrs.frozen(kw_only=True)
 class OrganisationResult:
     """One organisation's results, with latency percentiles in milliseconds."""
@@ -136,6 +151,27 @@
             self._check_target(limited) for limited in self._experiment.limited_targets
         ]
 
+    def check_crashing_requests(self) -> list[CrashingRequestResult]:
+        """Check the requests of the experiment that crash targets, after a run."""
+        return [
+            self._check_crashes(each) for each in self._experiment.crashing_requests
+        ]
+
+    def _check_crashes(self, crashing: CrashingRequest) -> CrashingRequestResult:
+        runs = [
+            request["at"]
+            for address in crashing.addresses
+            for request in self._ask_target(address, "/trial/seen").json()["requests"]
+            if request["path"] == crashing.path
+        ]
+        result = check_crashes(runs, known_seconds=self._experiment.limit_known_seconds)
+        return CrashingRequestResult(
+            path=crashing.path,
+            crashes=result.crashes,
+            late_retries=result.late_retries,
+            is_kept=result.is_kept,
+        )
+
     def name_limits(self) -> None:
         """Let the experiment's simulated targets name their limits from now on."""
         for limited in self._experiment.limited_targets:
@@ -176,7 +212,9 @@
 
     def _send(self, arrival: Arrival, host: str, started: float) -> None:
         traffic = arrival.traffic
-        headers = {"Chicoryhold-Key": traffic.key} if traffic.key else {}
+        headers = dict(traffic.headers)
+        if traffic.key:
+            headers["Chicoryhold-Key"] = traffic.key
         try:
             response = self._pool.request(
                 traffic.method,
--- a/src/chicoryhold/metrics.py
+++ b/src/chicoryhold/metrics.py
@@ -56,10 +56,14 @@
         self._serves_existing = False
 
     @classmethod
-    def for_existing_meter(cls) -> Metrics:
-        """Return an instance that serves the instruments of an existing meter."""
+    def for_existing_meter(cls, meter: Meter | None = None) -> Metrics:
+        """Return an instance that also serves the instruments of an existing meter.
+
+        What is recorded here is exported through ``meter``.
+        """
         metrics = cls(process="")
         metrics._serves_existing = True
+        metrics._meter = meter
         return metrics
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
@@ -90,6 +94,7 @@
         with self._lock:
             if not self._serves_existing:
                 self._meter = self._meter or create_meter(self._process)
+            if self._meter is not None:
                 self._export_to(self._meter)
         return CONTENT_TYPE_LATEST, generate_latest(REGISTRY)
 
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -6,10 +6,11 @@
 import time
 from collections.abc import Iterator
 from concurrent.futures import Future
-from contextlib import ExitStack, contextmanager
+from contextlib import AbstractContextManager, ExitStack, contextmanager
 from functools import partial
 from pathlib import Path
 from random import Random
+from typing import TYPE_CHECKING
 
 import attrs
 import pykka
@@ -53,7 +54,8 @@
 from chicoryhold.http_server import serve_http
 from chicoryhold.limits.domain_limits import DomainLimits
 from chicoryhold.logs import configure_text_logging
-from chicoryhold.metrics import create_meter, serve_metrics
+from chicoryhold.metrics import Metrics, create_meter, serve_metrics
+from chicoryhold.programs.entry_quarantine import EntryQuarantine, running_quarantine
 from chicoryhold.programs.running import run_program
 from chicoryhold.programs.signals import stop_signals
 from chicoryhold.settings import EntrySettings, load_settings
@@ -67,6 +69,9 @@
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.probe import probe_addresses
 
+if TYPE_CHECKING:
+    from opentelemetry.metrics import Meter
+
 USAGE = """Runs one entry host.
 
 usage: %s --settings=FILE
@@ -139,6 +144,8 @@
     hosts: dict[str, tuple[str, ...]]
     reachability: TargetReachability
     granted: GrantedTargets
+    meter: Meter
+    metrics: Metrics
 
     @property
     def replicas(self) -> dict[str, tuple[str, ...]]:
@@ -157,6 +164,7 @@
     with ExitStack() as stack:
         bus = stack.enter_context(running_bus(_create_bus(settings)))
         context = _create_context(settings, bus)
+        quarantine = stack.enter_context(_running_quarantine(context))
         admission = AdmissionClient(
             bus=bus, view=context.view, clock=context.clock, domains=context.replicas
         )
@@ -178,7 +186,7 @@
         )
         stack.enter_context(running_actor(heartbeats, interval=HEARTBEAT_TICK_SECONDS))
         stack.enter_context(_create_prober(context).running())
-        app = _create_app(context, admission)
+        app = _create_app(context, admission, quarantine)
         stack.enter_context(
             serve_http(
                 app,
@@ -189,7 +197,9 @@
         )
         stack.enter_context(
             serve_metrics(
-                settings.metrics_address, lambda: _unready_reason(context, voter)
+                settings.metrics_address,
+                lambda: _unready_reason(context, voter),
+                context.metrics,
             )
         )
         logger.info("entry: host {} of {} is up.", settings.name, settings.domain)
@@ -216,6 +226,7 @@
     clock = BootClock()
     hosts = {name: tuple(domain.hosts) for name, domain in settings.domains.items()}
     replicas = hosts[settings.domain][:REPLICAS_PER_DOMAIN]
+    meter = create_meter(settings.name)
     return _HostContext(
         settings=settings,
         bus=bus,
@@ -225,6 +236,20 @@
         hosts=hosts,
         reachability=TargetReachability(clock=clock),
         granted=GrantedTargets(clock=clock),
+        meter=meter,
+        metrics=Metrics.for_existing_meter(meter),
+    )
+
+
+def _running_quarantine(
+    context: _HostContext,
+) -> AbstractContextManager[EntryQuarantine]:
+    return running_quarantine(
+        context.settings,
+        bus=context.bus,
+        clock=context.clock,
+        metrics=context.metrics,
+        is_cut_off=lambda: context.reachability.is_cut_off,
     )
 
 
@@ -329,7 +354,9 @@
     )
 
 
-def _create_app(context: _HostContext, admission: AdmissionClient) -> CallerApp:
+def _create_app(
+    context: _HostContext, admission: AdmissionClient, quarantine: EntryQuarantine
+) -> CallerApp:
     authenticator = Authenticator(
         follower=context.follower, view=context.view, clock=context.clock
     )
@@ -350,14 +377,17 @@
         ),
         reachability=context.reachability,
         granted=context.granted,
+        crashes=quarantine.crashes,
+        guard=quarantine.guard,
         clock=context.clock,
     )
-    metrics = RequestMetrics(meter=create_meter(context.settings.name))
+    metrics = RequestMetrics(meter=context.meter)
     service = CallerService(
         follower=context.follower,
         authenticator=authenticator,
         claims=ClaimClient(bus=context.bus, clock=context.clock, domains=context.hosts),
         forwarder=forwarder,
+        guard=quarantine.guard,
         clock=context.clock,
         observe=metrics.observe,
     )
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Callable, Iterable, Iterator
-from concurrent.futures import Executor, ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
 from random import Random
 from typing import Protocol
@@ -40,7 +39,7 @@
 )
 from chicoryhold.programs.host_bus import create_bus
 from chicoryhold.programs.host_settings import GatewaySettings
-from chicoryhold.quarantine.crash_watch import CrashWatch
+from chicoryhold.quarantine.crash_watch import CrashWatch, crash_check_threads
 from chicoryhold.quarantine.evidence import AMBIGUOUS_CRASHES, CrashEvidence
 from chicoryhold.quarantine.guard import RequestGuard
 from chicoryhold.routing.route_index import RouteIndex
@@ -54,7 +53,6 @@
 PRESENCE_TICK_SECONDS = 0.1
 FETCH_TIMING = FetchTiming(timeout=0.9, stale_age=1.2, retry_delay=0.05)
 DOMAIN_ROUND_TRIP_SECONDS = 0.001
-CRASH_CHECK_THREADS = 2
 INITIAL_REGION_ROUND_TRIP_SECONDS = 0.1  # used until one has been measured
 
 
@@ -224,7 +222,7 @@
         )
         crashes = CrashWatch(
             on_crash=guard.record_crash,
-            executor=stack.enter_context(_crash_check_threads()),
+            executor=stack.enter_context(crash_check_threads()),
             clock=clock,
             metrics=metrics,
             is_cut_off=lambda: links.reachability.is_cut_off,
@@ -288,16 +286,6 @@
         bus.tell(name, message)
 
 
-@contextmanager
-def _crash_check_threads() -> Iterator[Executor]:
-    """Run checks of targets on threads that the stop doesn't wait for."""
-    executor = ThreadPoolExecutor(CRASH_CHECK_THREADS, thread_name_prefix="crash")
-    try:
-        yield executor
-    finally:
-        executor.shutdown(wait=False, cancel_futures=True)
-
-
 def _host_location(settings: GatewaySettings) -> HostLocation:
     return HostLocation(
         host=settings.name,
--- a/src/chicoryhold/programs/load.py
+++ b/src/chicoryhold/programs/load.py
@@ -36,7 +36,13 @@
     runner.name_limits()
     results = [attrs.asdict(row) for row in runner.run()]
     targets = [attrs.asdict(row) for row in runner.check_targets()]
-    fields = {"scale": experiment.scale, "results": results, "targets": targets}
+    crashing = [attrs.asdict(row) for row in runner.check_crashing_requests()]
+    fields = {
+        "scale": experiment.scale,
+        "results": results,
+        "targets": targets,
+        "crashing_requests": crashing,
+    }
     if _JSON.value:
         print(json.dumps(fields))
     else:
--- a/src/chicoryhold/quarantine/crash_watch.py
+++ b/src/chicoryhold/quarantine/crash_watch.py
@@ -5,8 +5,10 @@
 import socket
 import threading
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
-from concurrent.futures import Executor
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import Executor, ThreadPoolExecutor
+from contextlib import contextmanager
+from typing import Protocol
 
 import attrs
 from loguru import logger
@@ -15,10 +17,10 @@
 from chicoryhold.metrics import Metrics
 from chicoryhold.quarantine.digest import loggable
 from chicoryhold.quarantine.messages import CrashReport
-from chicoryhold.state.targets import TargetRecord
 from chicoryhold.targets.address import parse_address
 
 CHECK_TIMEOUT_SECONDS = 0.4
+CHECK_THREADS = 2
 # A target that ended and wasn't found so may be replaced by a new process until then.
 REPLACEMENT_SECONDS = 5.0
 MAX_WATCHED_TARGETS = 256
@@ -44,6 +46,19 @@
         return False
 
 
+class TargetProcess(Protocol):
+    """A process of a target; ``born_ms`` tells it from earlier ones, if known."""
+
+    @property
+    def instance(self) -> str: ...
+
+    @property
+    def address(self) -> str: ...
+
+    @property
+    def born_ms(self) -> int: ...
+
+
 @attrs.define(kw_only=True)
 class _Loss:
     """The requests that ran at a target when its connections ended."""
@@ -77,7 +92,7 @@
         self._losses: OrderedDict[tuple[str, int], _Loss] = OrderedDict()
         self._lock = threading.Lock()
 
-    def record_lost(self, target: TargetRecord, request: bytes) -> None:
+    def record_lost(self, target: TargetProcess, request: bytes) -> None:
         """Note that a connection to ``target`` ended while ``request`` ran there."""
         key = (target.instance, target.born_ms)
         now = self._clock.now()
@@ -95,7 +110,7 @@
         elif is_new:
             self._executor.submit(self._check, key, target.address)
 
-    def record_targets(self, targets: Iterable[TargetRecord]) -> None:
+    def record_targets(self, targets: Iterable[TargetProcess]) -> None:
         """Note which targets exist; a newer process shows that the former has ended."""
         now = self._clock.now()
         with self._lock:
@@ -108,8 +123,12 @@
             return
         for target in targets:
             for (instance, born_ms), address in unclear.items():
-                is_successor = instance == target.instance or address == target.address
-                if is_successor and target.born_ms > born_ms:
+                is_same_instance = instance == target.instance
+                if (is_same_instance and target.born_ms > born_ms) or (
+                    not is_same_instance
+                    and address == target.address
+                    and target.born_ms >= born_ms
+                ):
                     self._confirm((instance, born_ms))
 
     def _check(self, key: tuple[str, int], address: str) -> None:
@@ -136,3 +155,13 @@
                 instance=instance, born_ms=born_ms, requests=tuple(sorted(requests))
             )
         )
+
+
+@contextmanager
+def crash_check_threads() -> Iterator[Executor]:
+    """Run the checks of a ``CrashWatch`` on threads that the stop doesn't wait for."""
+    executor = ThreadPoolExecutor(CHECK_THREADS, thread_name_prefix="crash")
+    try:
+        yield executor
+    finally:
+        executor.shutdown(wait=False, cancel_futures=True)
--- a/src/chicoryhold/steering/coordinator.py
+++ b/src/chicoryhold/steering/coordinator.py
@@ -355,7 +355,10 @@
         )
         self._targets.acquire_slot(target)
         answer = Admitted(
-            grant=grant, address=target.address, waited=now - pending.arrived_at
+            grant=grant,
+            address=target.address,
+            waited=now - pending.arrived_at,
+            instance=target.instance,
         )
         self._effects.append(AnswerRequest(ticket=pending.ticket, answer=answer))
         return True
--- a/src/chicoryhold/trial/target.py
+++ b/src/chicoryhold/trial/target.py
@@ -2,17 +2,21 @@
 
 The request header ``Trial`` selects a fault: ``short`` or ``long`` (the body is shorter
 or longer than its Content-Length), ``swapped`` (a wrong request ID), ``silent`` (no
-response), ``die`` (the process exits), ``shed`` (refused, not run), ``error`` (status
-500) or ``slow SECONDS``. ``GET /trial/seen``, sent directly to the target, returns all
-requests that ran here. ``GET /trial/limit/RATE`` makes each later answer name this
-limit, and without a rate none again.
+response), ``die`` (the process exits), ``crash SECONDS`` (all connections end, the port
+refuses new ones for this long, then a new instance announces itself), ``shed``
+(refused, not run), ``error`` (status 500) or ``slow SECONDS``. ``GET /trial/seen``,
+sent directly to the target, returns all requests that ran here, also those before a
+crash. ``GET /trial/limit/RATE`` makes each later answer name this limit, and without a
+rate none again.
 """
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import signal
+import socket
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -31,6 +35,7 @@
 LIMIT_PATH = "/trial/limit/"
 ANNOUNCE_INTERVAL_SECONDS = 0.5
 ANNOUNCE_TIMEOUT_SECONDS = 3.0
+CRASH_CHECK_INTERVAL_SECONDS = 0.02
 
 _SERVICE = flags.DEFINE_string("service", "menus", "The service that it provides.")
 _ADDRESS = flags.DEFINE_string("address", "127.0.0.1:0", "The listening address.")
@@ -126,6 +131,10 @@
             time.sleep(3600)
         if fault == "die":
             os._exit(1)
+        if fault == "crash":
+            self.server.crash(float(value))
+            self.close_connection = True
+            return
         if fault == "short":
             self._respond(200, body, content_length=len(body) + 10)
             self.close_connection = True
@@ -166,6 +175,38 @@
         self._respond(200, json.dumps(request_log).encode())
 
 
+class _Server(ThreadingHTTPServer):
+    """Accepts requests until it crashes; ``down_seconds`` is how long it stays down."""
+
+    daemon_threads = True
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        super().__init__(address, _Handler)
+        self.crashed = threading.Event()
+        self.down_seconds = 0.0
+        self._sockets: set[socket.socket] = set()
+
+    def get_request(self) -> tuple[socket.socket, object]:
+        connection, address = super().get_request()
+        self._sockets.add(connection)
+        return connection, address
+
+    def close_request(self, request: socket.socket) -> None:
+        self._sockets.discard(request)
+        super().close_request(request)
+
+    def crash(self, seconds: float) -> None:
+        """Stop listening and end all connections, as when the process crashes."""
+        self.down_seconds = seconds
+        # Closing alone would have no effect while another thread waits for it.
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+        for connection in list(self._sockets):
+            with contextlib.suppress(OSError):  # its caller has closed it
+                connection.shutdown(socket.SHUT_RDWR)
+        self.crashed.set()
+
+
 class _Announcer:
     """Renews the target's announcement at the first entry host that accepts it."""
 
@@ -215,14 +256,28 @@
 
 def _main(arguments: list[str]) -> None:
     host, _, port = _ADDRESS.value.rpartition(":")
-    server = ThreadingHTTPServer((host, int(port)), _Handler)
-    server.daemon_threads = True
-    threading.Thread(target=server.serve_forever, daemon=True).start()
     stopping = threading.Event()
     signal.signal(signal.SIGTERM, lambda number, frame: stopping.set())
-    announcer = _Announcer(f"{host}:{server.server_address[1]}")
-    while not stopping.wait(ANNOUNCE_INTERVAL_SECONDS):
-        announcer.announce(draining=False)
+    address = (host, int(port))
+    while not stopping.is_set():
+        server = _Server(address)
+        address = server.server_address
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        _announce_until_end(server, stopping)
+        stopping.wait(server.down_seconds)
+
+
+def _announce_until_end(server: _Server, stopping: threading.Event) -> None:
+    """Return when the server has crashed, or has drained because of a stop."""
+    host, port = server.server_address[:2]
+    announcer = _Announcer(f"{host}:{port}")
+    next_due = time.monotonic() + ANNOUNCE_INTERVAL_SECONDS
+    while not stopping.wait(CRASH_CHECK_INTERVAL_SECONDS):
+        if server.crashed.is_set():
+            return
+        if time.monotonic() >= next_due:
+            next_due = time.monotonic() + ANNOUNCE_INTERVAL_SECONDS
+            announcer.announce(draining=False)
     while announcer.announce(draining=True):
         time.sleep(0.1)
     time.sleep(_LINGER.value)
--- a/tests/crash_fakes.py
+++ b/tests/crash_fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from concurrent.futures import Executor, Future
 from random import Random
 
@@ -31,10 +32,11 @@
     refusing: set[str] = attrs.field(factory=set)
     reports: list[CrashReport] = attrs.field(factory=list)
     is_cut_off: bool = False
+    on_crash: Callable[[CrashReport], None] | None = None
 
     def watch(self, clock: Clock) -> CrashWatch:
         return CrashWatch(
-            on_crash=self.reports.append,
+            on_crash=self.on_crash or self.reports.append,
             executor=ImmediateExecutor(),
             clock=clock,
             metrics=Metrics(process="test"),
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -42,7 +42,7 @@
 from chicoryhold.state.control_state import ControlState
 from chicoryhold.targets.dialect import OWN_DIALECT
 from tests.conftest import FakeClock
-from tests.crash_fakes import CrashedTargets
+from tests.crash_fakes import CrashedTargets, a_guard
 from tests.test_control_state import HEADING, change
 from tests.test_target_choice import FakePermits
 
@@ -219,6 +219,7 @@
     clock = FakeClock()
     view = DomainView(replicas=("h",), clock=clock)
     service = CallerService(
+        guard=a_guard(clock),
         follower=follower,
         authenticator=Authenticator(follower=follower, view=view, clock=clock),
         claims=None,
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -478,6 +478,8 @@
     clock = BootClock()
     admission = Admission(sick.address, sound.address)
     forwarder = Forwarder(
+        crashes=CrashedTargets().watch(clock),
+        guard=a_guard(clock),
         admission=admission,
         connections=TargetConnections(clock=clock),
         shifts=NoShifts(),
@@ -486,6 +488,7 @@
         clock=clock,
     )
     forwarded = ForwardedRequest(
+        digest=b"digest",
         organisation="o",
         service="menu",
         request=attrs.evolve(an_outgoing_request(), at_most_once=at_most_once),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,21 +4,24 @@
 
 from random import Random
 
+import attrs
 import pytest
 from result import Ok
 
 from chicoryhold.callers.forwarding import ForwardedRequest, Forwarder
 from chicoryhold.callers.granted_targets import GrantedTargets
 from chicoryhold.callers.refusals import RunStatus
-from chicoryhold.errors import ConnectFailed
+from chicoryhold.errors import ConnectFailed, ExchangeFailed
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.target_prober import TargetProber
 from chicoryhold.hosts.messages import Admitted
+from chicoryhold.quarantine.messages import CrashReport, RequestSucceeded
 from chicoryhold.steering.shifts import ShiftChooser
 from chicoryhold.steering.targets import EJECTION_FAILURE_THRESHOLD
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
 from chicoryhold.targets.probe import ProbeOutcome
 from tests.conftest import FakeClock
+from tests.crash_fakes import CrashedTargets, a_guard
 
 OK = TargetResponse(status=200, headers=(), body=b"whole")
 ADDRESSES = tuple(f"10.0.0.{number}:80" for number in range(8))
@@ -61,7 +64,15 @@
             component="entry",
             meanwhile="refusing requests",
         )
+        self.told: list[object] = []
+        self.guard = a_guard(self.clock, told=self.told)
+        self.crashes = attrs.evolve(
+            CrashedTargets(), on_crash=self.guard.record_crash, refusing=set(ADDRESSES)
+        )
+        self.crashes_targets = False
         self.forwarder = Forwarder(
+            crashes=self.crashes.watch(self.clock),
+            guard=self.guard,
             admission=self.admission,
             connections=self,
             shifts=ShiftChooser(
@@ -82,12 +93,14 @@
             self.reachability.record_failure(address)
             raise ConnectFailed("refused")
         self.reachability.record_opened()
+        if self.crashes_targets:
+            raise ExchangeFailed("closed")
         return OK
 
-    def send(self):
+    def send(self, *, at_most_once: bool = True):
         request = OutgoingRequest(
             request_id="r", method="GET", path="/", headers={}, body=b"",
-            at_most_once=True,
+            at_most_once=at_most_once,
         )  # fmt: skip
         outcome = self.forwarder.run(
             ForwardedRequest(
@@ -95,6 +108,7 @@
                 service="menu",
                 request=request,
                 deadline=self.clock.now() + 1,
+                digest=b"digest",
             )
         )
         if self.reachability.needs_probe:
@@ -147,3 +161,25 @@
     host.known_targets_are_gone = True
     outcomes = [host.send() for _ in range(40)]  # in 2 s
     assert Ok(OK) in outcomes
+
+
+def test_a_request_under_which_targets_end_is_reported_and_goes_to_two_of_them(host):
+    host.clock.advance(10.0)
+    host.crashes_targets = True
+    granted = host.admission.granted
+    assert host.send(at_most_once=False).err_value.ran is RunStatus.UNKNOWN
+    assert host.admission.granted - granted == 2
+    assert [type(each) for each in host.told] == [CrashReport, CrashReport]
+    host.crashes_targets = False
+    assert host.send(at_most_once=False) == Ok(OK)
+    assert host.told[-1] == RequestSucceeded(request=b"digest")
+
+
+def test_a_quarantined_request_gets_no_second_target(host):
+    host.clock.advance(10.0)
+    host.crashes_targets = True
+    for _ in range(5):
+        host.send(at_most_once=True)
+    granted = host.admission.granted
+    host.send(at_most_once=False)
+    assert host.admission.granted - granted == 1
