Leave unhealthy targets out when load moves off those with limits

What callers saw: where all targets of a service but one had named limits, everything that these didn't take went to that one from 120 hosts.

Cause: the healthy targets were looked for among those without a limit only. Where fewer than half are healthy all are used, and one alone is never more than half. Health is now that of the whole service. The new test failed before: the ejected target was chosen.

--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -228,9 +228,12 @@
             usable = near if has_local else limited
             return usable, self._fastest(criteria, usable, now)
         if scope is _Scope.ANY_REGION:
-            warm = [view for view in others if not view.is_cold(now)]
-            healthy = without_unhealthy(warm, now)
-            home = self._by_affinity(criteria, healthy)[:1]
+            # Health is that of the service: the last target without a limit would
+            # otherwise get all requests however often it fails.
+            warm = [view for view in allowed if not view.is_cold(now)]
+            healthy = {view.record.instance for view in without_unhealthy(warm, now)}
+            usable = [view for view in others if view.record.instance in healthy]
+            home = self._by_affinity(criteria, usable)[:1]
             return home, self._fastest(criteria, home, now)
         if all(view.record.instance not in rates for view in allowed):
             return self._select(criteria, others, now)
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter
+from collections.abc import Iterator
 from random import Random
 
 import pytest
@@ -13,6 +15,7 @@
 from chicoryhold.routing.selection import Choice, Overloaded
 from chicoryhold.routing.stated_limits import RateStatement, StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
+from chicoryhold.routing.target_view import EJECT_AFTER_FAILURES
 from tests.conftest import FakeClock
 from tests.fleet_permits import FleetPermits
 from tests.test_target_choice import FakePermits, a_chooser, apply, criteria, target
@@ -164,6 +167,32 @@
     assert counts["i-2"] + counts["i-3"] > 850
 
 
+def test_the_last_target_without_a_limit_gets_nothing_while_it_is_ejected():
+    clock = FakeClock()
+    limits = StatedLimits(clock=clock, metrics=Metrics(process="test"))
+    chooser = a_chooser(*["north-a"] * 4, clock=clock, limits=limits)
+    for instance in ("i-0", "i-1", "i-2"):
+        limits.record_answer(chooser.views[instance].record, RateStatement(rate=4.0))
+    (key,) = itertools.islice(keys_that_prefer(chooser, "i-0"), 1)
+    for _ in range(EJECT_AFTER_FAILURES):
+        choice = chooser.choose(criteria(key))
+        assert choice.view.record.instance == "i-3"
+        chooser.record_failure(choice, unreachable=False)
+    for _ in range(20):
+        assert isinstance(chooser.choose(criteria(key)), Overloaded)
+    clock.advance(1.0)
+    assert chooser.choose(criteria(key)).view.record.instance == "i-3"
+
+
+def keys_that_prefer(chooser: TargetChooser, instance: str) -> Iterator[str]:
+    """Yield affinity keys whose preferred target is ``instance``."""
+    for number in itertools.count():
+        request = criteria(f"k{number}")
+        preferred = chooser._by_affinity(request, list(chooser.views.values()))[0]
+        if preferred.record.instance == instance:
+            yield request.affinity_key
+
+
 def test_load_moves_to_other_regions_at_once_before_anything_is_refused():
     clock = FakeClock()
     limits = StatedLimits(clock=clock, metrics=Metrics(process="test"))
