Keep one message from ending one control host after the other

The process exited, the entry host asked the next control host, and so on through all of them. Rates are bounded now, and the actors of permits and presence, whose state stays consistent, log and drop a message that they fail on.

Actors of the replicated log and of claims still exit: their state may be half changed.

--- a/src/chicoryhold/hosts/actors.py
+++ b/src/chicoryhold/hosts/actors.py
@@ -43,6 +43,23 @@
         exit_after_failure("actor", type(self).__name__, exception_value)
 
 
+@contextmanager
+def dropping_bad_messages(request: PeerRequest) -> Iterator[None]:
+    """Log and drop the message of a peer if handling it fails.
+
+    For actors whose state stays consistent then. The peer would send the message to the
+    next host after this one has exited, and so end all of them.
+    """
+    try:
+        yield
+    except Exception as error:
+        logger.opt(exception=error).error(
+            "actor: handling {} failed; dropped the message from {}.",
+            type(request.message).__name__,
+            request.sender,
+        )
+
+
 def forward_to(actor: pykka.ActorRef) -> Callable[[str, object], Future]:
     """Return a bus handler that passes each message to ``actor``."""
 
--- a/src/chicoryhold/limits/permit_actor.py
+++ b/src/chicoryhold/limits/permit_actor.py
@@ -7,7 +7,11 @@
 from loguru import logger
 
 from chicoryhold.clock import Clock
-from chicoryhold.hosts.actors import CriticalActor, PeerRequest
+from chicoryhold.hosts.actors import (
+    CriticalActor,
+    PeerRequest,
+    dropping_bad_messages,
+)
 from chicoryhold.hosts.bus import Bus
 from chicoryhold.limits.messages import (
     UNLIMITED,
@@ -52,6 +56,11 @@
         self._rotation = 0
 
     def on_receive(self, message: object) -> None:
+        if isinstance(message, PeerRequest):
+            with dropping_bad_messages(message):
+                self._on_request(message)
+
+    def _on_request(self, message: PeerRequest) -> None:
         match message:
             case PeerRequest(message=PermitRequest()) if not self._knows_limits():
                 message.reply.set_result(PermitsUnavailable())
--- a/src/chicoryhold/limits/target_permits.py
+++ b/src/chicoryhold/limits/target_permits.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from math import isfinite
+
 import attrs
 
 from chicoryhold.clock import Clock
@@ -27,6 +29,7 @@
 # Even a target that takes nothing gets a request now and then: only an answer shows
 # that its limit has ended.
 MIN_RATE = 0.25  # requests per second
+MAX_RATE = 1e6  # more than any target takes
 FORGET_AFTER_SECONDS = 30.0
 
 
@@ -87,7 +90,8 @@
 
     def _note_rate(self, instance: str, rate: float) -> None:
         now = self._clock.now()
-        self._stated[instance] = _StatedRate(rate=max(MIN_RATE, rate), stated_at=now)
+        rate = min(max(rate, MIN_RATE), MAX_RATE) if isfinite(rate) else MIN_RATE
+        self._stated[instance] = _StatedRate(rate=rate, stated_at=now)
         if now >= self._next_cleanup_at:
             self._next_cleanup_at = now + FORGET_AFTER_SECONDS
             self._forget_unused(now)
--- a/src/chicoryhold/membership/registry_actor.py
+++ b/src/chicoryhold/membership/registry_actor.py
@@ -8,7 +8,12 @@
 from loguru import logger
 
 from chicoryhold.clock import Clock
-from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick
+from chicoryhold.hosts.actors import (
+    CriticalActor,
+    PeerRequest,
+    Tick,
+    dropping_bad_messages,
+)
 from chicoryhold.hosts.bus import Bus
 from chicoryhold.membership.messages import (
     ControlHosts,
@@ -68,6 +73,12 @@
         match message:
             case Tick():
                 self._tick()
+            case PeerRequest():
+                with dropping_bad_messages(message):
+                    self._on_request(message)
+
+    def _on_request(self, message: PeerRequest) -> None:
+        match message:
             case PeerRequest(message=EntryPresence() as presence):
                 self._on_entry_presence(presence, message)
             case PeerRequest(message=WatchQuarantine()):
