Move latency estimates and spillover shares out of target choice

What estimates latency, from round trips and processing times, is now routing/latency.py; which affinity keys leave the region is decided by the spillover controller alone, in place of two places.

--- a/src/chicoryhold/routing/spill.py
+++ b/src/chicoryhold/routing/spill.py
@@ -5,6 +5,8 @@
 import attrs
 
 from chicoryhold.clock import Clock
+from chicoryhold.routing.affinity import hash_fraction, stable_hash
+from chicoryhold.routing.target_view import TargetView
 
 # Loads are in requests per slot of the local region; shares are fractions of a
 # service's requests.
@@ -40,6 +42,10 @@
         state = self._states.get(service)
         return state.share if state else 0.0
 
+    def moves(self, service: str, affinity_key: str) -> bool:
+        """Whether requests of the service with this key leave the local region."""
+        return _spill_position(affinity_key) < self.share(service)
+
     def observe(self, service: str, load: float, *, initial_share: float) -> float:
         """Update with the local region's load per slot; return the share to move.
 
@@ -62,3 +68,20 @@
         elif state.load < LOW_LOAD:
             state.share = max(0.0, state.share - SHARE_DECREASE_PER_SECOND * elapsed)
         return state.share
+
+
+def _spill_position(affinity_key: str) -> float:
+    """Return the share of requests at which the affinity key leaves the region."""
+    return hash_fraction(stable_hash(affinity_key), stable_hash("spill"))
+
+
+def capacity_shortfall(
+    local: list[TargetView], remote: list[TargetView], *, regions: int
+) -> float:
+    """Return the share of requests for which the local region lacks slots.
+
+    Demand is assumed to be equal in all regions, because none has been measured yet.
+    """
+    slots = sum(view.slots for view in local)
+    even_share = (slots + sum(view.slots for view in remote)) / regions
+    return max(0.0, 1 - slots / even_share)
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -20,27 +20,27 @@
 import attrs
 
 from chicoryhold.clock import Clock
-from chicoryhold.routing.affinity import hash_fraction, rendezvous_score, stable_hash
 from chicoryhold.routing.configuration import ServiceRule
 from chicoryhold.routing.health import (
     all_out_of_reach,
     load_per_slot,
     without_unhealthy,
 )
-from chicoryhold.routing.round_trips import RoundTrips
+from chicoryhold.routing.latency import LatencyEstimator, by_affinity
 from chicoryhold.routing.selection import (
     Choice,
     HostLocation,
     Overloaded,
     SelectionCriteria,
 )
-from chicoryhold.routing.spill import SpilloverController
+from chicoryhold.routing.spill import (
+    SpilloverController,
+    capacity_shortfall,
+)
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_view import LoadReport, TargetView
-from chicoryhold.routing.work_times import ProcessingTimes
 from chicoryhold.state.targets import TargetRecord, TargetState
 
-REMOTE_TARGETS_PER_KEY = 2
 OVERLOAD_THRESHOLD = 1.15  # requests per slot above which late requests are refused
 # Fraction of the latency objective that a request may queue even if the processing
 # time alone exceeds the objective.
@@ -54,8 +54,6 @@
 MAX_PERMITS_ASKED = 3
 # After a denial, the target is left out for a random time up to this.
 DENIAL_SECONDS = 0.2
-COLD_TIME_FACTOR = 2.0  # processing time of a cold target relative to a warm one
-FAILURE_COST_SECONDS = 1.0  # added to the expected latency if failure is certain
 
 
 class _Scope(enum.Enum):
@@ -92,14 +90,9 @@
         self._views_by_service: dict[str, list[TargetView]] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._views_by_address: dict[str, TargetView] = {}
-        self._round_trips = RoundTrips(
-            domain=location.domain,
-            region=location.region,
-            within_region=location.domain_round_trip,
-            to_region=location.region_round_trip,
-        )
-        self._processing_times: dict[tuple[str, str], ProcessingTimes] = {}
+        self._latency = LatencyEstimator(location=location)
         self._spillover = SpilloverController(clock=clock)
+        self._regions = len(set(location.regions.values()))
         self._lock = threading.Lock()
 
     @property
@@ -130,7 +123,7 @@
                     if record.domain in readmitted:
                         # The target may have restarted without being reported.
                         seconds = max(rule.cold_seconds, view.cold_until - now)
-                        self._mark_cold(view, now, seconds)
+                        view.cold_until = now + seconds
                         view.recent_keys.clear()
                     views[record.instance] = view
             self._views = views
@@ -146,7 +139,7 @@
         with self._lock:
             view = self._views_by_address.get(address)
             if view is not None:
-                self._round_trips.record_connect_time(view.region, seconds)
+                self._latency.record_connect_time(view.region, seconds)
 
     def choose(self, criteria: SelectionCriteria) -> Choice | Overloaded | None:
         """Return the best target and count the request as in flight there.
@@ -226,36 +219,34 @@
             near = [view for view in limited if view.region == self._location.region]
             has_local = any(view.region == self._location.region for view in allowed)
             usable = near if has_local else limited
-            return usable, self._fastest(criteria, usable, now)
+            return usable, self._latency.fastest(criteria, usable, now)
         if scope is _Scope.ANY_REGION:
             # Health is that of the service: the last target without a limit would
             # otherwise get all requests however often it fails.
             warm = [view for view in allowed if not view.is_cold(now)]
             healthy = {view.record.instance for view in without_unhealthy(warm, now)}
             usable = [view for view in others if view.record.instance in healthy]
-            home = self._by_affinity(criteria, usable)[:1]
-            return home, self._fastest(criteria, home, now)
+            home = by_affinity(criteria.affinity_key, usable)[:1]
+            return home, self._latency.fastest(criteria, home, now)
         if all(view.record.instance not in rates for view in allowed):
             return self._select(criteria, others, now)
         preferred = self._preferred(criteria, allowed)
-        if preferred is None or self._is_spilled(criteria):
+        if preferred is None or self._spillover.moves(
+            criteria.service, criteria.affinity_key
+        ):
             return [], None
         if preferred.record.instance in rates:
             local = [view for view in limited if view is preferred]
         else:
             local = [view for view in others if view.region == preferred.region]
-        return local, self._fastest(criteria, local, now)
-
-    def _is_spilled(self, criteria: SelectionCriteria) -> bool:
-        """Whether the key went to another region before targets named limits."""
-        return _spill_position(criteria) < self._spillover.share(criteria.service)
+        return local, self._latency.fastest(criteria, local, now)
 
     def _preferred(
         self, criteria: SelectionCriteria, views: list[TargetView]
     ) -> TargetView | None:
         """Return the target of the own region that the affinity key prefers."""
         local = [view for view in views if view.region == self._location.region]
-        return self._by_affinity(criteria, local)[0] if local else None
+        return by_affinity(criteria.affinity_key, local)[0] if local else None
 
     def _rate_of(
         self, view: TargetView, rates: Mapping[str, float], now: float
@@ -289,14 +280,9 @@
                 view.record_load(load, now)
             view.record_end()
             view.recent_keys.add(criteria.affinity_key)
-            processing_time = max(0.001, seconds - self._round_trips.to(view))
             waited = load is not None and load.waiting > 0
             if not waited and not choice.is_cold:
-                times = self._processing_times_of(criteria)
-                view.record_success(
-                    ratio=processing_time / max(0.001, choice.processing_time)
-                )
-                times.observe(processing_time, was_hit=choice.is_affinity_hit)
+                self._latency.record_success(choice, criteria, seconds=seconds)
 
     def record_rejection(self, choice: Choice, *, load: LoadReport | None) -> None:
         """Record the target's own statement that it did not run the request."""
@@ -333,10 +319,10 @@
                 region=self._location.regions.get(record.domain, ""),
                 cold_until=now,
             )
-            self._mark_cold(view, now, record.cold_seconds)
+            view.cold_until = now + record.cold_seconds
         elif record != view.record:
             if not view.is_cold(now) or record.cold_seconds <= 0:
-                self._mark_cold(view, now, record.cold_seconds)
+                view.cold_until = now + record.cold_seconds
             if record.cold_seconds > 0:
                 view.recent_keys.clear()
             view.record = record
@@ -357,9 +343,6 @@
             and (not view.is_cold(now) or view.cold_rate > 0)
         ]
 
-    def _mark_cold(self, view: TargetView, now: float, seconds: float) -> None:
-        view.cold_until = now + seconds
-
     def _select(
         self, criteria: SelectionCriteria, eligible: list[TargetView], now: float
     ) -> tuple[list[TargetView], Choice | None]:
@@ -378,9 +361,9 @@
             all_out_of_reach(local, now)
             or self._spills_over(criteria, local, remote, now)
         ):
-            return remote, self._fastest_remote(criteria, remote, now)
+            return remote, self._latency.fastest_remote(criteria, remote, now)
         local += [view for view in cold if view.region == region or not local]
-        return local, self._fastest(criteria, local, now)
+        return local, self._latency.fastest(criteria, local, now)
 
     def _spills_over(
         self,
@@ -389,12 +372,12 @@
         remote: list[TargetView],
         now: float,
     ) -> bool:
-        share = self._spillover.observe(
+        self._spillover.observe(
             criteria.service,
             load_per_slot(local, now),
-            initial_share=self._capacity_shortfall(local, remote),
+            initial_share=capacity_shortfall(local, remote, regions=self._regions),
         )
-        return _spill_position(criteria) < share
+        return self._spillover.moves(criteria.service, criteria.affinity_key)
 
     def _max_wait(self, criteria: SelectionCriteria, choice: Choice) -> float:
         """Return the longest acceptable queue wait in seconds.
@@ -412,98 +395,6 @@
             max_wait, criteria.time_left - choice.expected_latency + choice.queue_wait
         )
 
-    def _fastest(
-        self, criteria: SelectionCriteria, views: list[TargetView], now: float
-    ) -> Choice | None:
-        if not views:
-            return None
-        warm = [view for view in views if not view.is_cold(now)]
-        preferred = self._by_affinity(criteria, warm or views)[0]
-        choices = [
-            self._estimate(criteria, view, now, is_preferred=view is preferred)
-            for view in views
-        ]
-        return min(choices, key=lambda choice: choice.expected_latency)
-
-    def _fastest_remote(
-        self, criteria: SelectionCriteria, views: list[TargetView], now: float
-    ) -> Choice | None:
-        """Choose among a few targets of another region, to get affinity hits there."""
-        candidates = self._by_affinity(criteria, views)[:REMOTE_TARGETS_PER_KEY]
-        return self._fastest(criteria, candidates, now)
-
-    def _by_affinity(
-        self, criteria: SelectionCriteria, views: list[TargetView]
-    ) -> list[TargetView]:
-        """Order targets by their rendezvous score for the affinity key, best first."""
-        key_hash = stable_hash(criteria.affinity_key)
-        return sorted(
-            views,
-            key=lambda v: rendezvous_score(key_hash, stable_hash(v.record.instance)),
-            reverse=True,
-        )
-
-    def _capacity_shortfall(
-        self, local: list[TargetView], remote: list[TargetView]
-    ) -> float:
-        """Return the share of requests for which the local region lacks slots.
-
-        Demand is assumed to be equal in all regions, because none has been measured
-        yet.
-        """
-        regions = len(set(self._location.regions.values()))
-        slots = sum(view.slots for view in local)
-        even_share = (slots + sum(view.slots for view in remote)) / regions
-        return max(0.0, 1 - slots / even_share)
-
-    def _estimate(
-        self,
-        criteria: SelectionCriteria,
-        view: TargetView,
-        now: float,
-        *,
-        is_preferred: bool,
-    ) -> Choice:
-        times = self._processing_times_of(criteria)
-        cold = view.is_cold(now)
-        is_hit = not cold and (
-            is_preferred or criteria.affinity_key in view.recent_keys
-        )
-        processing_time = times.estimate(is_hit=is_hit) * (
-            COLD_TIME_FACTOR if cold else 1
-        )
-        slots = max(1, view.slots)
-        queued = max(0.0, view.occupancy(now) + 1 - slots)
-        slowness = max(0.3, view.slowness)
-        queue_wait = queued / slots * times.queued_request_time * slowness
-        failure_cost = FAILURE_COST_SECONDS * view.failure_rate
-        round_trip = self._round_trips.to(view)
-        return Choice(
-            view=view,
-            expected_latency=processing_time * slowness
-            + queue_wait
-            + round_trip
-            + failure_cost,
-            queue_wait=queue_wait,
-            processing_time=processing_time,
-            is_affinity_hit=is_hit,
-            is_cross_region=view.region != self._location.region,
-            is_cold=cold,
-        )
-
-    def _processing_times_of(self, criteria: SelectionCriteria) -> ProcessingTimes:
-        key = (criteria.route.name, criteria.service)
-        times = self._processing_times.get(key)
-        if times is None:
-            times = ProcessingTimes.initial(criteria.route.objective)
-            self._processing_times[key] = times
-        return times
-
-
-def _spill_position(criteria: SelectionCriteria) -> float:
-    """Return the share of requests at which the affinity key leaves the region."""
-    return hash_fraction(stable_hash(criteria.affinity_key), stable_hash("spill"))
-
 
 def _until_next_permit(views: list[TargetView], now: float) -> Overloaded | None:
     """Return how long to wait if all ``views`` get as many requests as they take."""
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -12,6 +12,7 @@
 from chicoryhold.limits.messages import PermitGrant
 from chicoryhold.membership.messages import SeenLimit
 from chicoryhold.metrics import Metrics
+from chicoryhold.routing.latency import by_affinity
 from chicoryhold.routing.selection import Choice, Overloaded
 from chicoryhold.routing.stated_limits import RateStatement, StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
@@ -188,7 +189,7 @@
     """Yield affinity keys whose preferred target is ``instance``."""
     for number in itertools.count():
         request = criteria(f"k{number}")
-        preferred = chooser._by_affinity(request, list(chooser.views.values()))[0]
+        preferred = by_affinity(request.affinity_key, list(chooser.views.values()))[0]
         if preferred.record.instance == instance:
             yield request.affinity_key
 
