Say of requests of which no byte was sent that they haven't run

What callers saw: 502 and 504 for requests that had reached no target, which callers can't send again if these may run only once. Where a target had closed the connection before the first byte, or the deadline had passed by then, the failure was reported as one of an exchange: the documented meaning of ConnectFailed, no byte sent, wasn't kept. Such a request is now known not to have run: it goes to another target, or is refused with 503. A failure after the kernel has taken a byte stays unknown, also where the target reset the connection: nobody but the target knows.

--- a/src/chicoryhold/errors.py
+++ b/src/chicoryhold/errors.py
@@ -67,6 +67,10 @@
     """Raised when no connection to a target could be opened: no byte was sent."""
 
 
+class RequestNotSent(ConnectFailed):
+    """Raised when an open connection took no byte of the request."""
+
+
 class ExchangeFailed(ChicoryholdError):
     """Raised when an exchange with a target failed after its first byte was sent."""
 
--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -17,6 +17,7 @@
     ExchangeFailed,
     ExchangeTimeout,
     InvalidResponse,
+    RequestNotSent,
 )
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata, TargetCall
 from chicoryhold.gateway.retry_budgets import RetryBudgets
@@ -192,6 +193,13 @@
             )
         except ExchangeFailed as error:
             return self._handle_exchange_error(routed, choice, attempt, error, started)
+        except RequestNotSent as error:
+            self._chooser.release(choice)
+            self._log_failed_attempt(routed, choice, attempt, str(error))
+            return _AttemptResult(
+                outcome=_failure(RefusalKind.NO_TARGET, RunStatus.NOT_RUN, error),
+                known_not_run=True,
+            )
         except ConnectFailed as error:
             self._record_failure(routed, choice, attempt, error, unreachable=True)
             return _AttemptResult(
--- a/src/chicoryhold/targets/checked_connection.py
+++ b/src/chicoryhold/targets/checked_connection.py
@@ -99,10 +99,17 @@
         self._clock = clock
         self._loss_timeout_seconds = MIN_LOSS_TIMEOUT_SECONDS
         self._deadlines = ExchangeDeadlines(final=0.0, early=0.0)
+        self._may_have_sent = False
+
+    @property
+    def may_have_sent(self) -> bool:
+        """Whether the kernel may have taken a byte of the current request."""
+        return self._may_have_sent
 
     def start_exchange(self, deadlines: ExchangeDeadlines) -> None:
         """Set the deadlines of the next request and its response."""
         self._deadlines = deadlines
+        self._may_have_sent = False
         self._set_loss_timeout(
             _loss_timeout_seconds(deadlines.early - self._clock.now())
         )
@@ -117,7 +124,15 @@
         if remaining <= 0:
             raise TimeoutError("the deadline has passed")
         self.sock.settimeout(remaining)
-        super().send(data)
+        try:
+            super().send(data)
+        except ConnectionError:
+            # Of a connection that the target has closed, the kernel takes nothing.
+            raise
+        except OSError:
+            self._may_have_sent = True
+            raise
+        self._may_have_sent = True
 
     def response_class(self, sock: socket.socket, **kwargs) -> CheckedResponse:
         """Return the response to read; the standard library calls this by its name."""
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -20,6 +20,7 @@
     ExchangeFailed,
     ExchangeTimeout,
     InvalidResponse,
+    RequestNotSent,
 )
 from chicoryhold.targets.cancellation import NEVER_CANCELLED, Cancellation
 from chicoryhold.targets.checked_connection import CheckedConnection, read_body
@@ -102,7 +103,8 @@
         slow, and another attempt would only add load. The earlier deadline also
         applies while a response has begun and its head doesn't end.
 
-        Raises ``ConnectFailed`` if no byte was sent, and ``ExchangeFailed`` if the
+        Raises ``ConnectFailed`` if no byte was sent (its subclass ``RequestNotSent`` if
+        a connection was open), and ``ExchangeFailed`` if the
         target may or may not have run the request. Its subclass ``ExchangeTimeout`` is
         raised if time ran out, ``ExchangeCancelled`` if ``cancellation`` ended the
         exchange.
@@ -134,6 +136,9 @@
             failure = self._exchange_error(address, deadline, e)
             if not isinstance(failure, ExchangeTimeout):
                 self._record_link_failure(address, LinkFailure.LOST)
+            if not connection.may_have_sent:
+                message = f"target {address} took no byte: {e}; look at its log"
+                raise RequestNotSent(message) from e
             raise failure from e
         self._keep_idle(
             address, connection, idle_limit_seconds(_header(response, "keep-alive"))
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,9 +5,12 @@
 import socket
 import threading
 
+import pytest
 from loguru import logger
 
 from chicoryhold.clock import BootClock
+from chicoryhold.errors import RequestNotSent
+from chicoryhold.targets.checked_connection import CheckedConnection
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.exchange import OutgoingRequest
 from chicoryhold.trial.fleet import wait_until
@@ -113,3 +116,40 @@
     assert len(lines) == 1
     assert lines[0].startswith("ERROR connections:")
     assert "an address without a port" in lines[0]
+
+
+class ClosedConnection(CheckedConnection):
+    """A connection that the target closes just before the request is sent."""
+
+    def connect(self) -> None:
+        super().connect()
+        self.sock.shutdown(socket.SHUT_RDWR)
+
+
+@pytest.mark.parametrize("seconds", [WAIT_SECONDS, 0.0])
+def test_a_request_of_which_no_byte_was_sent_is_known_not_to_have_run(
+    seconds, monkeypatch
+):
+    # Guards against 502 and 504 for requests that reached no target.
+    monkeypatch.setattr(
+        "chicoryhold.targets.connections.CheckedConnection", ClosedConnection
+    )
+    target = CountingTarget()
+    clock = BootClock()
+    deadline = clock.now() + seconds
+    with pytest.raises(RequestNotSent):
+        TargetConnections(clock=clock).exchange(
+            target.address,
+            OutgoingRequest(
+                request_id="r1",
+                method="POST",
+                path="/",
+                headers={},
+                body=b"body",
+                at_most_once=True,
+                cross_region=False,
+            ),
+            deadline=deadline,
+            stale_connection_deadline=deadline,
+        )
+    target.close()
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -11,6 +11,7 @@
     ExchangeCancelled,
     ExchangeFailed,
     ExchangeTimeout,
+    RequestNotSent,
 )
 from chicoryhold.gateway.delivery import Delivery, RoutedRequest
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata
@@ -163,7 +164,9 @@
     assert not any(isinstance(each, RequestSucceeded) for each in told)
 
 
-@pytest.mark.parametrize("first_result", [ConnectFailed("refused"), NOT_RUN])
+@pytest.mark.parametrize(
+    "first_result", [ConnectFailed("refused"), RequestNotSent("closed"), NOT_RUN]
+)
 def test_a_request_that_did_not_run_is_sent_to_another_target(first_result):
     outcome, addresses = run(first_result, OK, repeatable=False)
     assert outcome == Ok(OK)
