Use one retry budget in both request paths

gateway/retry_budgets.py and steering/retry_budget.py did the same with other numbers. limits/retry_budgets.py has the budget once; the two paths give it their terms.

--- a/src/chicoryhold/callers/forwarding.py
+++ b/src/chicoryhold/callers/forwarding.py
@@ -16,16 +16,17 @@
 )
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.hosts.messages import Admit, Admitted, NotAdmitted
+from chicoryhold.limits.retry_budgets import RetryBudget, RetryTerms
 from chicoryhold.quarantine.crash_watch import CrashWatch
 from chicoryhold.quarantine.guard import RequestGuard
 from chicoryhold.routing.stated_limits import RateStatement, parse_rate
 from chicoryhold.steering.admission_client import AdmissionClient
-from chicoryhold.steering.retry_budget import RetryBudget
 from chicoryhold.steering.shifts import ShiftChooser
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
 
 MAX_ATTEMPTS = 3
+RETRY_TERMS = RetryTerms(earned_per_request=0.1, initial=10.0, max_saved=10.0)
 RAN_HEADER = "Chicoryhold-Ran"
 SHED_STATUS = 503
 LIMIT_HEADER = "Chicoryhold-Limit"  # requests a second from all hosts together
@@ -87,7 +88,7 @@
         self._connections = connections
         self._shifts = shifts
         self._clock = clock
-        self._retry_budget = RetryBudget()
+        self._retry_budget = RetryBudget(terms=RETRY_TERMS)
 
     def run(self, forwarded: ForwardedRequest) -> Result[TargetResponse, Refusal]:
         """Return a complete response, or a refusal that says whether the request ran.
--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -20,7 +20,7 @@
     RequestNotSent,
 )
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata, TargetCall
-from chicoryhold.gateway.retry_budgets import RetryBudgets
+from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.quarantine.crash_watch import CrashWatch
 from chicoryhold.quarantine.guard import RequestGuard
 from chicoryhold.routing.configuration import RouteRule
--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -22,7 +22,7 @@
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.relay_peers import RelayPeers
 from chicoryhold.gateway.request import GatewayRequest, RelayCall, RelayTerms
-from chicoryhold.gateway.retry_budgets import RetryBudgets
+from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
 from chicoryhold.targets.connections import TargetConnections
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -17,12 +17,12 @@
 from chicoryhold.control.follower_actor import FetchTiming, FollowerActor
 from chicoryhold.gateway.delivery import Delivery, TargetHeaderTranslator
 from chicoryhold.gateway.relay import Relay, RelayHeaderTranslator
-from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.gateway.service import GatewayService
 from chicoryhold.hosts.actors import Tick, running_actor
 from chicoryhold.hosts.bus import Bus, running_bus
 from chicoryhold.limits.control_host_calls import PermitSources
 from chicoryhold.limits.permit_client import PermitClient
+from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.limits.target_permit_client import TargetPermitClient
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.membership.presence_actor import (
--- a/src/chicoryhold/programs/gateway_links.py
+++ b/src/chicoryhold/programs/gateway_links.py
@@ -13,8 +13,8 @@
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.relay import Relay, RelayHeaderTranslator
 from chicoryhold.gateway.relay_peers import RelayPeers
-from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.gateway.target_prober import ProbeCandidate, TargetProber
+from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
 from chicoryhold.routing.target_choice import TargetChooser
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -54,19 +54,25 @@
         self._socket.close()
 
 
-def send(
-    connections: TargetConnections, target: CountingTarget, *, cross_region: bool
-) -> None:
-    clock = BootClock()
-    request = OutgoingRequest(
+def a_request(
+    *, method: str = "GET", at_most_once: bool = False, cross_region: bool = False
+) -> OutgoingRequest:
+    return OutgoingRequest(
         request_id="r1",
-        method="GET",
+        method=method,
         path="/",
         headers={},
         body=b"",
-        at_most_once=False,
+        at_most_once=at_most_once,
         cross_region=cross_region,
     )
+
+
+def send(
+    connections: TargetConnections, target: CountingTarget, *, cross_region: bool
+) -> None:
+    clock = BootClock()
+    request = a_request(cross_region=cross_region)
     deadline = clock.now() + WAIT_SECONDS
     response = connections.exchange(
         target.address, request, deadline=deadline, stale_connection_deadline=deadline
@@ -140,15 +146,7 @@
     with pytest.raises(RequestNotSent):
         TargetConnections(clock=clock).exchange(
             target.address,
-            OutgoingRequest(
-                request_id="r1",
-                method="POST",
-                path="/",
-                headers={},
-                body=b"body",
-                at_most_once=True,
-                cross_region=False,
-            ),
+            a_request(method="POST", at_most_once=True),
             deadline=deadline,
             stale_connection_deadline=deadline,
         )
--- a/tests/test_cut_off_host.py
+++ b/tests/test_cut_off_host.py
@@ -19,10 +19,10 @@
 
 from chicoryhold.clock import BootClock
 from chicoryhold.gateway.delivery import Delivery
-from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.gateway.service import GatewayService
 from chicoryhold.http_server import serve_http
 from chicoryhold.limits.permit_client import Permission
+from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
 from chicoryhold.programs.gateway_links import (
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -15,7 +15,7 @@
 )
 from chicoryhold.gateway.delivery import Delivery, RoutedRequest
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata
-from chicoryhold.gateway.retry_budgets import RetryBudgets
+from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.metrics import Metrics
 from chicoryhold.quarantine.evidence import AMBIGUOUS_CRASHES
 from chicoryhold.quarantine.messages import CrashReport, RequestSucceeded
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -21,8 +21,8 @@
 from chicoryhold.gateway.delivery import Delivery, RoutedRequest
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata
-from chicoryhold.gateway.retry_budgets import RetryBudgets
 from chicoryhold.hosts.messages import Admitted
+from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.metrics import Metrics
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -21,11 +21,7 @@
 from chicoryhold.gateway.relay import MAX_IN_FLIGHT, Relay, RelayedRequest
 from chicoryhold.gateway.relay_peers import RelayPeers
 from chicoryhold.gateway.request import GatewayRequest, RelayTerms
-from chicoryhold.gateway.retry_budgets import (
-    INITIAL_RETRIES,
-    RETRIES_EARNED_PER_REQUEST,
-    RetryBudgets,
-)
+from chicoryhold.limits.retry_budgets import FLEET_TERMS, RetryBudgets
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
 from chicoryhold.targets.cancellation import Cancellation
@@ -180,7 +176,7 @@
     relay = create_relay(connections, clock)
     for _ in range(requests):
         relay.deliver(a_relayed_request(clock))
-    budget = INITIAL_RETRIES + RETRIES_EARNED_PER_REQUEST * requests
+    budget = FLEET_TERMS.initial + FLEET_TERMS.earned_per_request * requests
     assert requests < len(connections.requests) <= requests + budget
 
 
