Lend permits by the limit that the borrower has heard

A domain without demand for a target kept the rate that its hosts had stated before: a limit that fell, or a cold target that named a limit, was exceeded by what other domains lent. A lender now takes the rate from the request for a loan, unless a host of its own domain has stated one in the last 0.5 s.

--- a/src/chicoryhold/limits/target_permits.py
+++ b/src/chicoryhold/limits/target_permits.py
@@ -30,13 +30,17 @@
 # that its limit has ended.
 MIN_RATE = 0.25  # requests per second
 MAX_RATE = 1e6  # more than any target takes
+OWN_STATEMENT_VALID_SECONDS = 0.5
 FORGET_AFTER_SECONDS = 30.0
 
 
 @attrs.define(kw_only=True)
 class _StatedRate:
+    """``is_own`` means that it comes from a host of this domain, not with a loan."""
+
     rate: float
     stated_at: float
+    is_own: bool = True
 
 
 class TargetPermitAllocator:
@@ -79,19 +83,25 @@
 
     def lend(self, instance: str, *, rate: float, count: int) -> int:
         """Remove up to ``count`` permits for another domain; return how many."""
-        if instance not in self._stated:
-            # This domain has no hosts that use the target, so it learns the rate here.
-            self._note_rate(instance, rate)
+        stated = self._stated.get(instance)
+        now = self._clock.now()
+        if (
+            stated is None
+            or not stated.is_own
+            or now - stated.stated_at > OWN_STATEMENT_VALID_SECONDS
+        ):
+            # No host of this domain uses the target now, so the borrower knows better.
+            self._note_rate(instance, rate, is_own=False)
         return self._permits.lend(instance, count)
 
     def receive(self, instance: str, *, count: int) -> None:
         """Add permits that another domain has lent to this one."""
         self._permits.receive(instance, count)
 
-    def _note_rate(self, instance: str, rate: float) -> None:
+    def _note_rate(self, instance: str, rate: float, *, is_own: bool = True) -> None:
         now = self._clock.now()
         rate = min(max(rate, MIN_RATE), MAX_RATE) if isfinite(rate) else MIN_RATE
-        self._stated[instance] = _StatedRate(rate=rate, stated_at=now)
+        self._stated[instance] = _StatedRate(rate=rate, stated_at=now, is_own=is_own)
         if now >= self._next_cleanup_at:
             self._next_cleanup_at = now + FORGET_AFTER_SECONDS
             self._forget_unused(now)
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -232,6 +232,26 @@
     assert most_in_a_window(later) <= allowed(4.0)
 
 
+@pytest.mark.parametrize("before", [16.0, 60.0])
+def test_domains_without_demand_lend_by_the_limit_that_has_fallen(before):
+    fleet = Fleet(hosts=27, targets=1, rates={"i-0": before})
+    fleet.run(6, per_second=200)
+    fleet.hosts = [fleet.start(n, {"i-0": 4.0}) for n in range(27)]
+    fleet.clock.advance(1.0)
+    fleet.sent.clear()
+    fleet.run(12, per_second=200, hosts=1)
+    assert most_in_a_window(fleet.sent["i-0"]) <= allowed(4.0)
+
+
+def test_domains_without_demand_lend_by_the_limit_that_has_risen():
+    fleet = Fleet(hosts=27, targets=1, rates={"i-0": 4.0})
+    fleet.run(6, per_second=200)
+    fleet.hosts = [fleet.start(n, {"i-0": 60.0}) for n in range(27)]
+    fleet.sent.clear()
+    fleet.run(12, per_second=200, hosts=1)
+    assert len(fleet.sent["i-0"]) > 0.5 * 60 * 12
+
+
 def test_a_control_host_of_an_older_build_gives_no_permit():
     clock = FakeClock()
     fleet = FleetPermits(clock=clock, domains=("a", "b"))
