Move a coordinator's pending requests and grants to their own module

steering/coordinator.py had 431 lines: the records of requests, slots and loans beside the decisions about them. They are now steering/pending.py, and the coordinator has 388 lines. No logic changes; 29 tests of the coordinator pass.

--- a/src/chicoryhold/steering/coordinator.py
+++ b/src/chicoryhold/steering/coordinator.py
@@ -8,8 +8,6 @@
 
 from collections.abc import Callable
 
-import attrs
-
 from chicoryhold.clock import Clock
 from chicoryhold.hosts.messages import (
     Admit,
@@ -35,14 +33,13 @@
     SaveLedger,
 )
 from chicoryhold.steering.fair_queue import FairQueue
+from chicoryhold.steering.pending import Grant, PendingRequest, UnsavedLoan
 from chicoryhold.steering.shifts import ShiftLimiter
 from chicoryhold.steering.targets import TargetRegistry
 
 MAX_SLOT_QUEUE_REQUESTS = 256
 MAX_TOKEN_QUEUE_REQUESTS = 64
 MAX_TOKEN_WAIT_SECONDS = 0.25
-GRANT_PATIENCE_FACTOR = 1.2  # above 1 / PATIENCE_FRACTION of the admission client
-GRANT_MARGIN_SECONDS = 1.0
 RETRY_AFTER_OVERLOAD_SECONDS = 0.5
 RETRY_AFTER_NO_TARGET_SECONDS = 1.0
 # Targets announce themselves every second, so a new coordinator knows them by then.
@@ -53,42 +50,6 @@
 OVERLOADED = "overloaded"
 
 
-@attrs.define(kw_only=True)
-class _PendingRequest:
-    ticket: int
-    request: Admit
-    arrived_at: float
-
-    @property
-    def expires_at(self) -> float:
-        return self.arrived_at + self.request.patience
-
-    @property
-    def grant_expires_at(self) -> float:
-        """When the slot is freed even if it was never released.
-
-        The asking host's deadline is at most ``patience / 0.9`` after the request
-        arrived, so by then the host has finished or was killed.
-        """
-        patience = self.request.patience * GRANT_PATIENCE_FACTOR
-        return self.arrived_at + patience + GRANT_MARGIN_SECONDS
-
-
-@attrs.define(kw_only=True)
-class _Grant:
-    address: str
-    expires_at: float
-
-
-@attrs.frozen(kw_only=True)
-class _UnsavedLoan:
-    """A loan that is answered once a majority has stored the ledger's ``version``."""
-
-    ticket: int
-    answer: BorrowReply
-    version: int
-
-
 class Coordinator:
     """Admits requests for one failure domain, for the duration of one lease."""
 
@@ -104,11 +65,11 @@
         self._weight_of = weight_of
         self._clock = clock
         self._effects: list[Effect] = []
-        self._slot_queues: dict[str, FairQueue[_PendingRequest]] = {}
-        self._token_queues: dict[str, list[_PendingRequest]] = {}
-        self._grants: dict[str, _Grant] = {}
+        self._slot_queues: dict[str, FairQueue[PendingRequest]] = {}
+        self._token_queues: dict[str, list[PendingRequest]] = {}
+        self._grants: dict[str, Grant] = {}
         self._borrow_rounds = BorrowRounds(limits=limits, clock=clock)
-        self._unsaved_loans: list[_UnsavedLoan] = []
+        self._unsaved_loans: list[UnsavedLoan] = []
         self._ledger_version = 0
         self._last_grant_number = 0
         self._discovers_targets = True
@@ -140,7 +101,7 @@
 
     def admit(self, ticket: int, request: Admit) -> None:
         """Answer ``ticket`` at once, or later but within the request's patience."""
-        pending = _PendingRequest(
+        pending = PendingRequest(
             ticket=ticket, request=request, arrived_at=self._clock.now()
         )
         if request.shift:
@@ -203,7 +164,7 @@
             self._effects.append(AnswerBorrower(ticket=ticket, answer=answer))
             return
         self._ledger_version += 1
-        loan = _UnsavedLoan(ticket=ticket, answer=answer, version=self._ledger_version)
+        loan = UnsavedLoan(ticket=ticket, answer=answer, version=self._ledger_version)
         self._unsaved_loans.append(loan)
         self._effects.append(SaveLedger(ledger=self.ledger()))
 
@@ -235,7 +196,7 @@
 
     # Steps of admission
 
-    def _admit_shifted(self, pending: _PendingRequest) -> None:
+    def _admit_shifted(self, pending: PendingRequest) -> None:
         """Grant or refuse at once: a refused request is served in its source domain."""
         request = pending.request
         free_fraction = self._targets.free_fraction(request.service)
@@ -246,7 +207,7 @@
         elif not self._try_grant(pending):
             self._refund_and_refuse(pending, OVERLOADED, RETRY_AFTER_OVERLOAD_SECONDS)
 
-    def _enqueue_for_token(self, pending: _PendingRequest) -> None:
+    def _enqueue_for_token(self, pending: PendingRequest) -> None:
         organisation = pending.request.organisation
         if self._limits.may_borrow(organisation):
             self._start_borrow_round(organisation)
@@ -283,7 +244,7 @@
             ):
                 self._start_borrow_round(organisation)
 
-    def _grant_or_enqueue(self, pending: _PendingRequest) -> None:
+    def _grant_or_enqueue(self, pending: PendingRequest) -> None:
         service = pending.request.service
         queue = self._slot_queues.get(service)
         if not queue and self._try_grant(pending):
@@ -334,15 +295,13 @@
         for service, queue in self._slot_queues.items():
             self._serve_slot_queue(service, queue)
 
-    def _serve_slot_queue(
-        self, service: str, queue: FairQueue[_PendingRequest]
-    ) -> None:
+    def _serve_slot_queue(self, service: str, queue: FairQueue[PendingRequest]) -> None:
         while queue and self._targets.pick(service, ()) is not None:
             # A request that avoids the only free target must not block those behind it.
             if not queue.pop_first_accepted(self._try_grant):
                 return
 
-    def _try_grant(self, pending: _PendingRequest) -> bool:
+    def _try_grant(self, pending: PendingRequest) -> bool:
         request = pending.request
         target = self._targets.pick(request.service, request.avoid)
         if target is None:
@@ -350,7 +309,7 @@
         now = self._clock.now()
         self._last_grant_number += 1
         grant = f"{self._epoch}.{self._last_grant_number}"
-        self._grants[grant] = _Grant(
+        self._grants[grant] = Grant(
             address=target.address, expires_at=pending.grant_expires_at
         )
         self._targets.acquire_slot(target)
@@ -364,20 +323,18 @@
         return True
 
     def _refund_and_refuse(
-        self, pending: _PendingRequest, reason: str, retry_after: float
+        self, pending: PendingRequest, reason: str, retry_after: float
     ) -> None:
         request = pending.request
         if request.organisation and not request.has_token:
             self._limits.refund(request.organisation)
         self._refuse(pending, reason, retry_after)
 
-    def _refuse_rate_exceeded(self, pending: _PendingRequest) -> None:
+    def _refuse_rate_exceeded(self, pending: PendingRequest) -> None:
         seconds = self._limits.retry_after(pending.request.organisation)
         self._refuse(pending, RATE_EXCEEDED, seconds)
 
-    def _refuse(
-        self, pending: _PendingRequest, reason: str, retry_after: float
-    ) -> None:
+    def _refuse(self, pending: PendingRequest, reason: str, retry_after: float) -> None:
         answer = NotAdmitted(reason=reason, retry_after=retry_after)
         self._effects.append(AnswerRequest(ticket=pending.ticket, answer=answer))
 
@@ -392,7 +349,7 @@
             self._token_queues[organisation].remove(pending)
             self._refuse_rate_exceeded(pending)
 
-    def _expired_token_waits(self, now: float) -> list[tuple[str, _PendingRequest]]:
+    def _expired_token_waits(self, now: float) -> list[tuple[str, PendingRequest]]:
         return [
             (organisation, pending)
             for organisation, token_queue in self._token_queues.items()
