--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -10,9 +10,7 @@
 from functools import partial
 from pathlib import Path
 from random import Random
-from typing import TYPE_CHECKING
 
-import attrs
 import pykka
 from absl import flags
 from loguru import logger
@@ -20,23 +18,17 @@
 from chicoryhold.callers.app import CallerApp
 from chicoryhold.callers.authentication import Authenticator
 from chicoryhold.callers.forwarding import Forwarder
-from chicoryhold.callers.granted_targets import GrantedTargets
 from chicoryhold.callers.observations import RequestMetrics
 from chicoryhold.callers.service import CallerService
-from chicoryhold.claims.client import REPLICAS_PER_DOMAIN, ClaimClient
+from chicoryhold.claims.client import ClaimClient
 from chicoryhold.claims.replica import ClaimReplica
-from chicoryhold.clock import BootClock
-from chicoryhold.control.follower import Follower
 from chicoryhold.control.follower_actor import FollowerActor, choose_sources
 from chicoryhold.control.messages import FetchChanges, FetchImage
 from chicoryhold.errors import SettingsError
-from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.target_prober import TargetProber
 from chicoryhold.hosts.actors import PeerRequest, forward_to, running_actor
-from chicoryhold.hosts.bus import Bus, Handler, running_bus
-from chicoryhold.hosts.curve import load_key_pair, load_public_keys
+from chicoryhold.hosts.bus import Handler, running_bus
 from chicoryhold.hosts.domain_replica_actor import DomainReplicaActor
-from chicoryhold.hosts.domain_view import DomainView
 from chicoryhold.hosts.heartbeat_actor import HeartbeatActor
 from chicoryhold.hosts.messages import (
     AbandonClaim,
@@ -50,11 +42,15 @@
     RecordClaim,
     Release,
 )
-from chicoryhold.hosts.transport import CurveTransport
 from chicoryhold.http_server import serve_http
 from chicoryhold.limits.domain_limits import DomainLimits
 from chicoryhold.logs import configure_text_logging
-from chicoryhold.metrics import Metrics, create_meter, serve_metrics
+from chicoryhold.metrics import serve_metrics
+from chicoryhold.programs.entry_context import (
+    HostContext,
+    create_bus,
+    create_context,
+)
 from chicoryhold.programs.entry_quarantine import EntryQuarantine, running_quarantine
 from chicoryhold.programs.running import run_program
 from chicoryhold.programs.signals import stop_signals
@@ -69,9 +65,6 @@
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.probe import probe_addresses
 
-if TYPE_CHECKING:
-    from opentelemetry.metrics import Meter
-
 USAGE = """Runs one entry host.
 
 usage: %s --settings=FILE
@@ -132,38 +125,11 @@
         time.sleep(0.02)
 
 
-@attrs.frozen(kw_only=True)
-class _HostContext:
-    """What the components of one entry host share."""
-
-    settings: EntrySettings
-    bus: Bus
-    clock: BootClock
-    follower: Follower
-    view: DomainView
-    hosts: dict[str, tuple[str, ...]]
-    reachability: TargetReachability
-    granted: GrantedTargets
-    meter: Meter
-    metrics: Metrics
-
-    @property
-    def replicas(self) -> dict[str, tuple[str, ...]]:
-        """The names of the domain replicas in each domain."""
-        return {
-            domain: names[:REPLICAS_PER_DOMAIN] for domain, names in self.hosts.items()
-        }
-
-    @property
-    def domain_hosts(self) -> tuple[str, ...]:
-        return self.hosts[self.settings.domain]
-
-
 @contextmanager
 def _running_host(settings: EntrySettings, is_stopping) -> Iterator[CallerApp]:
     with ExitStack() as stack:
-        bus = stack.enter_context(running_bus(_create_bus(settings)))
-        context = _create_context(settings, bus)
+        bus = stack.enter_context(running_bus(create_bus(settings)))
+        context = create_context(settings, bus)
         quarantine = stack.enter_context(_running_quarantine(context))
         admission = AdmissionClient(
             bus=bus, view=context.view, clock=context.clock, domains=context.replicas
@@ -206,43 +172,8 @@
         yield app
 
 
-def _create_bus(settings: EntrySettings) -> Bus:
-    folder = settings.transport.key_folder
-    peers = dict(settings.replicas)
-    for domain in settings.domains.values():
-        peers.update(domain.hosts)
-    return Bus(
-        name=settings.name,
-        address=settings.transport.address,
-        transport=CurveTransport(
-            keys=load_key_pair(folder, settings.name),
-            authorized=load_public_keys(folder),
-            peers=peers,
-        ),
-    )
-
-
-def _create_context(settings: EntrySettings, bus: Bus) -> _HostContext:
-    clock = BootClock()
-    hosts = {name: tuple(domain.hosts) for name, domain in settings.domains.items()}
-    replicas = hosts[settings.domain][:REPLICAS_PER_DOMAIN]
-    meter = create_meter(settings.name)
-    return _HostContext(
-        settings=settings,
-        bus=bus,
-        clock=clock,
-        follower=Follower(clock=clock),
-        view=DomainView(replicas=replicas, clock=clock),
-        hosts=hosts,
-        reachability=TargetReachability(clock=clock),
-        granted=GrantedTargets(clock=clock),
-        meter=meter,
-        metrics=Metrics.for_existing_meter(meter),
-    )
-
-
 def _running_quarantine(
-    context: _HostContext,
+    context: HostContext,
 ) -> AbstractContextManager[EntryQuarantine]:
     return running_quarantine(
         context.settings,
@@ -253,7 +184,7 @@
     )
 
 
-def _start_follower(stack: ExitStack, context: _HostContext) -> None:
+def _start_follower(stack: ExitStack, context: HostContext) -> None:
     sources = choose_sources(
         context.settings.name,
         domain_hosts=context.domain_hosts,
@@ -272,7 +203,7 @@
 
 
 def _start_domain_replica(
-    stack: ExitStack, context: _HostContext, voter: LeaseVoter
+    stack: ExitStack, context: HostContext, voter: LeaseVoter
 ) -> None:
     if context.settings.name not in context.view.replicas:
         return
@@ -306,7 +237,7 @@
     return handler
 
 
-def _create_coordinator_actor(context: _HostContext) -> pykka.ActorRef:
+def _create_coordinator_actor(context: HostContext) -> pykka.ActorRef:
     name = context.settings.name
     return CoordinatorActor.start(
         candidate=LeaseCandidate(
@@ -321,7 +252,7 @@
     )
 
 
-def _create_coordinator(context: _HostContext, epoch: int) -> Coordinator:
+def _create_coordinator(context: HostContext, epoch: int) -> Coordinator:
     follower = context.follower
     limits = DomainLimits(
         domain=context.settings.domain,
@@ -340,7 +271,7 @@
     )
 
 
-def _create_prober(context: _HostContext) -> TargetProber:
+def _create_prober(context: HostContext) -> TargetProber:
     return TargetProber(
         reachability=context.reachability,
         probe=partial(probe_addresses, clock=context.clock),
@@ -355,7 +286,7 @@
 
 
 def _create_app(
-    context: _HostContext, admission: AdmissionClient, quarantine: EntryQuarantine
+    context: HostContext, admission: AdmissionClient, quarantine: EntryQuarantine
 ) -> CallerApp:
     authenticator = Authenticator(
         follower=context.follower, view=context.view, clock=context.clock
@@ -405,7 +336,7 @@
     )
 
 
-def _unready_reason(context: _HostContext, voter: LeaseVoter) -> str:
+def _unready_reason(context: HostContext, voter: LeaseVoter) -> str:
     if context.follower.state.revision == 0:
         return "no configuration yet: check the link to the control replicas"
     if not context.view.has_quorum:
