Give cold targets no larger bursts again

Cold targets use the same permits, and their rule counts single seconds: at a cold rate of 60 a second, a target got 115 requests in one second in the new test, 95 allowed.

--- a/src/chicoryhold/limits/target_permits.py
+++ b/src/chicoryhold/limits/target_permits.py
@@ -20,9 +20,6 @@
 # that small rates can be divided between domains at all.
 MIN_BURST_REQUESTS = 4
 BURST_SECONDS = 0.6
-# Large rates leave room for more, less what domains may borrow.
-LARGE_BURST_SECONDS = 1.5
-LARGE_BURST_RESERVE_REQUESTS = 2
 MIN_BUCKET_PERMITS = 1.0
 # A domain without a share of its own holds as many borrowed permits.
 BORROWED_PERMITS = 1.0
@@ -116,10 +113,7 @@
         stated = self._stated.get(instance)
         if stated is None:
             return None
-        burst = max(
-            MIN_BURST_REQUESTS + int(stated.rate * BURST_SECONDS),
-            int(stated.rate * LARGE_BURST_SECONDS) - LARGE_BURST_RESERVE_REQUESTS,
-        )
+        burst = MIN_BURST_REQUESTS + int(stated.rate * BURST_SECONDS)
         share = share_of(
             organisation=instance,
             limits=OrganisationLimits(rate=stated.rate, burst=burst),
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -15,7 +15,7 @@
 from chicoryhold.routing.latency import by_affinity
 from chicoryhold.routing.selection import Choice, Overloaded
 from chicoryhold.routing.stated_limits import RateStatement, StatedLimits
-from chicoryhold.routing.target_choice import TargetChooser
+from chicoryhold.routing.target_choice import COLD_RATE_FRACTION, TargetChooser
 from chicoryhold.routing.target_view import EJECT_AFTER_FAILURES
 from tests.conftest import FakeClock
 from tests.fleet_permits import FleetPermits
@@ -232,6 +232,20 @@
     assert most_in_a_window(later) <= allowed(4.0)
 
 
+@pytest.mark.parametrize("cold_rate", [10.0, 16.0, 60.0])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_cold_target_gets_no_more_in_any_second_than_the_users_rule_allows(
+    cold_rate, seed
+):
+    rate = COLD_RATE_FRACTION * cold_rate
+    fleet = Fleet(hosts=120, targets=1, rates={"i-0": rate}, seed=seed)
+    fleet.clock.advance(60)
+    fleet.run(10, per_second=10 * cold_rate)
+    times = fleet.sent["i-0"]
+    most = max(sum(start <= at < start + 1.0 for at in times) for start in times)
+    assert most <= 1.5 * cold_rate + 5
+
+
 @pytest.mark.parametrize("before", [16.0, 60.0])
 def test_domains_without_demand_lend_by_the_limit_that_has_fallen(before):
     fleet = Fleet(hosts=27, targets=1, rates={"i-0": before})
