--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -33,10 +33,7 @@
     Overloaded,
     SelectionCriteria,
 )
-from chicoryhold.routing.spill import (
-    SpilloverController,
-    capacity_shortfall,
-)
+from chicoryhold.routing.spill import SpilloverController, capacity_shortfall
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_view import LoadReport, TargetView
 from chicoryhold.state.targets import TargetRecord, TargetState
