Split the choice among targets with limits into one method a scope

_select_in had 40 lines for three scopes. Each has a method now, and permits and waits for them stand beside the other inputs and results in selection.py.

--- a/src/chicoryhold/routing/selection.py
+++ b/src/chicoryhold/routing/selection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import Protocol
 
 import attrs
 
@@ -76,3 +77,16 @@
     regions: Mapping[str, str]
     domain_round_trip: float
     region_round_trip: float
+
+
+class TargetPermits(Protocol):
+    """Divides the rates that targets take between all hosts."""
+
+    def take(self, instance: str, *, rate: float, timeout: float) -> bool:
+        """Return whether a request may be sent now to a target that takes ``rate``."""
+
+
+def until_next_permit(views: list[TargetView], now: float) -> Overloaded | None:
+    """Return how long to wait if all ``views`` get as many requests as they take."""
+    denied = [view.denied_until - now for view in views if view.denied_until > now]
+    return Overloaded(queue_wait=min(denied), load=0.0) if denied else None
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -15,7 +15,6 @@
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from random import Random
-from typing import Protocol
 
 import attrs
 
@@ -32,6 +31,8 @@
     HostLocation,
     Overloaded,
     SelectionCriteria,
+    TargetPermits,
+    until_next_permit,
 )
 from chicoryhold.routing.spill import SpilloverController, capacity_shortfall
 from chicoryhold.routing.stated_limits import StatedLimits
@@ -64,13 +65,6 @@
     OTHERS_WITH_LIMIT = enum.auto()
 
 
-class TargetPermits(Protocol):
-    """Divides the rates that targets take between all hosts."""
-
-    def take(self, instance: str, *, rate: float, timeout: float) -> bool:
-        """Return whether a request may be sent now to a target that takes ``rate``."""
-
-
 class TargetChooser:
     """Tracks the state of targets and chooses one per request. Thread-safe."""
 
@@ -190,7 +184,7 @@
             ]
             views, best = self._select_in(scope, criteria, allowed, eligible, rates)
             if best is None:
-                return _until_next_permit(allowed, now)
+                return until_next_permit(allowed, now)
             load = load_per_slot(views, now)
             if load > OVERLOAD_THRESHOLD and best.queue_wait > self._max_wait(
                 criteria, best
@@ -212,38 +206,54 @@
         now = self._clock.now()
         limited = [view for view in eligible if view.record.instance in rates]
         others = [view for view in eligible if view.record.instance not in rates]
-        if scope is _Scope.OTHERS_WITH_LIMIT:
-            near = [view for view in limited if view.region == self._location.region]
-            has_local = any(view.region == self._location.region for view in allowed)
-            usable = near if has_local else limited
-            return usable, self._latency.fastest(criteria, usable, now)
-        if scope is _Scope.ANY_REGION:
-            # Health is that of the service: the last target without a limit would
-            # otherwise get all requests however often it fails.
-            warm = [view for view in allowed if not view.is_cold(now)]
-            healthy = {view.record.instance for view in without_unhealthy(warm, now)}
-            usable = [view for view in others if view.record.instance in healthy]
-            home = by_affinity(criteria.affinity_key, usable)[:1]
-            return home, self._latency.fastest(criteria, home, now)
-        if all(view.record.instance not in rates for view in allowed):
+        has_limits = any(view.record.instance in rates for view in allowed)
+        if scope is _Scope.USUAL and not has_limits:
             return self._select(criteria, others, now)
-        preferred = self._preferred(criteria, allowed)
-        if preferred is None or self._spillover.moves(
-            criteria.service, criteria.affinity_key
-        ):
-            return [], None
-        if preferred.record.instance in rates:
-            local = [view for view in limited if view is preferred]
+        if scope is _Scope.USUAL:
+            usable = self._usual(criteria, allowed, eligible, rates)
+        elif scope is _Scope.ANY_REGION:
+            usable = self._any_region(criteria, allowed, others, now)
         else:
-            local = [view for view in others if view.region == preferred.region]
-        return local, self._latency.fastest(criteria, local, now)
+            usable = self._with_limit(allowed, limited)
+        return usable, self._latency.fastest(criteria, usable, now)
 
-    def _preferred(
-        self, criteria: SelectionCriteria, views: list[TargetView]
-    ) -> TargetView | None:
-        """Return the target of the own region that the affinity key prefers."""
-        local = [view for view in views if view.region == self._location.region]
-        return by_affinity(criteria.affinity_key, local)[0] if local else None
+    def _usual(
+        self, criteria: SelectionCriteria, allowed: list[TargetView],
+        eligible: list[TargetView], rates: Mapping[str, float],
+    ) -> list[TargetView]:  # fmt: skip
+        """Return the preferred target, or all of the region if it has no limit."""
+        local = [view for view in allowed if view.region == self._location.region]
+        if not local or self._spillover.moves(criteria.service, criteria.affinity_key):
+            return []
+        preferred = by_affinity(criteria.affinity_key, local)[0]
+        if preferred.record.instance in rates:
+            return [view for view in eligible if view is preferred]
+        return [
+            view
+            for view in eligible
+            if view.region == preferred.region and view.record.instance not in rates
+        ]
+
+    def _any_region(
+        self, criteria: SelectionCriteria, allowed: list[TargetView],
+        others: list[TargetView], now: float,
+    ) -> list[TargetView]:  # fmt: skip
+        """Return the healthy target without a limit that the affinity key prefers."""
+        # Health is that of the service: the last target without a limit would otherwise
+        # get all requests however often it fails.
+        warm = [view for view in allowed if not view.is_cold(now)]
+        healthy = {view.record.instance for view in without_unhealthy(warm, now)}
+        usable = [view for view in others if view.record.instance in healthy]
+        return by_affinity(criteria.affinity_key, usable)[:1]
+
+    def _with_limit(
+        self, allowed: list[TargetView], limited: list[TargetView]
+    ) -> list[TargetView]:
+        """Return the targets with a limit, of the own region if it has any target."""
+        region = self._location.region
+        if any(view.region == region for view in allowed):
+            return [view for view in limited if view.region == region]
+        return limited
 
     def _rate_of(
         self, view: TargetView, rates: Mapping[str, float], now: float
@@ -391,9 +401,3 @@
         return min(
             max_wait, criteria.time_left - choice.expected_latency + choice.queue_wait
         )
-
-
-def _until_next_permit(views: list[TargetView], now: float) -> Overloaded | None:
-    """Return how long to wait if all ``views`` get as many requests as they take."""
-    denied = [view.denied_until - now for view in views if view.denied_until > now]
-    return Overloaded(queue_wait=min(denied), load=0.0) if denied else None
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -17,10 +17,11 @@
     HostLocation,
     Overloaded,
     SelectionCriteria,
+    TargetPermits,
 )
 from chicoryhold.routing.spill import SpilloverController
 from chicoryhold.routing.stated_limits import StatedLimits
-from chicoryhold.routing.target_choice import TargetChooser, TargetPermits
+from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.routing.target_view import LoadReport
 from chicoryhold.state.targets import TargetState
 from tests.conftest import FakeClock
