--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import enum
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from random import Random
@@ -25,7 +24,8 @@
     load_per_slot,
     without_unhealthy,
 )
-from chicoryhold.routing.latency import LatencyEstimator, by_affinity
+from chicoryhold.routing.latency import LatencyEstimator
+from chicoryhold.routing.limited_candidates import LimitedServiceCandidates, Scope
 from chicoryhold.routing.selection import (
     Choice,
     HostLocation,
@@ -54,17 +54,6 @@
 DENIAL_SECONDS = 0.2
 
 
-class _Scope(enum.Enum):
-    """The targets among which one is chosen, in the order in which they are tried.
-
-    The last two are tried only if a target of the service names a limit.
-    """
-
-    USUAL = enum.auto()
-    ANY_REGION = enum.auto()
-    OTHERS_WITH_LIMIT = enum.auto()
-
-
 class TargetChooser:
     """Tracks the state of targets and chooses one per request. Thread-safe."""
 
@@ -154,13 +143,13 @@
             outcome = outcome or choice
         return outcome
 
-    def _scopes(self, criteria: SelectionCriteria) -> tuple[_Scope, ...]:
+    def _scopes(self, criteria: SelectionCriteria) -> tuple[Scope, ...]:
         rates = self._limits.rates()
         has_limits = any(
             view.record.instance in rates
             for view in self._views_by_service.get(criteria.service, ())
         )
-        return tuple(_Scope) if has_limits else (_Scope.USUAL,)
+        return tuple(Scope) if has_limits else (Scope.USUAL,)
 
     def _has_permit(self, choice: Choice, criteria: SelectionCriteria) -> bool:
         return self._permits.take(
@@ -170,7 +159,7 @@
         )
 
     def _choose(
-        self, criteria: SelectionCriteria, scope: _Scope, *, may_ask: bool
+        self, criteria: SelectionCriteria, scope: Scope, *, may_ask: bool
     ) -> Choice | Overloaded | None:
         now = self._clock.now()
         rates = self._limits.rates()
@@ -194,67 +183,27 @@
             return attrs.evolve(best, rate=self._rate_of(best.view, rates, now))
 
     def _select_in(
-        self, scope: _Scope, criteria: SelectionCriteria, allowed: list[TargetView],
+        self, scope: Scope, criteria: SelectionCriteria, allowed: list[TargetView],
         eligible: list[TargetView], rates: Mapping[str, float],
     ) -> tuple[list[TargetView], Choice | None]:  # fmt: skip
-        """Return the targets of ``scope`` that were considered, and the best of them.
-
-        A target with a limit normally gets requests for the affinity keys that prefer
-        it. What it doesn't take of these goes to the same few targets from all hosts,
-        in whatever region they are, so that they handle few keys besides their own.
-        """
+        """Return the targets of ``scope`` that were considered, and the best one."""
         now = self._clock.now()
-        limited = [view for view in eligible if view.record.instance in rates]
-        others = [view for view in eligible if view.record.instance not in rates]
-        has_limits = any(view.record.instance in rates for view in allowed)
-        if scope is _Scope.USUAL and not has_limits:
-            return self._select(criteria, others, now)
-        if scope is _Scope.USUAL:
-            usable = self._usual(criteria, allowed, eligible, rates)
-        elif scope is _Scope.ANY_REGION:
-            usable = self._any_region(criteria, allowed, others, now)
-        else:
-            usable = self._with_limit(allowed, limited)
+        if scope is Scope.USUAL and not any(
+            view.record.instance in rates for view in allowed
+        ):
+            return self._select(criteria, eligible, now)
+        candidates = LimitedServiceCandidates(
+            affinity_key=criteria.affinity_key,
+            region=self._location.region,
+            allowed=allowed,
+            eligible=eligible,
+            rates=rates,
+            now=now,
+            is_moved=self._spillover.moves(criteria.service, criteria.affinity_key),
+        )
+        usable = candidates.of(scope)
         return usable, self._latency.fastest(criteria, usable, now)
 
-    def _usual(
-        self, criteria: SelectionCriteria, allowed: list[TargetView],
-        eligible: list[TargetView], rates: Mapping[str, float],
-    ) -> list[TargetView]:  # fmt: skip
-        """Return the preferred target, or all of the region if it has no limit."""
-        local = [view for view in allowed if view.region == self._location.region]
-        if not local or self._spillover.moves(criteria.service, criteria.affinity_key):
-            return []
-        preferred = by_affinity(criteria.affinity_key, local)[0]
-        if preferred.record.instance in rates:
-            return [view for view in eligible if view is preferred]
-        return [
-            view
-            for view in eligible
-            if view.region == preferred.region and view.record.instance not in rates
-        ]
-
-    def _any_region(
-        self, criteria: SelectionCriteria, allowed: list[TargetView],
-        others: list[TargetView], now: float,
-    ) -> list[TargetView]:  # fmt: skip
-        """Return the healthy target without a limit that the affinity key prefers."""
-        # Health is that of the service: the last target without a limit would otherwise
-        # get all requests however often it fails.
-        warm = [view for view in allowed if not view.is_cold(now)]
-        healthy = {view.record.instance for view in without_unhealthy(warm, now)}
-        usable = [view for view in others if view.record.instance in healthy]
-        return by_affinity(criteria.affinity_key, usable)[:1]
-
-    def _with_limit(
-        self, allowed: list[TargetView], limited: list[TargetView]
-    ) -> list[TargetView]:
-        """Return the targets with a limit, of the own region if it has any target."""
-        region = self._location.region
-        if any(view.region == region for view in allowed):
-            return [view for view in limited if view.region == region]
-        return limited
-
     def _rate_of(
         self, view: TargetView, rates: Mapping[str, float], now: float
     ) -> float | None:
