Leave targets in trouble out while others of their service name limits

What callers saw: nothing yet, found by reading. While one target of a service named a limit, requests for the keys that prefer a silent target, or one whose port had just refused a connection, went on to it: the choice in the own region looked at the limits only, not at health. The new test failed before for both: the target in trouble was chosen.

All three steps of the choice now leave out what is unhealthy, by the health of the whole service as before; cold targets stay. 107 tests of target choice, limits and delivery pass.

--- a/src/chicoryhold/routing/limited_candidates.py
+++ b/src/chicoryhold/routing/limited_candidates.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -46,47 +46,44 @@
 
     def of(self, scope: Scope) -> list[TargetView]:
         """Return the candidates of ``scope``."""
+        # Health is that of the service: the last target without a limit would otherwise
+        # get all requests however often it fails.
+        cold = [view for view in self.allowed if view.is_cold(self.now)]
+        warm = [view for view in self.allowed if not view.is_cold(self.now)]
+        healthy = without_unhealthy(warm, self.now)
         match scope:
             case Scope.USUAL:
-                return self._usual()
+                return self._usual([*healthy, *cold])
             case Scope.ANY_REGION:
-                return self._any_region()
+                return self._any_region(healthy)
             case Scope.OTHERS_WITH_LIMIT:
-                return self._with_limit()
+                return self._with_limit([*healthy, *cold])
 
-    def _usual(self) -> list[TargetView]:
+    def _usual(self, views: list[TargetView]) -> list[TargetView]:
         """Return the preferred target, or all of the region if it has no limit."""
-        local = [view for view in self.allowed if view.region == self.region]
+        local = [view for view in views if view.region == self.region]
         if not local or self.is_moved:
             return []
         preferred = by_affinity(self.affinity_key, local)[0]
         if self._has_limit(preferred):
-            return [view for view in self.eligible if view is preferred]
-        return [
-            view
-            for view in self.eligible
-            if view.region == self.region and not self._has_limit(view)
-        ]
-
-    def _any_region(self) -> list[TargetView]:
+            return self._eligible([preferred])
+        return self._eligible(view for view in local if not self._has_limit(view))
+
+    def _any_region(self, healthy: list[TargetView]) -> list[TargetView]:
         """Return the healthy target without a limit that the affinity key prefers."""
-        # Health is that of the service: the last target without a limit would otherwise
-        # get all requests however often it fails.
-        warm = [view for view in self.allowed if not view.is_cold(self.now)]
-        healthy = {view.record.instance for view in without_unhealthy(warm, self.now)}
-        usable = [
-            view
-            for view in self.eligible
-            if not self._has_limit(view) and view.record.instance in healthy
-        ]
+        usable = self._eligible(view for view in healthy if not self._has_limit(view))
         return by_affinity(self.affinity_key, usable)[:1]
 
-    def _with_limit(self) -> list[TargetView]:
+    def _with_limit(self, views: list[TargetView]) -> list[TargetView]:
         """Return the targets with a limit, of the own region if it has any target."""
-        limited = [view for view in self.eligible if self._has_limit(view)]
+        limited = self._eligible(view for view in views if self._has_limit(view))
         if any(view.region == self.region for view in self.allowed):
             return [view for view in limited if view.region == self.region]
         return limited
 
+    def _eligible(self, views: Iterable[TargetView]) -> list[TargetView]:
+        instances = {view.record.instance for view in self.eligible}
+        return [view for view in views if view.record.instance in instances]
+
     def _has_limit(self, view: TargetView) -> bool:
         return view.record.instance in self.rates
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from random import Random
 
+import attrs
 import pytest
 
 from chicoryhold.limits.messages import PermitGrant
@@ -17,9 +18,17 @@
 from chicoryhold.routing.stated_limits import RateStatement, StatedLimits
 from chicoryhold.routing.target_choice import COLD_RATE_FRACTION, TargetChooser
 from chicoryhold.routing.target_view import EJECT_AFTER_FAILURES
+from chicoryhold.state.targets import TargetState
 from tests.conftest import FakeClock
 from tests.fleet_permits import FleetPermits
-from tests.test_target_choice import FakePermits, a_chooser, apply, criteria, target
+from tests.test_target_choice import (
+    ROUTE,
+    FakePermits,
+    a_chooser,
+    apply,
+    criteria,
+    target,
+)
 
 WINDOW_SECONDS = 4.0
 TOLERANCE = 1.5
@@ -185,6 +194,28 @@
     assert chooser.choose(criteria(key)).view.record.instance == "i-3"
 
 
+@pytest.mark.parametrize("trouble", ["silent", "refuses connections"])
+def test_a_target_in_trouble_gets_nothing_while_another_one_names_a_limit(trouble):
+    clock = FakeClock()
+    limits = StatedLimits(clock=clock, metrics=Metrics(process="test"))
+    chooser = a_chooser(*["north-a"] * 4, clock=clock, limits=limits)
+    limits.record_answer(chooser.views["i-0"].record, RateStatement(rate=4.0))
+    keys = list(itertools.islice(keys_that_prefer(chooser, "i-1"), 20))
+    # A hit is worth more on routes with long objectives than one failure costs.
+    route = attrs.evolve(ROUTE, objective=2.0)
+    if trouble == "silent":
+        records = [target(n, "north-a") for n in range(4)]
+        records[1] = attrs.evolve(records[1], state=TargetState.SILENT)
+        apply(chooser, records)
+    else:
+        choice = chooser.choose(criteria(keys[0]))
+        chooser.record_failure(choice, unreachable=True)
+    for key in keys:
+        choice = chooser.choose(attrs.evolve(criteria(key), route=route))
+        chooser.release(choice)
+        assert choice.view.record.instance in ("i-2", "i-3")
+
+
 def keys_that_prefer(chooser: TargetChooser, instance: str) -> Iterator[str]:
     """Yield affinity keys whose preferred target is ``instance``."""
     for number in itertools.count():
