Don't count the time that a fetch waits at its source as age of the copy

Cause: a source holds a fetch for up to 1 s, and a copy was dated by the moment at which its fetch was sent. A host that fetches through another one of its domain counts that time twice.

Change: the reply says how long it was held, and the copy is dated by the moment at which the source answered. That stays a lower bound: time on the way still counts as age, and no reply makes a copy newer than its source's.

Tried and left out: leaving a source whose copy is no newer than the own one; it changed nothing after a leader's death.

--- a/src/chicoryhold/control/feed.py
+++ b/src/chicoryhold/control/feed.py
@@ -46,12 +46,12 @@
         return request.after != self._state.revision
 
     def answer(
-        self, request: FetchChanges, *, confirmed_age: float
+        self, request: FetchChanges, *, confirmed_age: float, waited: float = 0.0
     ) -> ChangeBatch | SnapshotNeeded:
         """Return the changes after ``request.after``.
 
-        Returns ``SnapshotNeeded`` if they are no longer stored, or if an image takes
-        fewer bytes.
+        The request has been held for ``waited`` seconds. Returns ``SnapshotNeeded`` if
+        the changes are no longer stored, or if an image takes fewer bytes.
         """
         revision = self._state.revision
         missing = revision - request.after
@@ -63,6 +63,7 @@
             digest=self._state.digest,
             confirmed_age=confirmed_age,
             changes=self._first_of_newest(missing),
+            waited=waited,
         )
 
     def piece(self, request: FetchImage) -> ImagePiece:
--- a/src/chicoryhold/control/follower.py
+++ b/src/chicoryhold/control/follower.py
@@ -29,8 +29,9 @@
 
     ``confirmed_at`` is the latest time on the local clock at which this copy was
     confirmed to be the newest accepted state. It is computed from the time at which
-    the fetch was sent, not from the arrival of the reply, so that a delayed reply
-    doesn't make the copy appear more recent than it is.
+    the fetch was sent and the time for which the source held it, not from the arrival
+    of the reply, so that a delayed reply doesn't make the copy appear more recent than
+    it is.
     """
 
     def __init__(self, *, clock: Clock) -> None:
@@ -93,7 +94,8 @@
         if self._copy.digest != batch.digest:
             return BatchResult.MISMATCH
         if batch.confirmed_age < UNCONFIRMED_AGE_SECONDS:
-            self._confirm(sent_at - batch.confirmed_age)
+            answered_at = min(self._clock.now(), sent_at + max(0.0, batch.waited))
+            self._confirm(answered_at - batch.confirmed_age)
         return BatchResult.APPLIED
 
     def on_piece(self, piece: ImagePiece) -> bool:
--- a/src/chicoryhold/control/messages.py
+++ b/src/chicoryhold/control/messages.py
@@ -48,7 +48,8 @@
 
     ``revision`` is the revision of the source's state and ``digest`` its digest; the
     batch may end before it. ``confirmed_age`` is how many seconds ago the source's
-    state was confirmed to be the newest.
+    state was confirmed to be the newest, ``waited`` for how many seconds the source
+    had held the fetch by then.
     """
 
     after: int
@@ -56,6 +57,7 @@
     digest: bytes
     confirmed_age: float
     changes: tuple[Change, ...]
+    waited: float = 0.0
 
 
 @message
--- a/src/chicoryhold/control/pending_fetches.py
+++ b/src/chicoryhold/control/pending_fetches.py
@@ -18,7 +18,7 @@
 class _PendingFetch:
     request: FetchChanges
     reply: Future
-    deadline: float
+    received_at: float
 
 
 class PendingFetches:
@@ -43,9 +43,8 @@
         self._is_confirmed = False
 
     def add(self, request: FetchChanges, reply: Future) -> None:
-        deadline = self._clock.now() + self._max_wait
         self._pending.append(
-            _PendingFetch(request=request, reply=reply, deadline=deadline)
+            _PendingFetch(request=request, reply=reply, received_at=self._clock.now())
         )
 
     def answer_ready(self, *, confirmed_age: float) -> None:
@@ -62,8 +61,11 @@
         waiting = []
         for pending in self._pending:
             has_update = is_news or self._feed.has_update_for(pending.request)
-            if has_update or now >= pending.deadline:
-                batch = self._feed.answer(pending.request, confirmed_age=confirmed_age)
+            waited = now - pending.received_at
+            if has_update or waited >= self._max_wait:
+                batch = self._feed.answer(
+                    pending.request, confirmed_age=confirmed_age, waited=waited
+                )
                 pending.reply.set_result(batch)
             else:
                 waiting.append(pending)
