Move a leader's replication out of the replica

consensus/replica.py had 493 lines with two jobs: elections with a follower's side, and what a leader sends and counts. The second is now consensus/leadership.py; the replica has 399 lines.

--- /dev/null
+++ b/src/chicoryhold/consensus/leadership.py
@@ -0,0 +1,174 @@
+"""The leader's side of replication: what it sends, and what a majority has stored."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from chicoryhold.clock import Clock
+from chicoryhold.consensus.committed_log import CommittedLog
+from chicoryhold.consensus.election_timer import Timing
+from chicoryhold.consensus.log import Log
+from chicoryhold.consensus.messages import (
+    UNCONFIRMED_AGE_SECONDS,
+    AppendReply,
+    AppendRequest,
+    SnapshotRequest,
+)
+from chicoryhold.consensus.progress import Progress
+
+MAX_ENTRIES_PER_REQUEST = 256
+# Answers to older broadcasts don't count; in minimum election timeouts.
+ROUND_LIFETIME_FACTOR = 4
+
+
+class Leadership:
+    """Replicates the log of a replica while it leads, one term after the other.
+
+    ``send`` queues a message to a member. Only the leader calls anything but
+    ``start``, ``quorum_acknowledged_at`` and ``match_index_of``.
+    """
+
+    def __init__(
+        self, *, identity: str, log: Log, committed: CommittedLog, clock: Clock,
+        timing: Timing, send: Callable[[str, object], None],
+    ) -> None:  # fmt: skip
+        self._identity = identity
+        self._log = log
+        self._committed = committed
+        self._clock = clock
+        self._timing = timing
+        self._send = send
+        self._progress = Progress(
+            identity=identity, round_lifetime=ROUND_LIFETIME_FACTOR * timing.election
+        )
+        self._term = 0
+        self._since = float("-inf")
+        self._heartbeat_due = float("-inf")
+
+    @property
+    def has_committed(self) -> bool:
+        """Whether an entry of the leader's own term is committed."""
+        return self._committed.committed_term == self._term
+
+    @property
+    def is_heartbeat_due(self) -> bool:
+        return self._clock.now() >= self._heartbeat_due
+
+    @property
+    def unconfirmed_seconds(self) -> float:
+        """For how long no majority has acknowledged this leader."""
+        return self._clock.now() - max(self.quorum_acknowledged_at(), self._since)
+
+    def start(self, term: int) -> None:
+        """Begin to lead in ``term``."""
+        self._term = term
+        self._since = self._clock.now()
+        self._progress.reset()
+
+    def quorum_acknowledged_at(self) -> float:
+        """Return the latest time as of which a majority acknowledged this leader."""
+        return self._progress.quorum_acknowledged_at(
+            self._log.members, now=self._clock.now()
+        )
+
+    def confirmed_at(self) -> float:
+        """Return the latest time at which the committed state was known to be current.
+
+        Minus infinity until an entry of the leader's own term is committed.
+        """
+        if not self.has_committed:
+            return float("-inf")
+        return self.quorum_acknowledged_at()
+
+    def match_index_of(self, identity: str) -> int:
+        """Return the highest index up to which a follower's log is known to match."""
+        return self._progress.match_index_of(identity)
+
+    def silent_members(self, *, longer_than: float) -> tuple[str, ...]:
+        """Return members that haven't answered for ``longer_than`` seconds.
+
+        Empty unless the replica has led for that long.
+        """
+        now = self._clock.now()
+        if now - self._since < longer_than:
+            return ()
+        return tuple(
+            member
+            for member in self._log.members.identities
+            if member != self._identity
+            and now - self._progress.acknowledged_at(member) > longer_than
+        )
+
+    def broadcast(self) -> None:
+        """Send every member the entries that it lacks, or a heartbeat."""
+        now = self._clock.now()
+        self._heartbeat_due = now + self._timing.heartbeat
+        self._progress.start_round(now)
+        for peer in self._log.members.identities:
+            if peer != self._identity:
+                self._replicate_to(peer)
+
+    def on_reply(self, reply: AppendReply) -> None:
+        """Handle a member's reply in this term."""
+        progress = self._progress.record_reply(reply, last_index=self._log.last_index)
+        behind = True
+        if reply.accepted:
+            previous_commit = self._committed.commit_index
+            self.advance_commit()
+            if self._committed.commit_index > previous_commit:
+                # Followers serve committed state, so the new commit index is sent now
+                # rather than with the next heartbeat.
+                self.broadcast()
+            behind = progress.next_index <= self._log.last_index
+        if behind:
+            self._replicate_to(reply.follower)
+
+    def advance_commit(self) -> None:
+        """Commit what a majority has stored."""
+        index = self._progress.quorum_match_index(
+            self._log.members, last_index=self._log.last_index
+        )
+        # Counting replicas commits only entries of the leader's current term. An
+        # entry of an earlier term on a majority may still be overwritten (Raft paper,
+        # figure 8).
+        if (
+            index > self._committed.commit_index
+            and self._log.term_at(index) == self._term
+        ):
+            self._committed.commit_to(index)
+
+    def _replicate_to(self, peer: str) -> None:
+        progress = self._progress.of(peer, last_index=self._log.last_index)
+        previous = progress.next_index - 1
+        previous_term = self._log.term_at(previous)
+        if previous_term is None:
+            self._send_snapshot(peer)
+            return
+        entries = self._log.slice(progress.next_index, limit=MAX_ENTRIES_PER_REQUEST)
+        request = AppendRequest(
+            term=self._term,
+            leader=self._identity,
+            previous_index=previous,
+            previous_term=previous_term,
+            entries=entries,
+            commit=self._committed.commit_index,
+            round=self._progress.round,
+            confirmed_age=self._confirmed_age(),
+        )
+        # Requests are pipelined: the next one starts after these entries. If this one
+        # is lost, the follower rejects the next, and its reply limits ``next_index``
+        # to what the follower's log can contain.
+        progress.next_index += len(entries)
+        self._send(peer, request)
+
+    def _send_snapshot(self, peer: str) -> None:
+        request = SnapshotRequest(
+            term=self._term,
+            leader=self._identity,
+            snapshot=self._log.snapshot,
+            round=self._progress.round,
+        )
+        self._send(peer, request)
+
+    def _confirmed_age(self) -> float:
+        return min(self._clock.now() - self.confirmed_at(), UNCONFIRMED_AGE_SECONDS)
--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -21,6 +21,7 @@
     Send,
 )
 from chicoryhold.consensus.election_timer import ElectionTimer, Timing
+from chicoryhold.consensus.leadership import Leadership
 from chicoryhold.consensus.log import Log
 from chicoryhold.consensus.messages import (
     UNCONFIRMED_AGE_SECONDS,
@@ -34,13 +35,8 @@
     VoteReply,
     VoteRequest,
 )
-from chicoryhold.consensus.progress import Progress
 from chicoryhold.errors import NotLeader
 
-MAX_ENTRIES_PER_REQUEST = 256
-# Answers to older broadcasts don't count; in minimum election timeouts.
-ROUND_LIFETIME_FACTOR = 4
-
 
 class Role(enum.Enum):
     FOLLOWER = "follower"
@@ -69,16 +65,18 @@
         self._leader: str | None = None
         self._effects: list[Effect] = []
         self._committed = CommittedLog(log=log, request=self._request)
-        self._progress = Progress(
+        self._leadership = Leadership(
             identity=identity,
-            round_lifetime=ROUND_LIFETIME_FACTOR * self._timing.election,
+            log=log,
+            committed=self._committed,
+            clock=clock,
+            timing=self._timing,
+            send=self._send,
         )
         self._votes_received: set[str] = set()
         self._pre_vote = False
         self._leader_heard_at = float("-inf")
         self._copy_confirmed_at = float("-inf")
-        self._leader_since = float("-inf")
-        self._heartbeat_due = float("-inf")
         self._election_timer = ElectionTimer(
             timing=self._timing, clock=clock, random=random
         )
@@ -122,9 +120,7 @@
         """
         if self._role is not Role.LEADER:
             return float("-inf")
-        if self._committed.committed_term != self.term:
-            return float("-inf")
-        return self._quorum_acknowledged_at()
+        return self._leadership.confirmed_at()
 
     @property
     def copy_confirmed_at(self) -> float:
@@ -142,15 +138,9 @@
 
         Empty unless this replica has been the leader for that long.
         """
-        now = self._clock.now()
-        if self._role is not Role.LEADER or now - self._leader_since < longer_than:
+        if self._role is not Role.LEADER:
             return ()
-        return tuple(
-            member
-            for member in self.members.identities
-            if member != self._identity
-            and now - self._progress.acknowledged_at(member) > longer_than
-        )
+        return self._leadership.silent_members(longer_than=longer_than)
 
     def take_effects(self) -> list[Effect]:
         """Return the effects requested since the last call, oldest first."""
@@ -160,10 +150,9 @@
 
     def tick(self) -> None:
         """Handle timeouts; call this several times per heartbeat interval."""
-        now = self._clock.now()
         if self._role is Role.LEADER:
-            self._tick_leader(now)
-        elif self._election_timer.is_due(now):
+            self._tick_leader()
+        elif self._election_timer.is_due(self._clock.now()):
             self._start_election(pre_vote=True)
 
     def propose(self, command: bytes) -> int:
@@ -182,9 +171,8 @@
         """
         if self._role is not Role.LEADER:
             raise NotLeader(leader=self._leader)
-        own_term_committed = self._committed.committed_term == self.term
         has_pending_change = self._log.members_index > self._committed.commit_index
-        if has_pending_change or not own_term_committed:
+        if has_pending_change or not self._leadership.has_committed:
             return None
         changed = set(members.voters) ^ set(self.members.voters)
         if len(changed) > 1:
@@ -193,7 +181,7 @@
 
     def match_index_of(self, identity: str) -> int:
         """Return the highest index up to which a follower's log is known to match."""
-        return self._progress.match_index_of(identity)
+        return self._leadership.match_index_of(identity)
 
     def compact(self, *, index: int, data: bytes) -> Snapshot:
         """Replace the log up to ``index`` by a snapshot with ``data``.
@@ -287,11 +275,9 @@
             self._become_leader()
 
     def _become_leader(self) -> None:
-        now = self._clock.now()
         self._role = Role.LEADER
         self._leader = self._identity
-        self._leader_since = now
-        self._progress.reset()
+        self._leadership.start(self.term)
         # Entries of earlier terms are committed only through an entry of this term,
         # so append one without waiting for a proposal.
         self._append(Entry(index=0, term=0))
@@ -306,119 +292,39 @@
             self._save_vote(Vote(term=term))
         self._reset_election_timeout()
 
-    @property
-    def _has_heard_leader(self) -> bool:
-        return self._role is Role.LEADER or self._leader_heard_at > float("-inf")
-
     def _heard_leader_recently(self) -> bool:
         now = self._clock.now()
         if self._role is Role.LEADER:
-            return self._quorum_acknowledged_at() > now - self._timing.election
+            acknowledged_at = self._leadership.quorum_acknowledged_at()
+            return acknowledged_at > now - self._timing.election
         return now - self._leader_heard_at < self._timing.election
 
     def _reset_election_timeout(self) -> None:
-        self._election_timer.reset(has_heard_leader=self._has_heard_leader)
+        has_heard = self._role is Role.LEADER or self._leader_heard_at > float("-inf")
+        self._election_timer.reset(has_heard_leader=has_heard)
 
     # Replication by the leader
 
-    def _tick_leader(self, now: float) -> None:
-        unconfirmed = now - max(self._quorum_acknowledged_at(), self._leader_since)
-        if unconfirmed > 2 * self._timing.election:
+    def _tick_leader(self) -> None:
+        if self._leadership.unconfirmed_seconds > 2 * self._timing.election:
             self._become_follower(self.term, leader=None)
-            return
-        if now >= self._heartbeat_due:
-            self._broadcast()
+        elif self._leadership.is_heartbeat_due:
+            self._leadership.broadcast()
 
     def _append(self, entry: Entry) -> int:
         if self._role is not Role.LEADER:
             raise NotLeader(leader=self._leader)
         index = self._log.last_index + 1
         self._committed.store([attrs.evolve(entry, index=index, term=self.term)])
-        self._broadcast()
-        self._advance_commit()
+        self._leadership.broadcast()
+        self._leadership.advance_commit()
         return index
 
-    def _broadcast(self) -> None:
-        now = self._clock.now()
-        self._heartbeat_due = now + self._timing.heartbeat
-        self._progress.start_round(now)
-        for peer in self.members.identities:
-            if peer != self._identity:
-                self._replicate_to(peer)
-
-    def _replicate_to(self, peer: str) -> None:
-        progress = self._progress.of(peer, last_index=self._log.last_index)
-        previous = progress.next_index - 1
-        previous_term = self._log.term_at(previous)
-        if previous_term is None:
-            self._send_snapshot(peer)
-            return
-        entries = self._log.slice(progress.next_index, limit=MAX_ENTRIES_PER_REQUEST)
-        request = AppendRequest(
-            term=self.term,
-            leader=self._identity,
-            previous_index=previous,
-            previous_term=previous_term,
-            entries=entries,
-            commit=self._committed.commit_index,
-            round=self._progress.round,
-            confirmed_age=self._confirmed_age(),
-        )
-        # Requests are pipelined: the next one starts after these entries. If this one
-        # is lost, the follower rejects the next, and its reply limits ``next_index``
-        # to what the follower's log can contain.
-        progress.next_index += len(entries)
-        self._send(peer, request)
-
-    def _confirmed_age(self) -> float:
-        return min(self._clock.now() - self.confirmed_at, UNCONFIRMED_AGE_SECONDS)
-
-    def _send_snapshot(self, peer: str) -> None:
-        request = SnapshotRequest(
-            term=self.term,
-            leader=self._identity,
-            snapshot=self._log.snapshot,
-            round=self._progress.round,
-        )
-        self._send(peer, request)
-
     def _on_append_reply(self, reply: AppendReply) -> None:
         if reply.term > self.term:
             self._become_follower(reply.term, leader=None)
-            return
-        if self._role is not Role.LEADER or reply.term < self.term:
-            return
-        progress = self._progress.record_reply(reply, last_index=self._log.last_index)
-        if reply.accepted:
-            previous_commit = self._committed.commit_index
-            self._advance_commit()
-            if self._committed.commit_index > previous_commit:
-                # Followers serve committed state, so the new commit index is sent now
-                # rather than with the next heartbeat.
-                self._broadcast()
-            behind = progress.next_index <= self._log.last_index
-        else:
-            behind = True
-        if behind and self._role is Role.LEADER:
-            self._replicate_to(reply.follower)
-
-    def _advance_commit(self) -> None:
-        index = self._progress.quorum_match_index(
-            self.members, last_index=self._log.last_index
-        )
-        # Counting replicas commits only entries of the leader's current term. An
-        # entry of an earlier term on a majority may still be overwritten (Raft paper,
-        # figure 8).
-        if (
-            index > self._committed.commit_index
-            and self._log.term_at(index) == self.term
-        ):
-            self._committed.commit_to(index)
-
-    def _quorum_acknowledged_at(self) -> float:
-        return self._progress.quorum_acknowledged_at(
-            self.members, now=self._clock.now()
-        )
+        elif self._role is Role.LEADER and reply.term == self.term:
+            self._leadership.on_reply(reply)
 
     # Replication at a follower
 
