--- a/src/chicoryhold/hosts/heartbeat_actor.py
+++ b/src/chicoryhold/hosts/heartbeat_actor.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from concurrent.futures import Future
 
 import attrs
 
 from chicoryhold.clock import Clock
-from chicoryhold.hosts.actors import CriticalActor, Tick, tell_reply
+from chicoryhold.hosts.actors import CriticalActor, Tick
 from chicoryhold.hosts.bus import Bus
 from chicoryhold.hosts.domain_view import HELLO_INTERVAL_SECONDS, DomainView
 from chicoryhold.hosts.messages import HeldSlots, Hello, HelloReply, KnownLimit
+from chicoryhold.hosts.request_rounds import RequestRounds
 
 
 @attrs.frozen(kw_only=True)
@@ -34,13 +34,13 @@
     ) -> None:  # fmt: skip
         super().__init__()
         self._view = view
-        self._bus = bus
+        self._name = bus.name
+        self._rounds = RequestRounds(bus=bus)
         self._clock = clock
         self._leaving = leaving
         self._held = held
         self._limits = limits
         self._next_due = 0.0
-        self._pending: list[Future] = []
 
     def on_receive(self, message: object) -> None:
         match message:
@@ -56,28 +56,24 @@
         if now < self._next_due:
             return
         self._next_due = now + HELLO_INTERVAL_SECONDS
-        for future in self._pending:
-            self._bus.forget(future)
         hello = Hello(
-            host=self._bus.name,
+            host=self._name,
             leaving=self._leaving(),
             held=self._held(),
             limits=self._limits(),
         )
-        self._pending = [
-            self._send_hello(replica, hello) for replica in self._view.replicas
-        ]
+        self._rounds.start()
+        for replica in self._view.replicas:
+            self._send_hello(replica, hello)
 
-    def _send_hello(self, replica: str, hello: Hello) -> Future:
+    def _send_hello(self, replica: str, hello: Hello) -> None:
         sent_at = self._clock.now()
-        hello = attrs.evolve(hello, known=self._view.known_digest(replica))
-        future = self._bus.ask(replica, hello)
-        tell_reply(
-            future,
-            self.actor_ref,
+        self._rounds.ask(
+            replica,
+            attrs.evolve(hello, known=self._view.known_digest(replica)),
+            actor=self.actor_ref,
             kinds=HelloReply,
             message=lambda reply: _ReplyReceived(
                 replica=replica, reply=reply, sent_at=sent_at
             ),
         )
-        return future
--- a/src/chicoryhold/membership/presence_actor.py
+++ b/src/chicoryhold/membership/presence_actor.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from concurrent.futures import Future
 
 import attrs
 from loguru import logger
 
 from chicoryhold.clock import Clock
-from chicoryhold.hosts.actors import CriticalActor, Tick, tell_reply
+from chicoryhold.hosts.actors import CriticalActor, Tick
 from chicoryhold.hosts.bus import Bus
+from chicoryhold.hosts.request_rounds import RequestRounds
 from chicoryhold.membership.messages import (
     ControlHost,
     ControlHosts,
@@ -142,15 +142,14 @@
         super().__init__()
         self._on_reachable = on_reachable
         self._control_hosts = control_hosts
-        self._bus = bus
+        self._reports = RequestRounds(bus=bus)
+        self._watches = RequestRounds(bus=bus)
         self._clock = clock
         self._describe = describe
         self._limits = limits
         self._guard = guard
-        self._watch: Future | None = None
         self._next_watch_at = 0.0
         self._next_due = 0.0
-        self._pending: list[Future] = []
         self._report_count = 0
 
     def on_receive(self, message: object) -> None:
@@ -180,16 +179,14 @@
         connected = bool(self._control_hosts.reachable)
         interval = REPORT_INTERVAL_SECONDS if connected else DISCOVERY_INTERVAL_SECONDS
         self._next_due = self._clock.now() + interval
-        for future in self._pending:
-            self._bus.forget(future)
         presence = EntryPresence(
             host=self._describe(),
             limits=self._limits.untold(),
             crashes=self._guard.recent_reports(),
         )
-        self._pending = [
-            self._send_report(name, presence) for name in self._choose_recipients()
-        ]
+        self._reports.start()
+        for name in self._choose_recipients():
+            self._send_report(name, presence)
 
     def _watch_quarantine(self) -> None:
         """Let the nearest control host reply as soon as the quarantine changes."""
@@ -197,12 +194,11 @@
         if not nearest:
             return
         self._next_watch_at = self._clock.now() + WATCH_INTERVAL_SECONDS
-        if self._watch is not None:
-            self._bus.forget(self._watch)
-        self._watch = self._bus.ask(nearest[0], WatchQuarantine())
-        tell_reply(
-            self._watch,
-            self.actor_ref,
+        self._watches.start()
+        self._watches.ask(
+            nearest[0],
+            WatchQuarantine(),
+            actor=self.actor_ref,
             kinds=QuarantineChanged,
             message=lambda reply: _QuarantineChanged(reply=reply),
         )
@@ -222,12 +218,11 @@
             )
         return tuple(dict.fromkeys(recipients))
 
-    def _send_report(self, name: str, presence: EntryPresence) -> Future:
-        future = self._bus.ask(name, presence)
-        tell_reply(
-            future,
-            self.actor_ref,
+    def _send_report(self, name: str, presence: EntryPresence) -> None:
+        self._reports.ask(
+            name,
+            presence,
+            actor=self.actor_ref,
             kinds=ControlHosts,
             message=lambda reply: _ReplyReceived(name=name, reply=reply),
         )
-        return future
--- a/src/chicoryhold/steering/coordinator_actor.py
+++ b/src/chicoryhold/steering/coordinator_actor.py
@@ -25,6 +25,7 @@
     NotCoordinator,
     Release,
 )
+from chicoryhold.hosts.request_rounds import RequestRounds
 from chicoryhold.limits.token_bucket import LOAN_SECONDS, RECLAIM_MARGIN_SECONDS
 from chicoryhold.steering.coordinator import Coordinator
 from chicoryhold.steering.effects import (
@@ -86,7 +87,7 @@
         self._serves_from = float("-inf")
         self._pending_replies: dict[int, Future] = {}
         self._next_ticket = 0
-        self._lease_futures: list[Future] = []
+        self._lease_rounds = RequestRounds(bus=bus)
         self._known_coordinators: dict[str, str] = {}
 
     def on_receive(self, message: object) -> None:
@@ -174,23 +175,20 @@
             self._ask_voters(self._candidate.start_round(None))
 
     def _ask_voters(self, request: LeaseRequest) -> None:
-        for future in self._lease_futures:
-            self._bus.forget(future)
-        self._lease_futures = [
-            self._ask_voter(voter, request) for voter in self._view.replicas
-        ]
-
-    def _ask_voter(self, voter: str, request: LeaseRequest) -> Future:
-        future = self._bus.ask(voter, request)
-        tell_reply(
-            future,
-            self.actor_ref,
+        self._lease_rounds.start()
+        for voter in self._view.replicas:
+            self._ask_voter(voter, request)
+
+    def _ask_voter(self, voter: str, request: LeaseRequest) -> None:
+        self._lease_rounds.ask(
+            voter,
+            request,
+            actor=self.actor_ref,
             kinds=LeaseReply,
             message=lambda reply: _LeaseReplied(
                 voter=voter, reply=reply, request=request
             ),
         )
-        return future
 
     def _on_lease_reply(self, message: _LeaseReplied) -> None:
         won = self._candidate.on_reply(message.voter, message.reply, message.request)
