Refuse numbers that can't be stored with the status of an invalid order

Versions like -5 or 0x0c were accepted, though no operator's page allows them. Found while looking for what else could fail one host after the other; the actors of the control hosts didn't end by it.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -74,6 +74,12 @@
         ("routes.0.split", [{"service": "x", "weight": 1}]),
         ("version", "zz"),
         ("version", 12),
+        ("version", "f" * 17),
+        ("version", "-5"),
+        ("version", "0x0c"),
+        ("routes.0.max_attempts", 2**63),
+        ("routes.0.priority", -(2**70)),
+        ("services.0.max_conns", 2**64),
     ],
 )
 def test_invalid_configuration_is_rejected(path, value):
@@ -111,6 +117,9 @@
         ("address", "[10.0.0.9]:80"),
         ("address", "[fe80::1%lo]:80"),
         ("born", 1.5),
+        ("born", 2**63),
+        ("status.sequence", -(2**70)),
+        ("info.slots", 2**64),
     ],
 )
 def test_invalid_target_report_is_rejected(path, value):
