--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -346,7 +346,7 @@
         if objective > 0:
             without_wait = choice.expected_latency - choice.queue_wait
             max_wait = max(MIN_WAIT_FRACTION * objective, objective - without_wait)
-            max_wait *= WAIT_FACTOR_PER_RANK ** min(criteria.rank, MAX_RANK)
+            max_wait *= WAIT_FACTOR_PER_RANK ** min(max(0, criteria.rank), MAX_RANK)
         return min(
             max_wait, criteria.time_left - choice.expected_latency + choice.queue_wait
         )
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -5,6 +5,7 @@
 import collections
 
 import attrs
+import pytest
 
 from chicoryhold.metrics import Metrics
 from chicoryhold.routing.configuration import (
@@ -395,3 +396,11 @@
 
 def test_region_whose_targets_answer_with_failures_is_not_left():
     assert failures_until_the_end(unreachable=False) == 100
+
+
+@pytest.mark.parametrize("rank", [-(2**63), -1, 0, 2**63 - 1])
+def test_no_rank_that_a_configuration_may_hold_fails_the_choice(rank):
+    chooser = a_chooser("north-a", "north-a")
+    for _ in range(40):
+        outcome = chooser.choose(criteria(rank=rank))
+    assert isinstance(outcome, Overloaded)
