Move the entry host's embedding interface to a module of its own

programs/gateway.py had the class that embedding programs use beside the assembly of its components. The class is now programs/gateway_host.py.

--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -1,9 +1,9 @@
-"""One entry host of an installation whose hosts discover each other from seeds."""
+"""Assembles an entry host of an installation whose hosts find each other by seeds."""
 
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from random import Random
 from typing import Protocol
@@ -12,7 +12,6 @@
 from loguru import logger
 
 from chicoryhold.clock import BootClock
-from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.control.follower import Follower
 from chicoryhold.control.follower_actor import FetchTiming, FollowerActor
 from chicoryhold.gateway.delivery import Delivery, TargetHeaderTranslator
@@ -24,15 +23,14 @@
 from chicoryhold.limits.permit_client import PermitClient
 from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.limits.target_permit_client import TargetPermitClient
-from chicoryhold.membership.messages import EntryHost
 from chicoryhold.membership.presence_actor import (
     ControlHostList,
     PresenceActor,
     ReportNow,
 )
 from chicoryhold.metrics import Metrics, serve_metrics
+from chicoryhold.programs.gateway_host import Gateway
 from chicoryhold.programs.gateway_links import (
-    TargetLinks,
     create_prober,
     create_relay,
     create_target_links,
@@ -42,11 +40,9 @@
 from chicoryhold.quarantine.crash_watch import CrashWatch, crash_check_threads
 from chicoryhold.quarantine.evidence import AMBIGUOUS_CRASHES, CrashEvidence
 from chicoryhold.quarantine.guard import RequestGuard
-from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.routing.selection import HostLocation
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
-from chicoryhold.state.targets import TargetRecord, TargetState
 from chicoryhold.targets.dialect import TargetDialect
 
 FOLLOWER_TICK_SECONDS = 0.25
@@ -60,128 +56,6 @@
     """Translates to the headers of targets and of other entry hosts."""
 
 
-class Gateway:
-    """The part of an entry host that an embedding program uses. Thread-safe."""
-
-    def __init__(
-        self, *, settings: GatewaySettings, follower: Follower, chooser: TargetChooser,
-        limits: StatedLimits, crashes: CrashWatch, links: TargetLinks, metrics: Metrics,
-        clock: BootClock,
-    ) -> None:  # fmt: skip
-        self._settings = settings
-        self._follower = follower
-        self._chooser = chooser
-        self._limits = limits
-        self._crashes = crashes
-        self._links = links
-        self._preconnected: frozenset[str] = frozenset()
-        self._clock = clock
-        self._route_index = RouteIndex(follower.state.configuration)
-        self._draining = False
-        self._announce: Callable[[], None] = lambda: None
-        self._metrics = metrics
-        self._metrics.gauge("chicoryhold_revision", lambda: follower.state.revision)
-        self._metrics.gauge("chicoryhold_copy_age_seconds", lambda: self.copy_age)
-        self._metrics.gauge(
-            "chicoryhold_reaches_targets",
-            lambda: int(not links.reachability.is_cut_off),
-        )
-        self.service: GatewayService | None = None
-
-    @property
-    def clock(self) -> BootClock:
-        return self._clock
-
-    @property
-    def route_index(self) -> RouteIndex:
-        """The routes and services of the configuration in force on this host."""
-        return self._route_index
-
-    @property
-    def metrics(self) -> Metrics:
-        return self._metrics
-
-    @property
-    def copy_age(self) -> float:
-        """Seconds since the copy of the control state was confirmed to be the newest.
-
-        At most ``UNCONFIRMED_AGE_SECONDS``, which it also is before the first time.
-        """
-        return min(self._follower.age, UNCONFIRMED_AGE_SECONDS)
-
-    @property
-    def draining(self) -> bool:
-        return self._draining
-
-    @property
-    def ready(self) -> bool:
-        return self._route_index.version > 0 and not self._draining
-
-    def start_draining(self) -> None:
-        """Stop being listed for callers. Requests that still arrive are served."""
-        self._draining = True
-        self._announce()
-
-    def describe(self) -> EntryHost:
-        return EntryHost(
-            name=self._settings.name,
-            domain=self._settings.domain,
-            region=self._settings.region,
-            address=self._settings.callers_address,
-            ready=self.ready,
-            reaches_targets=not self._links.reachability.is_cut_off,
-        )
-
-    def apply(self) -> None:
-        """Apply the newest copy of the control state."""
-        state = self._follower.state
-        was_ready = self.ready
-        if state.configuration.version != self._route_index.version:
-            self._route_index = RouteIndex(state.configuration)
-            logger.bind(
-                version=state.configuration.version,
-                revision=state.revision,
-                age=round(self.copy_age, 2),
-                routes=len(state.configuration.routes),
-            ).info("gateway: configuration applied.")
-        self._chooser.update(
-            state.targets,
-            evacuated=state.evacuated,
-            service_rule=self._route_index.service,
-        )
-        self._limits.keep_only(
-            {instance: view.record for instance, view in self._chooser.views.items()}
-        )
-        self._crashes.record_targets(state.targets)
-        self._preconnect_remote_targets(state.targets)
-        if self.ready != was_ready:
-            self._announce()
-
-    def _preconnect_remote_targets(self, targets: Iterable[TargetRecord]) -> None:
-        """Connect to the ready targets of other regions before a request needs them."""
-        regions, own = self._settings.regions, self._settings.region
-        addresses = frozenset(
-            record.address
-            for record in targets
-            if record.state is TargetState.READY and regions.get(record.domain) != own
-        )
-        for address in addresses - self._preconnected:
-            self._links.connections.preconnect(address)
-        self._preconnected = addresses
-
-    def apply_reachability(self) -> None:
-        """Apply that this host has been cut off from all targets, or reaches them."""
-        self._links.reset()
-        self._announce()
-        if not self._links.reachability.is_cut_off:
-            self._preconnected = frozenset()
-            self._preconnect_remote_targets(self._follower.state.targets)
-
-    def on_change(self, announce: Callable[[], None]) -> None:
-        """Call ``announce`` whenever the result of :meth:`describe` has changed."""
-        self._announce = announce
-
-
 @contextmanager
 def running_gateway(
     settings: GatewaySettings, *, seeds: Callable[[], tuple[str, ...]],
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -22,7 +22,7 @@
 from chicoryhold.hosts.actors import Tick
 from chicoryhold.hosts.domain_view import DomainView
 from chicoryhold.metrics import Metrics
-from chicoryhold.programs.gateway import Gateway
+from chicoryhold.programs.gateway_host import Gateway
 from chicoryhold.programs.gateway_links import create_target_links
 from chicoryhold.programs.host_settings import GatewaySettings
 from chicoryhold.routing.configuration import (
