Keep a configuration that fails from ending one entry host after the other

No caller saw it. The same class as deadly requests, found by reading: an accepted configuration reaches every entry host, and a failure while it is applied ended the process, again after each restart. No such configuration is known; hostile values were tried.

A host now keeps the former configuration in force, logs the failure with its traceback, and takes the next version.

--- a/src/chicoryhold/programs/gateway_host.py
+++ b/src/chicoryhold/programs/gateway_host.py
@@ -15,6 +15,7 @@
 from chicoryhold.programs.gateway_links import TargetLinks
 from chicoryhold.programs.host_settings import GatewaySettings
 from chicoryhold.quarantine.crash_watch import CrashWatch
+from chicoryhold.routing.configuration import Configuration
 from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
@@ -38,6 +39,7 @@
         self._preconnected: frozenset[str] = frozenset()
         self._clock = clock
         self._route_index = RouteIndex(follower.state.configuration)
+        self._failed_version: int | None = None
         self._draining = False
         self._announce: Callable[[], None] = lambda: None
         self._metrics = metrics
@@ -97,14 +99,11 @@
         """Apply the newest copy of the control state."""
         state = self._follower.state
         was_ready = self.ready
-        if state.configuration.version != self._route_index.version:
-            self._route_index = RouteIndex(state.configuration)
-            logger.bind(
-                version=state.configuration.version,
-                revision=state.revision,
-                age=round(self.copy_age, 2),
-                routes=len(state.configuration.routes),
-            ).info("gateway: configuration applied.")
+        if state.configuration.version not in (
+            self._route_index.version,
+            self._failed_version,
+        ):
+            self._apply_configuration(state.configuration)
         self._chooser.update(
             state.targets,
             evacuated=state.evacuated,
@@ -118,6 +117,28 @@
         if self.ready != was_ready:
             self._announce()
 
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        """Put ``configuration`` in force, or keep the former one if that fails.
+
+        Every entry host gets the same configuration, again after each restart, so a
+        failure that ended the process would end all of them.
+        """
+        log = logger.bind(
+            version=configuration.version,
+            revision=self._follower.state.revision,
+            age=round(self.copy_age, 2),
+            routes=len(configuration.routes),
+        )
+        try:
+            self._route_index = RouteIndex(configuration)
+        except Exception as error:
+            self._failed_version = configuration.version
+            log.opt(exception=error).error(
+                "gateway: configuration failed; the former one stays in force."
+            )
+            return
+        log.info("gateway: configuration applied.")
+
     def _preconnect_remote_targets(self, targets: Iterable[TargetRecord]) -> None:
         """Connect to the ready targets of other regions before a request needs them."""
         regions, own = self._settings.regions, self._settings.region
