Answer changes that can't be stored, and don't end the control host

Nobody has seen it; found by looking for a message that ends one process after the other. A change is encoded by the actor that owns the replica. With a revision of more than 64 bits in Chicoryhold-Based-On that raised OverflowError, the control host ended, and the operator's client went on to the next one, whether it led or not.

The codec raises a typed error for what can't be encoded, the actor passes it to the sender, and the administration API answers 400, as it does for names that are no Unicode; announcements of targets likewise. The new tests failed before, but that for names, which guards what worked; 48 tests of the API, messages, the bus, callers and upgrades pass.

--- a/src/chicoryhold/callers/app.py
+++ b/src/chicoryhold/callers/app.py
@@ -15,7 +15,7 @@
 from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
 from chicoryhold.callers.request import IDEMPOTENCY_HEADER, read_request
 from chicoryhold.callers.service import CallerService, Outcome, unknown_unless_proved
-from chicoryhold.errors import RequestRefused
+from chicoryhold.errors import NotEncodable, RequestRefused
 from chicoryhold.hosts.messages import Announcement
 from chicoryhold.http_server import QUEUED_REQUESTS
 from chicoryhold.steering.admission_client import AdmissionClient
@@ -101,7 +101,10 @@
             announcement = msgspec.json.decode(body, type=Announcement)
         except msgspec.DecodeError as error:
             return _error_response(400, f"not an announcement: {error}")
-        reply = self._admission.announce(announcement)
+        try:
+            reply = self._admission.announce(announcement)
+        except NotEncodable as error:
+            return _error_response(400, f"not an announcement: {error}")
         if reply is None:
             return _error_response(503, "no coordinator: announce again in a second")
         return _json_response(200, msgspec.json.encode(reply))
--- a/src/chicoryhold/codec.py
+++ b/src/chicoryhold/codec.py
@@ -7,7 +7,7 @@
 import attrs
 import msgspec
 
-from chicoryhold.errors import UnknownMessage
+from chicoryhold.errors import NotEncodable, UnknownMessage
 
 T = TypeVar("T")
 
@@ -28,8 +28,15 @@
 
 
 def encode(value: Any) -> bytes:
-    """Encode ``value`` together with the name of its kind."""
-    return _ENCODER.encode((type(value).__name__, value))
+    """Encode ``value`` together with the name of its kind.
+
+    Raises ``NotEncodable`` if a number has more than 64 bits or a text is no Unicode.
+    """
+    try:
+        return _ENCODER.encode((type(value).__name__, value))
+    except (OverflowError, UnicodeEncodeError) as error:
+        kind = type(value).__name__
+        raise NotEncodable(f"{kind} can't be encoded: {error}") from error
 
 
 def decode(data: bytes) -> Any:
--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -36,7 +36,7 @@
 )
 from chicoryhold.control.pending_fetches import MAX_FETCH_WAIT_SECONDS, PendingFetches
 from chicoryhold.control.storage import Storage
-from chicoryhold.errors import NotLeader, ResultUnknown, UnknownMessage
+from chicoryhold.errors import NotEncodable, NotLeader, ResultUnknown, UnknownMessage
 from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick
 from chicoryhold.hosts.bus import Bus
 from chicoryhold.state.changes import Change
@@ -151,6 +151,10 @@
         except NotLeader:
             request.reply.set_exception(self._not_leader())
             return
+        except NotEncodable as error:
+            logger.warning("control: a change was refused: {}.", error)
+            request.reply.set_exception(error)
+            return
         term = self._replica.term
         self._pending_proposals[index] = _PendingProposal(
             term=term, reply=request.reply
--- a/src/chicoryhold/errors.py
+++ b/src/chicoryhold/errors.py
@@ -27,6 +27,10 @@
     """Raised when a peer sends a message that this version can't read."""
 
 
+class NotEncodable(ChicoryholdError):
+    """Raised when a message holds a value that can't be sent or stored."""
+
+
 class PeerTimeout(ChicoryholdError):
     """Raised when a peer doesn't reply within the timeout of the call."""
 
--- a/src/chicoryhold/operators/api.py
+++ b/src/chicoryhold/operators/api.py
@@ -17,7 +17,7 @@
 
 from chicoryhold.codec import encode
 from chicoryhold.control.replica_actor import ControlView, Propose, Read
-from chicoryhold.errors import NotLeader, ResultUnknown
+from chicoryhold.errors import NotEncodable, NotLeader, ResultUnknown
 from chicoryhold.routing.configuration import Configuration
 from chicoryhold.settings import OperatorSettings
 from chicoryhold.state.changes import (
@@ -41,6 +41,7 @@
 
 REPLY_TIMEOUT_SECONDS = 5.0
 REQUEST_ID_HEADER = "Chicoryhold-Request-Id"
+MAX_REVISION = 2**63 - 1
 BASED_ON_HEADER = "Chicoryhold-Based-On"
 
 _ROUTES = Map(
@@ -116,7 +117,7 @@
         handler = getattr(self, f"_{endpoint}")
         try:
             return _json_response(handler(request, operator, **arguments))
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, NotEncodable) as error:
             message = f"the request's body or headers are wrong: {error!r}"
             problem = Problem(status=400, error="bad_request", message=message)
             return _json_response(Err(problem))
@@ -265,7 +266,7 @@
             request_id=request.headers[REQUEST_ID_HEADER],
             operator=operator,
             body=encode(body),
-            based_on=int(based_on) if based_on is not None else None,
+            based_on=_revision(based_on) if based_on is not None else None,
         )
         reply: Future = Future()
         self._replica.tell(Propose(change=change, reply=reply))
@@ -281,6 +282,13 @@
             return Err(Problem(status=504, error="unknown", message=message))
 
 
+def _revision(text: str) -> int:
+    revision = int(text)
+    if not 0 <= revision <= MAX_REVISION:
+        raise ValueError(f"revision {text!r}: write the one that you have read")
+    return revision
+
+
 def _table_fields(view: ControlView) -> Mapping[str, object]:
     # The revision is read first. If the table changes in between, an edit based on
     # this revision is refused rather than undoing the change.
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import json
 
 import attrs
 import pytest
@@ -53,14 +54,16 @@
     return FakeLeader(state=ControlState(), in_force=reports)
 
 
-def call_api(leader: FakeLeader, method: str, path: str, **headers: str):
+def call_api(
+    leader: FakeLeader, method: str, path: str, data: str = "", **headers: str
+):
     digest = hashlib.sha256(TOKEN.encode()).hexdigest()
     api = AdministrationApi(
         replica=leader,
         operators=(OperatorSettings(name="ana", token_sha256=digest),),
     )
     headers = {"Authorization": f"Bearer {TOKEN}", **headers}
-    return Client(api).open(path, method=method, headers=headers)
+    return Client(api).open(path, method=method, headers=headers, data=data)
 
 
 def test_hosts_are_listed_with_the_age_of_their_report(leader):
@@ -101,3 +104,18 @@
     for path in ("/v1/configuration", "/v1/targets", "/v1/hosts", "/v1/evacuations"):
         response = call_api(leader, "GET", path, Authorization="Bearer guessed")
         assert response.status_code == 401
+
+
+@pytest.mark.parametrize("based_on", ["9223372036854775808", "-1", "9" * 40, "x"])
+def test_a_revision_that_no_state_can_have_is_a_wrong_request(leader, based_on):
+    headers = {"Chicoryhold-Request-Id": "r", "Chicoryhold-Based-On": based_on}
+    response = call_api(leader, "PUT", "/v1/table", **headers)
+    assert (response.status_code, leader.proposed) == (400, [])
+
+
+def test_a_name_that_is_no_unicode_is_a_wrong_request(leader):
+    fields = {"service": "\ud800", "source": "a", "destination": "b"}
+    body = json.dumps({**fields, "share": 1, "cap": 1})
+    headers = {"Chicoryhold-Request-Id": "r", "Content-Type": "application/json"}
+    response = call_api(leader, "PUT", "/v1/shifts/s", data=body, **headers)
+    assert (response.status_code, leader.proposed) == (400, [])
--- a/tests/test_control_messages.py
+++ b/tests/test_control_messages.py
@@ -14,7 +14,8 @@
 from chicoryhold.consensus.replica import Replica
 from chicoryhold.control.messages import ReplicaMessage
 from chicoryhold.control.plane import ControlPlane
-from chicoryhold.control.replica_actor import ReplicaActor
+from chicoryhold.control.replica_actor import Propose, ReplicaActor
+from chicoryhold.errors import NotEncodable
 from chicoryhold.hosts.actors import PeerRequest, Tick
 from chicoryhold.membership.messages import ForwardedChange, ForwardedOutcome
 from chicoryhold.membership.target_reports import TargetReports
@@ -106,3 +107,16 @@
     single.run()
     assert answer.result(0).outcome.accepted
     assert single.state.revision == 1
+
+
+def test_a_change_that_cannot_be_stored_does_not_end_one_replica_after_the_other(
+    single,
+):
+    too_large = Change(request_id="a", operator="ana", body=b"", based_on=2**64)
+    reply: Future = Future()
+    single.actor.on_receive(Propose(change=too_large, reply=reply))
+    assert isinstance(reply.exception(0), NotEncodable)
+    reply = Future()
+    valid = change("b", EvacuateDomain(domain="d"))
+    single.actor.on_receive(Propose(change=valid, reply=reply))
+    assert reply.result(0).accepted
--- a/tests/test_changes_that_fail.py
+++ b/tests/test_unreadable_tables.py
@@ -1,4 +1,4 @@
-"""A change that can't be applied or stored ends no control replica."""
+"""A table that is no CSV."""
 
 from __future__ import annotations
 
