Notice a crash also after the target has reset connections

What it meant for callers: hosts could miss crashes, so a deadly request could end more targets than three. Found by reading. A host checked a target's port only at the first connection that ended, and looked no further for 5 s. Requests that had been reset seconds before were blamed as well.

Each loss now leads to a check, half a second after the last one at the earliest; only requests whose connections ended within a second of the last one count as having run at the crash, and others are forgotten, which also bounds the memory.

--- a/src/chicoryhold/quarantine/crash_watch.py
+++ b/src/chicoryhold/quarantine/crash_watch.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import time
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import Executor, ThreadPoolExecutor
@@ -20,9 +21,14 @@
 from chicoryhold.targets.address import parse_address
 
 CHECK_TIMEOUT_SECONDS = 0.4
-CHECK_THREADS = 2
+CHECK_THREADS = 4
 # A target that ended and wasn't found so may be replaced by a new process until then.
 REPLACEMENT_SECONDS = 5.0
+# A target in trouble may reset many connections. Checks of it are this far apart.
+CHECK_INTERVAL_SECONDS = 0.5
+# All connections to a target that crashes end within this time. What ended earlier was
+# reset while the target ran.
+CRASH_SECONDS = 1.0
 MAX_WATCHED_TARGETS = 256
 
 
@@ -60,13 +66,37 @@
 
 
 @attrs.define(kw_only=True)
-class _Loss:
-    """The requests that ran at a target when its connections ended."""
+class _Losses:
+    """The latest requests whose connections to one target process ended, and when.
+
+    ``is_check_due`` means that a check has been asked for and hasn't begun.
+    """
 
-    at: float
     address: str
-    requests: set[bytes] = attrs.field(factory=set)
-    has_crashed: bool = False
+    latest_at: float
+    lost_at: dict[bytes, float] = attrs.field(factory=dict)
+    checked_at: float = float("-inf")
+    is_check_due: bool = False
+    crashed_at: float | None = None
+
+    @property
+    def has_crashed(self) -> bool:
+        return self.crashed_at is not None
+
+    def add(self, request: bytes, now: float) -> None:
+        """Add a request, and forget those that were reset before."""
+        self.latest_at = now
+        self.lost_at[request] = now
+        self.lost_at = {
+            request: at
+            for request, at in self.lost_at.items()
+            if at >= now - CRASH_SECONDS
+        }
+
+    def is_outdated(self, now: float) -> bool:
+        """Whether a process that is found to have ended now is another one."""
+        since = self.latest_at if self.crashed_at is None else self.crashed_at
+        return now - since > REPLACEMENT_SECONDS
 
 
 class CrashWatch:
@@ -82,6 +112,7 @@
         self, *, on_crash: Callable[[CrashReport], None], executor: Executor,
         clock: Clock, metrics: Metrics, is_cut_off: Callable[[], bool],
         is_refusing: Callable[[str], bool] = is_refusing,
+        sleep: Callable[[float], None] = time.sleep,
     ) -> None:  # fmt: skip
         self._on_crash = on_crash
         self._executor = executor
@@ -89,35 +120,41 @@
         self._metrics = metrics
         self._is_cut_off = is_cut_off
         self._is_refusing = is_refusing
-        self._losses: OrderedDict[tuple[str, int], _Loss] = OrderedDict()
+        self._sleep = sleep
+        self._losses: OrderedDict[tuple[str, int], _Losses] = OrderedDict()
         self._lock = threading.Lock()
 
     def record_lost(self, target: TargetProcess, request: bytes) -> None:
         """Note that a connection to ``target`` ended while ``request`` ran there."""
         key = (target.instance, target.born_ms)
-        now = self._clock.now()
         with self._lock:
-            loss = self._losses.get(key)
-            is_new = loss is None or now - loss.at > REPLACEMENT_SECONDS
-            if is_new:
-                loss = self._losses[key] = _Loss(at=now, address=target.address)
-            loss.requests.add(request)
-            has_crashed = loss.has_crashed
-            if len(self._losses) > MAX_WATCHED_TARGETS:
-                self._losses.popitem(last=False)
+            losses = self._losses_of(key, target.address)
+            losses.add(request, self._clock.now())
+            has_crashed = losses.has_crashed
+            needs_check = not has_crashed and not losses.is_check_due
+            losses.is_check_due = losses.is_check_due or needs_check
         if has_crashed:
             self._report(key, {request})
-        elif is_new:
-            self._executor.submit(self._check, key, target.address)
+        elif needs_check:
+            self._executor.submit(self._check, key, losses)
+
+    def _losses_of(self, key: tuple[str, int], address: str) -> _Losses:
+        losses = self._losses.get(key)
+        now = self._clock.now()
+        if losses is None or losses.is_outdated(now):
+            losses = self._losses[key] = _Losses(address=address, latest_at=now)
+            if len(self._losses) > MAX_WATCHED_TARGETS:
+                self._losses.popitem(last=False)
+        return losses
 
     def record_targets(self, targets: Iterable[TargetProcess]) -> None:
         """Note which targets exist; a newer process shows that the former has ended."""
         now = self._clock.now()
         with self._lock:
             unclear = {
-                key: loss.address
-                for key, loss in self._losses.items()
-                if not loss.has_crashed and now - loss.at <= REPLACEMENT_SECONDS
+                key: losses.address
+                for key, losses in self._losses.items()
+                if not losses.has_crashed and not losses.is_outdated(now)
             }
         if not unclear:
             return
@@ -131,17 +168,22 @@
                 ):
                     self._confirm((instance, born_ms))
 
-    def _check(self, key: tuple[str, int], address: str) -> None:
-        if self._is_refusing(address) and not self._is_cut_off():
+    def _check(self, key: tuple[str, int], losses: _Losses) -> None:
+        next_at = losses.checked_at + CHECK_INTERVAL_SECONDS
+        self._sleep(max(0.0, next_at - self._clock.now()))
+        with self._lock:
+            losses.is_check_due = False
+            losses.checked_at = self._clock.now()
+        if self._is_refusing(losses.address) and not self._is_cut_off():
             self._confirm(key)
 
     def _confirm(self, key: tuple[str, int]) -> None:
         with self._lock:
-            loss = self._losses.get(key)
-            if loss is None or loss.has_crashed:
+            losses = self._losses.get(key)
+            if losses is None or losses.has_crashed:
                 return
-            loss.has_crashed = True
-            requests = set(loss.requests)
+            losses.crashed_at = self._clock.now()
+            requests = set(losses.lost_at)
         self._report(key, requests)
 
     def _report(self, key: tuple[str, int], requests: set[bytes]) -> None:
--- a/tests/crash_fakes.py
+++ b/tests/crash_fakes.py
@@ -27,23 +27,34 @@
 
 @attrs.define(kw_only=True)
 class CrashedTargets:
-    """Which addresses refuse connections, and what was reported."""
+    """Which addresses refuse connections, and what was reported.
+
+    ``checks`` counts the connections that were opened to find out.
+    """
 
     refusing: set[str] = attrs.field(factory=set)
     reports: list[CrashReport] = attrs.field(factory=list)
     is_cut_off: bool = False
     on_crash: Callable[[CrashReport], None] | None = None
+    checks: int = 0
 
-    def watch(self, clock: Clock) -> CrashWatch:
+    def watch(
+        self, clock: Clock, *, sleep: Callable[[float], None] = lambda seconds: None
+    ) -> CrashWatch:
         return CrashWatch(
             on_crash=self.on_crash or self.reports.append,
             executor=ImmediateExecutor(),
             clock=clock,
             metrics=Metrics(process="test"),
             is_cut_off=lambda: self.is_cut_off,
-            is_refusing=lambda address: address in self.refusing,
+            is_refusing=self._is_refusing,
+            sleep=sleep,
         )
 
+    def _is_refusing(self, address: str) -> bool:
+        self.checks += 1
+        return address in self.refusing
+
 
 def a_guard(clock: Clock, *, told: list[object] | None = None) -> RequestGuard:
     """Return a guard whose messages to control hosts are added to ``told``."""
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -6,7 +6,12 @@
 
 import attrs
 
-from chicoryhold.quarantine.crash_watch import REPLACEMENT_SECONDS, is_refusing
+from chicoryhold.quarantine.crash_watch import (
+    CHECK_INTERVAL_SECONDS,
+    CRASH_SECONDS,
+    REPLACEMENT_SECONDS,
+    is_refusing,
+)
 from chicoryhold.quarantine.digest import request_digest
 from tests.conftest import FakeClock
 from tests.crash_fakes import CrashedTargets
@@ -43,6 +48,51 @@
     assert targets.reports == []
 
 
+def test_a_crash_after_a_reset_is_noticed_and_what_was_reset_is_not_blamed():
+    targets = CrashedTargets()
+    clock = FakeClock()
+    watch = targets.watch(clock)
+    watch.record_lost(TARGET, b"reset")
+    clock.advance(2.0)
+    targets.refusing.add(TARGET.address)
+    for request in (b"deadly", b"beside"):
+        watch.record_lost(TARGET, request)
+    reported = {request for each in targets.reports for request in each.requests}
+    assert reported == {b"deadly", b"beside"}
+
+
+def test_a_replacement_is_noticed_though_the_target_had_reset_connections_before():
+    targets = CrashedTargets()
+    clock = FakeClock()
+    watch = targets.watch(clock)
+    watch.record_lost(TARGET, b"reset")
+    clock.advance(4.0)
+    watch.record_lost(TARGET, b"deadly")
+    clock.advance(3.0)
+    watch.record_targets([attrs.evolve(TARGET, born_ms=TARGET.born_ms + 1)])
+    assert [each.requests for each in targets.reports] == [(b"deadly",)]
+
+
+def test_memory_stays_bounded_while_a_target_resets_connections_all_the_time():
+    clock = FakeClock()
+    watch = CrashedTargets().watch(clock)
+    for number in range(3_000):
+        watch.record_lost(TARGET, number.to_bytes(2))
+        clock.advance(0.1)
+    (losses,) = watch._losses.values()
+    assert len(losses.lost_at) <= 1 + CRASH_SECONDS / 0.1
+
+
+def test_a_target_that_resets_many_connections_is_checked_twice_a_second_at_most():
+    targets = CrashedTargets()
+    clock = FakeClock()
+    watch = targets.watch(clock, sleep=clock.advance)
+    started_at = clock.now()
+    for number in range(20):
+        watch.record_lost(TARGET, bytes([number]))
+    assert clock.now() - started_at >= (targets.checks - 1) * CHECK_INTERVAL_SECONDS
+
+
 def test_a_host_that_is_cut_off_reports_no_crash():
     targets = CrashedTargets(refusing={TARGET.address}, is_cut_off=True)
     targets.watch(FakeClock()).record_lost(TARGET, b"r")
