Ask live sources again soon after an election

Change: a source that answers, but isn't confirmed, is avoided only for as long as a fetch from another one takes. Once another source turns out to be confirmed, those that weren't are avoided for 10 s, as they are cut off.

The new test failed before in all four cases; a second one guards that a host stays with the only confirmed source. 39 tests of followers, copies and upgrades pass.

--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -58,6 +58,14 @@
     stale_age: float = STALE_SOURCE_AGE_SECONDS
     retry_delay: float = RETRY_DELAY_SECONDS
 
+    @property
+    def live_back_off(self) -> float:
+        """For how long a source is avoided that answers, but isn't confirmed.
+
+        It is the time of a fetch from another one.
+        """
+        return self.timeout + self.retry_delay
+
 
 class FollowerActor(CriticalActor):
     """Fetches from one source at a time and serves its copy to other hosts.
@@ -77,6 +85,7 @@
         self._on_applied = on_applied
         self._notified_revision = -1
         self._backoff_until: dict[str, float] = {}
+        self._stale_sources: set[str] = set()
         self._follower = follower
         self._sources = sources
         self._bus = bus
@@ -166,7 +175,7 @@
             case ImagePiece() as piece:
                 self._on_piece(piece)
             case SourceUnavailable(leader=leader):
-                self._back_off("the source is unavailable", leader)
+                self._leave_live_source("the source is unavailable", leader)
         if not self._fetch_in_flight and self._clock.now() >= self._next_fetch_at:
             self._fetch()
 
@@ -192,7 +201,9 @@
             and batch.confirmed_age > self._timing.stale_age
             and not self._awaits_confirmation(batch)
         ):
-            self._back_off("the source is stale")
+            self._leave_live_source("the source is stale")
+        elif batch.confirmed_age <= self._timing.stale_age:
+            self._stay_away_from_stale_sources()
 
     def _awaits_confirmation(self, batch: ChangeBatch) -> bool:
         """Whether to stay with a source that isn't confirmed yet, as nobody may be."""
@@ -232,8 +243,25 @@
         else:
             self._needs_image = True
 
-    def _back_off(self, reason: str, suggested: str = "") -> None:
-        """Avoid the source for ``SOURCE_BACKOFF_SECONDS``.
+    def _leave_live_source(self, reason: str, suggested: str = "") -> None:
+        """Avoid a source that answers, but isn't confirmed, for a short time.
+
+        Until a leader is elected that is so of all sources, and then of none.
+        """
+        self._stale_sources.add(self._source)
+        self._back_off(reason, suggested, self._timing.live_back_off)
+
+    def _stay_away_from_stale_sources(self) -> None:
+        """Avoid them as long as silent ones, since another source is confirmed."""
+        until = self._clock.now() + SOURCE_BACKOFF_SECONDS
+        for source in self._stale_sources - {self._source}:
+            self._backoff_until[source] = until
+        self._stale_sources.clear()
+
+    def _back_off(
+        self, reason: str, suggested: str = "", seconds: float = SOURCE_BACKOFF_SECONDS
+    ) -> None:
+        """Avoid the source for ``seconds``.
 
         ``suggested`` is used next if it is one of the sources; its own back-off ends.
         """
@@ -246,7 +274,7 @@
         now = self._clock.now()
         self._unconfirmed_since = float("inf")
         self._fetch_in_flight = False
-        self._backoff_until[self._source] = now + SOURCE_BACKOFF_SECONDS
+        self._backoff_until[self._source] = now + seconds
         self._suggested_source = suggested
         self._backoff_until.pop(suggested, None)
         self._next_fetch_at = now + self._timing.retry_delay
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -2,21 +2,31 @@
 
 from __future__ import annotations
 
+import contextlib
 import queue
+from collections.abc import Callable
 from concurrent.futures import Future
 
 import attrs
+import pytest
 
 from chicoryhold.control.feed import ChangeFeed
 from chicoryhold.control.follower import Follower
-from chicoryhold.control.follower_actor import FollowerActor
-from chicoryhold.control.messages import FetchChanges, FetchImage
+from chicoryhold.control.follower_actor import FetchTiming, FollowerActor
+from chicoryhold.control.messages import (
+    FetchChanges,
+    FetchImage,
+    SourceUnavailable,
+)
 from chicoryhold.hosts.actors import Tick
+from chicoryhold.programs.gateway import FETCH_TIMING, FOLLOWER_TICK_SECONDS
 from chicoryhold.state.changes import CreateOrganisation
 from chicoryhold.state.control_state import ControlState
 from tests.conftest import FakeClock
 from tests.test_control_state import change
 
+# The users' bound from the acknowledgement of a configuration to its use everywhere.
+CONFIG_APPLY_SECONDS = 2.5
 MANY_CHANGES = 700  # takes several batches
 
 
@@ -102,3 +112,90 @@
     clock.advance(1.0)
     run_until_idle(actor)
     assert bus.asked == ["neighbour", "control-1"]
+
+
+@attrs.define(kw_only=True)
+class ElectionBus:
+    """A bus on which ``live`` processes answer as ``reply_to`` says.
+
+    The process ``far`` answers as ``far_replies_to`` says, and isn't there at first.
+    """
+
+    live: tuple[str, ...]
+    reply_to: Callable[[FetchChanges], object]
+    name: str = "own"
+    asked: list[str] = attrs.field(factory=list)
+    far_replies_to: Callable[[FetchChanges], object] | None = None
+
+    def ask(self, peer: str, request: FetchChanges) -> Future:
+        self.asked.append(peer)
+        future: Future = Future()
+        if peer in self.live:
+            future.set_result(self.reply_to(request))
+        elif peer == "far" and self.far_replies_to is not None:
+            future.set_result(self.far_replies_to(request))
+        return future
+
+
+class Election:
+    """A host whose nearest sources are alive, and have no leader for a while."""
+
+    def __init__(self, *, timing: FetchTiming) -> None:
+        self.clock = FakeClock()
+        self.state = ControlState()
+        self.feed = ChangeFeed(state=self.state)
+        self.follower = Follower(clock=self.clock)
+        live = ("near-1", "near-2")
+        self.bus = ElectionBus(live=live, reply_to=self.confirmed(0.1))
+        self._actor = FollowerActor(
+            follower=self.follower,
+            sources=lambda: (*live, "dead-1", "dead-2", "dead-3", "far"),
+            bus=self.bus,
+            clock=self.clock,
+            domain="d",
+            timing=timing,
+        )
+
+    def confirmed(self, age: float) -> Callable[[FetchChanges], object]:
+        return lambda request: self.feed.answer(request, confirmed_age=age)
+
+    def accept_change(self) -> None:
+        accepted = change("a", CreateOrganisation(name="o"))
+        self.state.apply(accepted)
+        self.feed.record(accepted)
+
+    def run(self, seconds: float) -> None:
+        """Handle ticks, and after each one reply, as sources hold each fetch."""
+        end = self.clock.now() + seconds
+        while self.clock.now() < end:
+            self.clock.advance(FOLLOWER_TICK_SECONDS)
+            self._actor.on_receive(Tick())
+            with contextlib.suppress(queue.Empty):
+                self._actor.on_receive(self._actor.actor_inbox.get_nowait().message)
+
+
+@pytest.mark.parametrize("timing", [FETCH_TIMING, FetchTiming()])
+@pytest.mark.parametrize("answer", ["stale", "unavailable"])
+def test_a_host_asks_live_sources_again_soon_after_an_election(timing, answer):
+    election = Election(timing=timing)
+    election.run(1.0)
+    stale = election.confirmed(timing.stale_age + 1)
+    unavailable = SourceUnavailable()
+    election.bus.reply_to = stale if answer == "stale" else lambda _: unavailable
+    election.run(2.0)
+    election.accept_change()
+    election.bus.reply_to = election.confirmed(0.1)
+    election.run(CONFIG_APPLY_SECONDS)
+    assert election.follower.state.revision == 1
+
+
+def test_a_host_stays_with_a_confirmed_source_while_nearer_ones_are_cut_off():
+    election = Election(timing=FETCH_TIMING)
+    election.run(1.0)
+    election.bus.reply_to = election.confirmed(5.0)
+    election.bus.far_replies_to = election.confirmed(0.1)
+    election.run(8.0)
+    assert election.follower.age < FETCH_TIMING.stale_age
+    election.bus.asked.clear()
+    election.run(4.0)
+    assert not {"near-1", "near-2"} & set(election.bus.asked)
