Hold sources for cut off only if another one was confirmed later

A copy that was confirmed before the leader was lost counted as such, so two hosts of a domain could keep each other from replicas that had a leader again. Also rewords a comment of the crash watch.

--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -85,7 +85,7 @@
         self._on_applied = on_applied
         self._notified_revision = -1
         self._backoff_until: dict[str, float] = {}
-        self._stale_sources: set[str] = set()
+        self._found_stale_at: dict[str, float] = {}
         self._follower = follower
         self._sources = sources
         self._bus = bus
@@ -202,8 +202,8 @@
             and not self._awaits_confirmation(batch)
         ):
             self._leave_live_source("the source is stale")
-        elif batch.confirmed_age <= self._timing.stale_age:
-            self._stay_away_from_stale_sources()
+        else:
+            self._stay_away_from_stale_sources(batch.confirmed_age)
 
     def _awaits_confirmation(self, batch: ChangeBatch) -> bool:
         """Whether to stay with a source that isn't confirmed yet, as nobody may be."""
@@ -248,15 +248,17 @@
 
         Until a leader is elected that is so of all sources, and then of none.
         """
-        self._stale_sources.add(self._source)
+        self._found_stale_at[self._source] = self._clock.now()
         self._back_off(reason, suggested, self._timing.live_back_off)
 
-    def _stay_away_from_stale_sources(self) -> None:
-        """Avoid them as long as silent ones, since another source is confirmed."""
-        until = self._clock.now() + SOURCE_BACKOFF_SECONDS
-        for source in self._stale_sources - {self._source}:
-            self._backoff_until[source] = until
-        self._stale_sources.clear()
+    def _stay_away_from_stale_sources(self, confirmed_age: float) -> None:
+        """Avoid those for long that weren't confirmed when the current one was."""
+        now = self._clock.now()
+        for source, found_at in list(self._found_stale_at.items()):
+            if found_at < now - confirmed_age:
+                del self._found_stale_at[source]
+                if source != self._source:
+                    self._backoff_until[source] = now + SOURCE_BACKOFF_SECONDS
 
     def _back_off(
         self, reason: str, suggested: str = "", seconds: float = SOURCE_BACKOFF_SECONDS
--- a/src/chicoryhold/quarantine/crash_watch.py
+++ b/src/chicoryhold/quarantine/crash_watch.py
@@ -94,7 +94,7 @@
         }
 
     def is_outdated(self, now: float) -> bool:
-        """Whether a process that is found to have ended now is another one."""
+        """Whether these are too old to have to do with a loss that happens now."""
         since = self.latest_at if self.crashed_at is None else self.crashed_at
         return now - since > REPLACEMENT_SECONDS
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -140,7 +140,12 @@
 class Election:
     """A host whose nearest sources are alive, and have no leader for a while."""
 
-    def __init__(self, *, timing: FetchTiming) -> None:
+    def __init__(
+        self,
+        *,
+        timing: FetchTiming,
+        others: tuple[str, ...] = ("d-1", "d-2", "d-3", "d-4"),
+    ) -> None:
         self.clock = FakeClock()
         self.state = ControlState()
         self.feed = ChangeFeed(state=self.state)
@@ -149,7 +154,7 @@
         self.bus = ElectionBus(live=live, reply_to=self.confirmed(0.1))
         self._actor = FollowerActor(
             follower=self.follower,
-            sources=lambda: (*live, "dead-1", "dead-2", "dead-3", "far"),
+            sources=lambda: (*live, *others),
             bus=self.bus,
             clock=self.clock,
             domain="d",
@@ -190,7 +195,7 @@
 
 
 def test_a_host_stays_with_a_confirmed_source_while_nearer_ones_are_cut_off():
-    election = Election(timing=FETCH_TIMING)
+    election = Election(timing=FETCH_TIMING, others=("d-1", "d-2", "d-3", "far"))
     election.run(1.0)
     election.bus.reply_to = election.confirmed(5.0)
     election.bus.far_replies_to = election.confirmed(0.1)
@@ -199,3 +204,20 @@
     election.bus.asked.clear()
     election.run(4.0)
     assert not {"near-1", "near-2"} & set(election.bus.asked)
+
+
+def test_a_copy_from_before_the_election_does_not_show_that_others_are_cut_off():
+    timing = FetchTiming()
+    election = Election(timing=timing, others=("far", "d-1", "d-2"))
+    election.run(1.0)
+    election.bus.reply_to = lambda _: SourceUnavailable()
+    lost_leader_at = election.clock.now()
+    election.bus.far_replies_to = lambda request: election.feed.answer(
+        request, confirmed_age=election.clock.now() - lost_leader_at
+    )
+    election.run(2.5)
+    election.accept_change()
+    election.bus.reply_to = election.confirmed(0.1)
+    election.bus.far_replies_to = None
+    election.run(CONFIG_APPLY_SECONDS)
+    assert election.follower.state.revision == 1
