Log how long a drain took, why it ended and which requests it cut

Cause: the logs of a stop were 'draining' and 'stopping'. They couldn't tell whether a request was cut by the limit of the drain, between its last look and the end of the process, or because it was in a state that the drain doesn't count.

Change: the server names the requests that it has read and not answered in full, with their state (receiving, queued, running, responding). The end of a drain logs seconds, why it ended, and each request that it cuts. The two drains that polled a counter of their own use one function; when a drain ends is as before.

--- a/src/chicoryhold/callers/app.py
+++ b/src/chicoryhold/callers/app.py
@@ -5,7 +5,6 @@
 import hmac
 import http
 import json
-import threading
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
@@ -17,7 +16,7 @@
 from chicoryhold.callers.service import CallerService, Outcome, unknown_unless_proved
 from chicoryhold.errors import NotEncodable, RequestRefused
 from chicoryhold.hosts.messages import Announcement
-from chicoryhold.http_server import QUEUED_REQUESTS
+from chicoryhold.http_channel import QUEUED_REQUESTS
 from chicoryhold.steering.admission_client import AdmissionClient
 from chicoryhold.steering.lookup import Lookup
 
@@ -58,24 +57,11 @@
         self._lookup = lookup
         self._admission = admission
         self._token = announcement_token
-        self._in_flight = 0
-        self._lock = threading.Lock()
-
-    @property
-    def in_flight(self) -> int:
-        """The number of requests that are being handled."""
-        return self._in_flight
 
     def __call__(
         self, environ: Mapping[str, object], start_response: Callable
     ) -> Iterable[bytes]:
-        with self._lock:
-            self._in_flight += 1
-        try:
-            response = self._respond(environ)
-        finally:
-            with self._lock:
-                self._in_flight -= 1
+        response = self._respond(environ)
         headers = [*response.headers, ("Content-Length", str(len(response.body)))]
         start_response(f"{response.status} {_reason_phrase(response.status)}", headers)
         return [response.body]
--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -8,18 +8,12 @@
 from contextlib import contextmanager
 
 from loguru import logger
-from waitress.channel import HTTPChannel
 from waitress.server import BaseWSGIServer, create_server
-from waitress.task import WSGITask
 
-from chicoryhold.clock import BootClock
 from chicoryhold.crash import create_critical_thread
 from chicoryhold.errors import AddressInUse
-from chicoryhold.targets.cancellation import Cancellation
+from chicoryhold.http_channel import Channel, OpenRequest
 
-QUEUED_REQUESTS = "chicoryhold.queued_requests"
-ARRIVED_AT = "chicoryhold.arrived_at"
-CANCELLATION = "chicoryhold.cancellation"
 MAX_CONNECTIONS = 1_000
 POLL_TIMEOUT_SECONDS = 5  # new work and finished responses end a poll at once
 LOOKAHEAD_REQUESTS = 1  # reading past a request detects that its caller disconnected
@@ -41,77 +35,26 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, CALLER_LOSS_TIMEOUT_SECONDS * 1000),
 ]
 
-_CLOCK = BootClock()
-
 
 def never() -> bool:
     """Return false: the default for a server that keeps its connections open."""
     return False
 
 
-def has_ended(connection: socket.socket) -> bool:
-    """Return whether the peer has closed ``connection`` and nothing is left to read.
-
-    The thread that reads finds out too, but late if the process gets little processor
-    time: then the request and its end are read together.
-    """
-    try:
-        return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError as error:
-        logger.debug("http: a caller's connection is broken: {}.", error)
-        return True
-
-
-def _channel_class(should_close: Callable[[], bool]) -> type[HTTPChannel]:
-    """Return a channel class for waitress that extends the WSGI environment.
-
-    The environment holds under ``QUEUED_REQUESTS`` the number of requests that wait
-    for a thread, because waitress doesn't bound that queue; under ``ARRIVED_AT`` the
-    boot-clock time at which the request was received in full; and under
-    ``CANCELLATION`` a ``Cancellation`` that is set when the caller disconnects.
-
-    While ``should_close()`` is true, the channel closes its connection after each
-    response. WSGI forbids an application to send the Connection header, and waitress
-    responds with 500 if one does, so the channel's task sets it instead.
-    """
-
-    class Task(WSGITask):
-        def get_environment(self) -> dict:
-            environ = super().get_environment()
-            channel = self.channel
-            environ[QUEUED_REQUESTS] = len(channel.server.task_dispatcher.queue)
-            environ[ARRIVED_AT] = channel.arrived_at
-            environ[CANCELLATION] = channel.new_cancellation()
-            return environ
-
-        def build_response_header(self) -> bytes:
-            if should_close():
-                self.request.headers["CONNECTION"] = "close"
-            return super().build_response_header()
-
-    class Channel(HTTPChannel):
-        task_class = Task
-        arrived_at = 0.0
-        cancellation: Cancellation | None = None
-
-        def received(self, data: bytes) -> bool:
-            self.arrived_at = _CLOCK.now()
-            return super().received(data)
+class HttpServer:
+    """A running server. Thread-safe."""
 
-        def new_cancellation(self) -> Cancellation:
-            self.cancellation = Cancellation()
-            if not self.connected or has_ended(self.socket):
-                self.cancellation.set()
-            return self.cancellation
+    def __init__(self, *, server: BaseWSGIServer) -> None:
+        self._server = server
 
-        def handle_close(self) -> None:
-            super().handle_close()
-            if self.cancellation is not None:
-                self.cancellation.set()
+    @property
+    def port(self) -> str:
+        return self._server.effective_port
 
-    return Channel
+    def open_requests(self) -> list[OpenRequest]:
+        """Return the requests that were read and aren't answered in full."""
+        channels = list(self._server.active_channels.values())
+        return [request for channel in channels for request in channel.open_requests()]
 
 
 @contextmanager
@@ -120,12 +63,13 @@
     should_close: Callable[[], bool] = never,
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
     idle_timeout_seconds: int = DEFAULT_IDLE_TIMEOUT_SECONDS,
-) -> Iterator[int]:  # fmt: skip
-    """Serve a WSGI application in a background thread and yield the port.
+    request_id_header: str = "",
+) -> Iterator[HttpServer]:  # fmt: skip
+    """Serve a WSGI application in a background thread and yield the server.
 
     ``max_body_bytes`` limits the body of a request, ``idle_timeout_seconds`` how long a
     connection may stay idle. While ``should_close()`` is true, connections are closed
-    after their next response.
+    after their next response. ``request_id_header`` names requests in logs.
     """
     host, _, port = address.rpartition(":")
     try:
@@ -150,12 +94,14 @@
             f"can't listen on {address}: {error.strerror}; stop the other process or "
             "change the address in the settings"
         ) from error
-    server.channel_class = _channel_class(should_close)
+    server.channel_class = Channel
+    server.should_close = should_close
+    server.request_id_header = request_id_header.upper().replace("-", "_")
     server.adj.socket_options = _CALLER_SOCKET_OPTIONS
     closing = threading.Event()
     create_critical_thread(lambda: _run_server(server, closing), name="http").start()
     try:
-        yield server.effective_port
+        yield HttpServer(server=server)
     finally:
         closing.set()
         server.close()
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import secrets
-import time
 from collections.abc import Iterator
 from concurrent.futures import Future
 from contextlib import AbstractContextManager, ExitStack, contextmanager
@@ -22,6 +21,7 @@
 from chicoryhold.callers.service import CallerService
 from chicoryhold.claims.client import ClaimClient
 from chicoryhold.claims.replica import ClaimReplica
+from chicoryhold.clock import BootClock
 from chicoryhold.control.follower_actor import FollowerActor, choose_sources
 from chicoryhold.control.messages import FetchChanges, FetchImage
 from chicoryhold.errors import SettingsError
@@ -42,10 +42,11 @@
     RecordClaim,
     Release,
 )
-from chicoryhold.http_server import serve_http
+from chicoryhold.http_server import HttpServer, serve_http
 from chicoryhold.limits.domain_limits import DomainLimits
 from chicoryhold.logs import configure_text_logging
 from chicoryhold.metrics import serve_metrics
+from chicoryhold.programs.draining import DrainTiming, wait_until_idle
 from chicoryhold.programs.entry_context import (
     HostContext,
     create_bus,
@@ -77,8 +78,7 @@
 COORDINATOR_TICK_SECONDS = 0.05
 DOMAIN_REPLICA_TICK_SECONDS = 5.0
 GENERATION_BYTES = 6
-DRAIN_IDLE_SECONDS = 1.0
-DRAIN_TIMEOUT_SECONDS = 60.0
+DRAIN_TIMING = DrainTiming(min_seconds=0.0, max_seconds=60.0, idle_seconds=1.0)
 
 _SETTINGS = flags.DEFINE_string("settings", None, "The TOML settings file.")
 
@@ -94,10 +94,10 @@
     settings = load_settings(Path(_SETTINGS.value), EntrySettings)
     _check_settings(settings)
     configure_text_logging(process=settings.name, level=settings.log.level)
-    with stop_signals() as stopping, _running_host(settings, stopping.is_set) as app:
+    with stop_signals() as stopping, _running_host(settings, stopping.is_set) as server:
         stopping.wait()
         logger.info("entry: draining.")
-        _drain(app)
+        wait_until_idle([server], clock=BootClock(), timing=DRAIN_TIMING).log("entry")
         logger.info("entry: stopping.")
 
 
@@ -110,23 +110,8 @@
         )
 
 
-def _drain(app: CallerApp) -> None:
-    """Wait until no request has been in flight for ``DRAIN_IDLE_SECONDS``.
-
-    Gives up after ``DRAIN_TIMEOUT_SECONDS``.
-    """
-    deadline = time.monotonic() + DRAIN_TIMEOUT_SECONDS
-    idle_since = time.monotonic()
-    while time.monotonic() < deadline:
-        if app.in_flight:
-            idle_since = time.monotonic()
-        if time.monotonic() - idle_since > DRAIN_IDLE_SECONDS:
-            return
-        time.sleep(0.02)
-
-
 @contextmanager
-def _running_host(settings: EntrySettings, is_stopping) -> Iterator[CallerApp]:
+def _running_host(settings: EntrySettings, is_stopping) -> Iterator[HttpServer]:
     with ExitStack() as stack:
         bus = stack.enter_context(running_bus(create_bus(settings)))
         context = create_context(settings, bus)
@@ -153,7 +138,7 @@
         stack.enter_context(running_actor(heartbeats, interval=HEARTBEAT_TICK_SECONDS))
         stack.enter_context(_create_prober(context).running())
         app = _create_app(context, admission, quarantine)
-        stack.enter_context(
+        server = stack.enter_context(
             serve_http(
                 app,
                 settings.callers_address,
@@ -169,7 +154,7 @@
             )
         )
         logger.info("entry: host {} of {} is up.", settings.name, settings.domain)
-        yield app
+        yield server
 
 
 def _running_quarantine(
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from random import Random
 from typing import Protocol
 
-import attrs
 from loguru import logger
 
 from chicoryhold.clock import BootClock
@@ -232,33 +230,3 @@
         bus.connect(seed)
     stack.enter_context(running_actor(follower_actor, interval=FOLLOWER_TICK_SECONDS))
     stack.enter_context(running_actor(presence, interval=PRESENCE_TICK_SECONDS))
-
-
-@attrs.frozen(kw_only=True)
-class DrainTiming:
-    """How long a stopping entry host drains, in seconds from the stop signal on.
-
-    It drains for at least ``min_seconds`` and at most ``max_seconds``. In between, it
-    stops once no request has been in flight for ``idle_seconds``.
-    """
-
-    min_seconds: float = 1.5
-    max_seconds: float = 5.0
-    idle_seconds: float = 0.5
-
-
-def wait_until_idle(
-    in_flight: Callable[[], int], *, clock: BootClock, timing: DrainTiming
-) -> None:
-    """Return once the host is idle or has drained for ``timing.max_seconds``."""
-    started = clock.now()
-    idle_since = started
-    while (elapsed := clock.now() - started) < timing.max_seconds:
-        if in_flight():
-            idle_since = clock.now()
-        if (
-            elapsed > timing.min_seconds
-            and clock.now() - idle_since > timing.idle_seconds
-        ):
-            return
-        time.sleep(0.05)
--- a/tests/test_cut_off_host.py
+++ b/tests/test_cut_off_host.py
@@ -182,9 +182,11 @@
     with ExitStack() as stack:
         stack.callback(lambda: [link.close() for link in target_links])
         app = ClientApp(_App(service=service))
-        port = stack.enter_context(serve_http(app, f"{IP}:0", threads=40))
+        server = stack.enter_context(serve_http(app, f"{IP}:0", threads=40))
         stack.enter_context(prober.running())
-        yield Host(port=port, links=links, target_links=target_links, permits=permits)
+        yield Host(
+            port=server.port, links=links, target_links=target_links, permits=permits
+        )
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,7 +10,8 @@
 import pytest
 from waitress.server import BaseWSGIServer
 
-from chicoryhold.http_server import _channel_class, has_ended, never, serve_http
+from chicoryhold.http_channel import Channel, has_ended
+from chicoryhold.http_server import serve_http
 
 EXIT_TIMEOUT_SECONDS = 5.0
 
@@ -60,8 +61,7 @@
 
 
 def test_a_request_is_cancelled_if_its_caller_left_before_the_server_could_read_that():
-    channel_class = _channel_class(never)
-    channel = channel_class.__new__(channel_class)
+    channel = Channel.__new__(Channel)
     channel.connected = True
     channel.socket, caller = socket.socketpair()
     with channel.socket:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -29,8 +29,8 @@
     def app(environ: dict, start_response: Callable) -> list[bytes]:
         raise RuntimeError("a programming error")
 
-    with serve_http(app, "127.0.0.1:0", threads=1) as port:
-        url = f"http://127.0.0.1:{port}/path"
+    with serve_http(app, "127.0.0.1:0", threads=1) as server:
+        url = f"http://127.0.0.1:{server.port}/path"
         assert urllib3.request("GET", url, retries=False).status == 500
     assert [line for line in log if line.startswith("ERROR library: waitress")]
     assert "a programming error" in "".join(log)
--- a/tests/test_lost_connections.py
+++ b/tests/test_lost_connections.py
@@ -146,8 +146,8 @@
         start_response("200 OK", [("Content-Length", "2")])
         return [b"ok"]
 
-    with serve_http(app, "127.0.0.1:0", threads=1) as port:
-        with socket.create_connection(("127.0.0.1", port)) as caller:
+    with serve_http(app, "127.0.0.1:0", threads=1) as server:
+        with socket.create_connection(("127.0.0.1", server.port)) as caller:
             caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
             assert caller.recv(65_536)
             with open_tcp_sockets() as sockets:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,7 +12,7 @@
 from chicoryhold.callers.refusals import RefusalKind
 from chicoryhold.errors import SettingsError
 from chicoryhold.gateway.request import RelayCall, RelayTerms, TargetCall
-from chicoryhold.http_server import ARRIVED_AT, CANCELLATION
+from chicoryhold.http_channel import ARRIVED_AT, CANCELLATION
 from chicoryhold.state.targets import TargetState
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.exchange import TargetResponse
