Keep a second stop signal from hanging a process that handles the first

A process that gets SIGTERM twice, or SIGTERM and SIGINT, could hang until it is killed, and with it every request in flight.

Cause: the signal handler called threading.Event.set, which acquires a lock. A handler runs in the main thread, wherever that is: also within Event.wait, or within the handler of the signal before, which hold the same lock.

Change: StopSignal uses SimpleQueue, whose put is reentrant, and keeps the time of the first signal, from which the platform counts until it kills the process.

--- a/src/chicoryhold/programs/control.py
+++ b/src/chicoryhold/programs/control.py
@@ -63,7 +63,7 @@
         raise SettingsError("--settings is missing: name the TOML settings file")
     settings = load_settings(Path(_SETTINGS.value), ControlSettings)
     configure_text_logging(process=settings.name, level=settings.log.level)
-    with stop_signals() as stopping, _running_replica(settings):
+    with stop_signals(clock=BootClock()) as stopping, _running_replica(settings):
         stopping.wait()
         logger.info("control: stopping.")
 
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -94,10 +94,14 @@
     settings = load_settings(Path(_SETTINGS.value), EntrySettings)
     _check_settings(settings)
     configure_text_logging(process=settings.name, level=settings.log.level)
-    with stop_signals() as stopping, _running_host(settings, stopping.is_set) as server:
+    clock = BootClock()
+    with (
+        stop_signals(clock=clock) as stopping,
+        _running_host(settings, lambda: stopping.is_set) as server,
+    ):
         stopping.wait()
         logger.info("entry: draining.")
-        wait_until_idle([server], clock=BootClock(), timing=DRAIN_TIMING).log("entry")
+        wait_until_idle([server], clock=clock, timing=DRAIN_TIMING).log("entry")
         logger.info("entry: stopping.")
 
 
--- a/src/chicoryhold/programs/signals.py
+++ b/src/chicoryhold/programs/signals.py
@@ -7,12 +7,50 @@
 import threading
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from queue import SimpleQueue
+
+from chicoryhold.clock import Clock
+
+
+class StopSignal:
+    """Whether the process was asked to stop, and when. Further requests change nothing.
+
+    A signal handler interrupts the main thread anywhere, also in ``wait`` and in
+    another handler, so it must not acquire a lock that the main thread may hold:
+    ``threading.Event`` has one, ``SimpleQueue.put`` is reentrant.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._requested_at: float | None = None
+        self._requests: SimpleQueue[None] = SimpleQueue()
+
+    @property
+    def is_set(self) -> bool:
+        return self._requested_at is not None
+
+    @property
+    def requested_at(self) -> float | None:
+        """The time of the first request on the clock, ``None`` before it."""
+        return self._requested_at
+
+    def set(self) -> None:
+        """Ask the process to stop."""
+        if self._requested_at is None:
+            self._requested_at = self._clock.now()
+        self._requests.put(None)
+
+    def wait(self) -> float:
+        """Return the time of the request to stop, once there is one."""
+        while self._requested_at is None:
+            self._requests.get()
+        return self._requested_at
 
 
 @contextmanager
-def stop_signals() -> Iterator[threading.Event]:
-    """Yield an event that is set by SIGTERM or SIGINT."""
-    stopping = threading.Event()
+def stop_signals(*, clock: Clock) -> Iterator[StopSignal]:
+    """Yield a ``StopSignal`` that is set by SIGTERM or SIGINT."""
+    stopping = StopSignal(clock=clock)
 
     def on_signal(number: int, frame: object) -> None:
         stopping.set()
