Answer or refuse every request that a stopping entry host has read

Cause: nothing ended the intake before the drain ended. A draining host took every request, whatever time was left to it, until the process was gone. The drain counted only what a thread worked on, not what waited for a thread, was still being received or still being written, and between its last look and the end of the process the server went on reading.

Change: one Drain for entry hosts of the platform and of the own interface. From the stop signal on, a request is taken only if its deadline (the caller's, or the route's timeout) is before the end of the drain; others are refused at once as not run ('stopping'). In the last moments none is taken, what waits for a thread or for its body is refused by extra threads, and connections are closed as soon as they are idle. Only the thread that reads closes them, so no request is read from a connection that is then closed. A response says Connection: close only if no further request has been read. The drain ends once every connection is closed, and counts its time from the signal.

--- a/src/chicoryhold/callers/refusals.py
+++ b/src/chicoryhold/callers/refusals.py
@@ -30,6 +30,7 @@
     QUARANTINED = ("quarantined", 503)
     OVERLOADED = ("overloaded", 503)
     NOT_READY = ("not_ready", 503)
+    STOPPING = ("stopping", 503)
     TIMED_OUT = ("timed_out", 504)
 
     @property
--- a/src/chicoryhold/callers/service.py
+++ b/src/chicoryhold/callers/service.py
@@ -58,13 +58,19 @@
 
 
 class CallerService:
-    """Handles callers' requests. Thread-safe."""
+    """Handles callers' requests. Thread-safe.
+
+    ``may_take`` returns whether a request with a given deadline may still be sent to a
+    target.
+    """
 
     def __init__(
         self, *, follower: Follower, authenticator: Authenticator,
         claims: ClaimClient, forwarder: Forwarder, guard: RequestGuard, clock: Clock,
         observe: RequestObserver,
+        may_take: Callable[[float], bool] = lambda deadline: True,
     ) -> None:  # fmt: skip
+        self._may_take = may_take
         self._guard = guard
         self._follower = follower
         self._authenticator = authenticator
@@ -122,6 +128,9 @@
         return outcome
 
     def _run(self, authorized: _AuthorizedRequest) -> Outcome:
+        if not self._may_take(authorized.deadline):
+            message = "this host may end before the deadline: use another entry host"
+            return Err(_not_run_refusal(RefusalKind.STOPPING, message))
         quarantined = self._guard.refusal(authorized.digest)
         if quarantined is not None:
             return Err(quarantined)
--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -36,7 +36,9 @@
 NO_PEER_RETRY_AFTER_SECONDS = 0.1  # the caller's next host may reach targets
 NO_PEER = "no_peer"  # the outcome in metrics
 # A peer that refuses for these reasons hasn't sent the request to a target.
-UNTRIED_KINDS = frozenset({RefusalKind.NOT_READY, RefusalKind.NO_TARGET})
+UNTRIED_KINDS = frozenset(
+    {RefusalKind.NOT_READY, RefusalKind.NO_TARGET, RefusalKind.STOPPING}
+)
 REFUSED_STATUS = 503  # a peer's statement that the request didn't run there
 
 Outcome = Result[TargetResponse, Refusal]
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -27,6 +27,7 @@
 
 RATE_RETRY_AFTER_SECONDS = 0.5
 NOT_READY_RETRY_AFTER_SECONDS = 0.3
+STOPPING_RETRY_AFTER_SECONDS = 0.05  # other hosts can take the request at once
 LOGGED_DIGEST_CHARACTERS = 8  # enough to tell keys apart, not to find one
 
 
@@ -44,15 +45,18 @@
 
     ``index`` returns the index of the current configuration; version 0 means that no
     configuration has been received yet. ``copy_age`` returns how many seconds ago the
-    copy that it comes from was confirmed to be the newest.
+    copy that it comes from was confirmed to be the newest. ``may_take`` returns whether
+    a request with a given deadline may still be sent to a target.
     """
 
     def __init__(
         self, *, index: Callable[[], RouteIndex], copy_age: Callable[[], float],
         permits: PermitClient, delivery: Delivery, relay: Relay, guard: RequestGuard,
         clock: Clock, random: Random, metrics: Metrics,
+        may_take: Callable[[float], bool] = lambda deadline: True,
     ) -> None:  # fmt: skip
         self._copy_age = copy_age
+        self._may_take = may_take
         self._metrics = metrics
         self._relay = relay
         self._index = index
@@ -117,6 +121,12 @@
         """
         if request.cancellation.is_set:
             return _refused(RefusalKind.TIMED_OUT, "its caller has left")
+        if not self._may_take(_deadline(request, route)):
+            return _refused(
+                RefusalKind.STOPPING,
+                "this entry host may end before the deadline: use another one",
+                retry_after=STOPPING_RETRY_AFTER_SECONDS,
+            )
         digest = request_digest(
             method=request.method,
             host=request.host,
--- a/src/chicoryhold/http_channel.py
+++ b/src/chicoryhold/http_channel.py
@@ -4,6 +4,8 @@
 
 import enum
 import socket
+import threading
+from collections.abc import Callable
 
 import attrs
 from loguru import logger
@@ -60,6 +62,15 @@
         return True
 
 
+def has_unread(connection: socket.socket) -> bool:
+    """Return whether the peer has sent something that wasn't read."""
+    try:
+        return bool(connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        # Nothing was sent, or the connection is broken: nothing can be read.
+        return False
+
+
 class Task(WSGITask):
     """Runs the application for one request and writes its response.
 
@@ -81,29 +92,95 @@
         return environ
 
     def build_response_header(self) -> bytes:
-        if self.channel.server.should_close():
+        channel = self.channel
+        if channel.server.control.should_close() and channel.stop_reading():
             self.request.headers["CONNECTION"] = "close"
         return super().build_response_header()
 
 
+@attrs.define(kw_only=True)
+class ServerControl:
+    """What the channels of a server are to do.
+
+    While ``should_close()`` is true, connections are closed after their next response.
+    While ``closes_idle`` is set, they are closed as soon as they are idle. While
+    ``refuses`` is set, the application refuses every request, so the rest of a request
+    that is still being received isn't waited for. ``request_id_header`` is the name
+    under which waitress keeps that header.
+    """
+
+    should_close: Callable[[], bool]
+    request_id_header: str = ""
+    closes_idle: bool = False
+    refuses: bool = False
+
+
 class Channel(HTTPChannel):
-    """A connection of a caller.
+    """A connection of a caller. Its ``server.control`` is a ``ServerControl``.
 
-    Its ``server`` has an attribute ``should_close``, a function that returns whether
-    connections are closed after their next response, and ``request_id_header``, the
-    name under which waitress keeps that header.
+    Only one thread reads, that of the server, and it also closes idle connections, so
+    no request is read from a connection that is then closed as idle.
     """
 
     task_class = Task
     arrived_at = 0.0
     cancellation: Cancellation | None = None
+    _has_stopped_reading = False
     _running: HTTPRequestParser | None = None
     _answered: HTTPRequestParser | None = None
 
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        self._read_lock = threading.Lock()
+        super().__init__(*args, **kwargs)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether each request that was read is answered in full."""
+        return not (self.requests or self.request or self.total_outbufs_len)
+
+    def readable(self) -> bool:
+        control = self.server.control
+        if control.refuses:
+            self._end_partial_request()
+        if control.closes_idle and self.is_idle and not has_unread(self.socket):
+            self.will_close = True
+        return not self._has_stopped_reading and super().readable()
+
+    def handle_read(self) -> None:
+        with self._read_lock:
+            if not self._has_stopped_reading:
+                super().handle_read()
+
     def received(self, data: bytes) -> bool:
         self.arrived_at = _CLOCK.now()
         return super().received(data)
 
+    def stop_reading(self) -> bool:
+        """Read no further request, and return whether the current one is the last.
+
+        If the next one has been read, even in part, it must be answered first.
+        """
+        with self._read_lock:
+            if len(self.requests) > 1 or self.request:
+                return False
+            self._has_stopped_reading = True
+            return True
+
+    def _end_partial_request(self) -> None:
+        """Have a request that is being received refused without its rest."""
+        with self.requests_lock:
+            request = self.request
+            if request is None or self.requests:
+                return
+            self._has_stopped_reading = True
+            if not request.headers_finished:
+                self.will_close = True
+                return
+            request.completed = True
+            self.request = None
+            self.requests.append(request)
+            self.server.add_task(self)
+
     def service(self) -> None:
         self._running = self.requests[0]
         try:
@@ -142,7 +219,7 @@
     def _describe(self, request: HTTPRequestParser, state: RequestState) -> OpenRequest:
         headers = request.headers
         return OpenRequest(
-            request_id=headers.get(self.server.request_id_header, ""),
+            request_id=headers.get(self.server.control.request_id_header, ""),
             method=getattr(request, "command", ""),
             path=getattr(request, "path", ""),
             state=state,
--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -8,11 +8,12 @@
 from contextlib import contextmanager
 
 from loguru import logger
+from waitress import wasyncore
 from waitress.server import BaseWSGIServer, create_server
 
 from chicoryhold.crash import create_critical_thread
 from chicoryhold.errors import AddressInUse
-from chicoryhold.http_channel import Channel, OpenRequest
+from chicoryhold.http_channel import Channel, OpenRequest, ServerControl
 
 MAX_CONNECTIONS = 1_000
 POLL_TIMEOUT_SECONDS = 5  # new work and finished responses end a poll at once
@@ -23,6 +24,8 @@
 CALLER_PROBE_INTERVAL_SECONDS = 5
 CALLER_LOSS_TIMEOUT_SECONDS = 20  # two probes may be lost
 DEFAULT_MAX_BODY_BYTES = 1_048_576
+REFUSING_THREADS = 4  # those that handle requests may all be waiting for targets
+MAX_LAST_ACCEPTS = 1_024  # the kernel's queue of new connections isn't longer
 
 # A caller that vanished without closing its connection would keep it open until the
 # idle timeout, and during a request for minutes. TCP_USER_TIMEOUT decides when the
@@ -44,17 +47,74 @@
 class HttpServer:
     """A running server. Thread-safe."""
 
-    def __init__(self, *, server: BaseWSGIServer) -> None:
+    def __init__(self, *, server: BaseWSGIServer, control: ServerControl) -> None:
         self._server = server
+        self._control = control
+        self._accepts = True
 
     @property
     def port(self) -> str:
         return self._server.effective_port
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether each request that was read is answered in full."""
+        return all(channel.is_idle for channel in self._channels())
+
+    @property
+    def is_closing(self) -> bool:
+        return self._control.closes_idle
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether no connection is open and none is accepted any more."""
+        return not (self._accepts or self._channels())
+
     def open_requests(self) -> list[OpenRequest]:
         """Return the requests that were read and aren't answered in full."""
-        channels = list(self._server.active_channels.values())
-        return [request for channel in channels for request in channel.open_requests()]
+        return [
+            request
+            for channel in self._channels()
+            for request in channel.open_requests()
+        ]
+
+    def close_when_idle(self) -> None:
+        """Accept no more connections, and close each one once it is idle.
+
+        What callers have sent by then is still read and handled.
+        """
+        self._control.closes_idle = True
+        # The server's thread must do it: it may be accepting a connection now.
+        self.call_soon(self._stop_accepting)
+
+    def call_soon(self, function: Callable[[], object]) -> None:
+        """Call ``function`` in the server's thread."""
+        self._server.trigger.pull_trigger(function)
+
+    def refuse_waiting(self) -> None:
+        """Have the requests refused at once that wait for a thread or for their rest.
+
+        For an application that from now on refuses each request without blocking.
+        """
+        if not self._control.refuses:
+            self._control.refuses = True
+            threads = self._server.adj.threads + REFUSING_THREADS
+            self._server.task_dispatcher.set_thread_count(threads)
+            self._server.pull_trigger()
+
+    def _channels(self) -> list[Channel]:
+        return list(self._server.active_channels.values())
+
+    def _stop_accepting(self) -> None:
+        if not self._accepts:
+            return
+        for _ in range(MAX_LAST_ACCEPTS):
+            connections = len(self._server.active_channels)
+            self._server.handle_accept()
+            if len(self._server.active_channels) == connections:
+                break
+        wasyncore.dispatcher.close(self._server)
+        self._accepts = False
 
 
 @contextmanager
@@ -95,13 +155,16 @@
             "change the address in the settings"
         ) from error
     server.channel_class = Channel
-    server.should_close = should_close
-    server.request_id_header = request_id_header.upper().replace("-", "_")
+    control = ServerControl(
+        should_close=should_close,
+        request_id_header=request_id_header.upper().replace("-", "_"),
+    )
+    server.control = control
     server.adj.socket_options = _CALLER_SOCKET_OPTIONS
     closing = threading.Event()
     create_critical_thread(lambda: _run_server(server, closing), name="http").start()
     try:
-        yield HttpServer(server=server)
+        yield HttpServer(server=server, control=control)
     finally:
         closing.set()
         server.close()
--- a/src/chicoryhold/programs/draining.py
+++ b/src/chicoryhold/programs/draining.py
@@ -1,20 +1,26 @@
-"""Ends the service of a process that was asked to stop: the requests in flight."""
+"""Ends the service of a process that was asked to stop, without cutting a request."""
 
 from __future__ import annotations
 
 import enum
+import threading
 import time
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 import attrs
 from loguru import logger
 
 from chicoryhold.clock import Clock
-from chicoryhold.http_channel import OpenRequest, RequestState
+from chicoryhold.http_channel import OpenRequest
 from chicoryhold.http_server import HttpServer
 
 POLL_INTERVAL_SECONDS = 0.05
 MAX_LOGGED_REQUESTS = 50  # lines a second are limited
+EXIT_SECONDS = 0.4  # kept for the end of the process
+WRITE_SECONDS = 0.4  # kept for writing the last responses
+MIN_REQUEST_SECONDS = 0.5  # with less time left, no request is worth taking
+CONTROL_IDLE_SECONDS = 0.1
+CONTROL_TAKING_SECONDS = 0.5
 
 
 class DrainEnd(enum.Enum):
@@ -26,23 +32,65 @@
 
 @attrs.frozen(kw_only=True)
 class DrainTiming:
-    """How long a stopping process drains, in seconds from the start of the drain on.
+    """What a stopping process does when, in seconds from the stop signal on.
 
-    It drains for at least ``min_seconds`` and at most ``max_seconds``. In between, it
-    stops once no request has been in flight for ``idle_seconds``.
+    The drain lasts for at least ``min_seconds``, then until nothing has been in flight
+    for ``idle_seconds``. Requests are taken only if their deadline is not later than
+    ``answer_within``, and none are from ``refuse_after`` on. What is then in flight is
+    waited for until ``end_after``.
     """
 
-    min_seconds: float = 1.5
-    max_seconds: float = 5.0
-    idle_seconds: float = 0.5
+    min_seconds: float
+    idle_seconds: float
+    refuse_after: float
+    answer_within: float
+    end_after: float
+
+
+def drain_timing(
+    grace: float, *, min_seconds: float, idle_seconds: float
+) -> DrainTiming:
+    """Return the timing of a process that is killed ``grace`` seconds after a signal.
+
+    It takes requests for as long as they can surely be answered.
+    """
+    end_after = max(0.0, grace - EXIT_SECONDS)
+    answer_within = max(0.0, end_after - WRITE_SECONDS)
+    return DrainTiming(
+        min_seconds=min_seconds,
+        idle_seconds=idle_seconds,
+        refuse_after=max(0.0, answer_within - MIN_REQUEST_SECONDS),
+        answer_within=answer_within,
+        end_after=end_after,
+    )
+
+
+def control_drain_timing(grace: float) -> DrainTiming:
+    """Return the timing of a control host that is killed ``grace`` seconds later.
+
+    It takes orders only for a moment: its callers use another control host at once.
+    """
+    end_after = max(0.0, grace - EXIT_SECONDS)
+    return DrainTiming(
+        min_seconds=0.0,
+        idle_seconds=CONTROL_IDLE_SECONDS,
+        refuse_after=min(CONTROL_TAKING_SECONDS, end_after),
+        answer_within=end_after,
+        end_after=end_after,
+    )
 
 
 @attrs.frozen(kw_only=True)
 class DrainReport:
-    """How a drain ended. ``cut`` are the requests that it left unanswered."""
+    """How a drain ended.
+
+    ``refused`` counts the requests that weren't taken, ``cut`` are those that were read
+    and left unanswered.
+    """
 
     seconds: float
     end: DrainEnd
+    refused: int
     cut: tuple[OpenRequest, ...]
 
     def log(self, component: str) -> None:
@@ -56,36 +104,83 @@
                 seconds=request.seconds,
             ).warning(f"{component}: a request is cut by the end of the drain.")
         logger.bind(
-            seconds=round(self.seconds, 3), end=self.end.value, cut=len(self.cut)
+            seconds=round(self.seconds, 3),
+            end=self.end.value,
+            refused=self.refused,
+            cut=len(self.cut),
         ).info(f"{component}: drained.")
 
 
-def wait_until_idle(
-    servers: Iterable[HttpServer], *, clock: Clock, timing: DrainTiming
-) -> DrainReport:
-    """Return once the host is idle or has drained for ``timing.max_seconds``."""
-    servers = tuple(servers)
-    started = clock.now()
-    idle_since = started
-    end = DrainEnd.LIMIT
-    while (elapsed := clock.now() - started) < timing.max_seconds:
-        if any(is_running(request) for request in _open_requests(servers)):
-            idle_since = clock.now()
-        if (
-            elapsed > timing.min_seconds
-            and clock.now() - idle_since > timing.idle_seconds
-        ):
-            end = DrainEnd.IDLE
-            break
-        time.sleep(POLL_INTERVAL_SECONDS)
-    return DrainReport(
-        seconds=clock.now() - started, end=end, cut=_open_requests(servers)
-    )
-
-
-def is_running(request: OpenRequest) -> bool:
-    return request.state is RequestState.RUNNING
+class Drain:
+    """Decides which requests a stopping process takes, and when it may end.
 
+    A request that was read is answered before the process ends: it is taken only if its
+    deadline is before the end, and otherwise refused at once. Until ``start``, all are
+    taken. Thread-safe.
+    """
 
-def _open_requests(servers: Iterable[HttpServer]) -> tuple[OpenRequest, ...]:
-    return tuple(request for server in servers for request in server.open_requests())
+    def __init__(self, *, clock: Clock, timing: DrainTiming) -> None:
+        self._clock = clock
+        self._timing = timing
+        self._requested_at: float | None = None
+        self._refused = 0
+        self._lock = threading.Lock()
+
+    @property
+    def is_started(self) -> bool:
+        return self._requested_at is not None
+
+    @property
+    def is_refusing(self) -> bool:
+        """Whether no request is taken any more."""
+        return self.is_started and self._seconds() >= self._timing.refuse_after
+
+    def start(self, requested_at: float) -> None:
+        """Start the drain of a process that was asked to stop at ``requested_at``."""
+        self._requested_at = requested_at
+
+    def may_take(self, deadline: float) -> bool:
+        """Return whether a request with this deadline is surely answered in time."""
+        started = self._requested_at
+        if started is None:
+            return True
+        if not self.is_refusing and deadline <= started + self._timing.answer_within:
+            return True
+        with self._lock:
+            self._refused += 1
+        return False
+
+    def run(self, servers: Sequence[HttpServer]) -> DrainReport:
+        """Return once the last request is answered, or at the limit of the drain.
+
+        No server reads a request after that, unless the limit was reached.
+        """
+        end = self._serve_until_idle(servers)
+        for server in servers:
+            server.close_when_idle()
+        while not all(server.is_closed for server in servers):
+            if self.is_refusing:
+                for server in servers:
+                    server.refuse_waiting()
+            if self._seconds() >= self._timing.end_after:
+                break
+            time.sleep(POLL_INTERVAL_SECONDS)
+        cut = [request for server in servers for request in server.open_requests()]
+        return DrainReport(
+            seconds=self._seconds(), end=end, refused=self._refused, cut=tuple(cut)
+        )
+
+    def _serve_until_idle(self, servers: Sequence[HttpServer]) -> DrainEnd:
+        idle_since = self._clock.now()
+        while not self.is_refusing:
+            now = self._clock.now()
+            if not all(server.is_idle for server in servers):
+                idle_since = now
+            is_idle = now - idle_since > self._timing.idle_seconds
+            if is_idle and self._seconds() >= self._timing.min_seconds:
+                return DrainEnd.IDLE
+            time.sleep(POLL_INTERVAL_SECONDS)
+        return DrainEnd.LIMIT
+
+    def _seconds(self) -> float:
+        return self._clock.now() - self._requested_at
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -46,7 +46,7 @@
 from chicoryhold.limits.domain_limits import DomainLimits
 from chicoryhold.logs import configure_text_logging
 from chicoryhold.metrics import serve_metrics
-from chicoryhold.programs.draining import DrainTiming, wait_until_idle
+from chicoryhold.programs.draining import Drain, drain_timing
 from chicoryhold.programs.entry_context import (
     HostContext,
     create_bus,
@@ -78,7 +78,8 @@
 COORDINATOR_TICK_SECONDS = 0.05
 DOMAIN_REPLICA_TICK_SECONDS = 5.0
 GENERATION_BYTES = 6
-DRAIN_TIMING = DrainTiming(min_seconds=0.0, max_seconds=60.0, idle_seconds=1.0)
+DRAIN_IDLE_SECONDS = 1.0
+DRAIN_TIMEOUT_SECONDS = 60.0
 
 _SETTINGS = flags.DEFINE_string("settings", None, "The TOML settings file.")
 
@@ -95,13 +96,17 @@
     _check_settings(settings)
     configure_text_logging(process=settings.name, level=settings.log.level)
     clock = BootClock()
+    timing = drain_timing(
+        DRAIN_TIMEOUT_SECONDS, min_seconds=0.0, idle_seconds=DRAIN_IDLE_SECONDS
+    )
+    drain = Drain(clock=clock, timing=timing)
     with (
         stop_signals(clock=clock) as stopping,
-        _running_host(settings, lambda: stopping.is_set) as server,
+        _running_host(settings, drain) as server,
     ):
-        stopping.wait()
+        drain.start(stopping.wait())
         logger.info("entry: draining.")
-        wait_until_idle([server], clock=clock, timing=DRAIN_TIMING).log("entry")
+        drain.run([server]).log("entry")
         logger.info("entry: stopping.")
 
 
@@ -115,7 +120,7 @@
 
 
 @contextmanager
-def _running_host(settings: EntrySettings, is_stopping) -> Iterator[HttpServer]:
+def _running_host(settings: EntrySettings, drain: Drain) -> Iterator[HttpServer]:
     with ExitStack() as stack:
         bus = stack.enter_context(running_bus(create_bus(settings)))
         context = create_context(settings, bus)
@@ -129,7 +134,7 @@
 
         def leaving() -> bool:
             planned = settings.name in context.follower.state.stops
-            return planned or is_stopping() or context.reachability.is_cut_off
+            return planned or drain.is_started or context.reachability.is_cut_off
 
         heartbeats = HeartbeatActor.start(
             view=context.view,
@@ -141,7 +146,7 @@
         )
         stack.enter_context(running_actor(heartbeats, interval=HEARTBEAT_TICK_SECONDS))
         stack.enter_context(_create_prober(context).running())
-        app = _create_app(context, admission, quarantine)
+        app = _create_app(context, admission, quarantine, drain)
         server = stack.enter_context(
             serve_http(
                 app,
@@ -275,8 +280,9 @@
 
 
 def _create_app(
-    context: HostContext, admission: AdmissionClient, quarantine: EntryQuarantine
-) -> CallerApp:
+    context: HostContext, admission: AdmissionClient, quarantine: EntryQuarantine,
+    drain: Drain,
+) -> CallerApp:  # fmt: skip
     authenticator = Authenticator(
         follower=context.follower, view=context.view, clock=context.clock
     )
@@ -310,6 +316,7 @@
         guard=quarantine.guard,
         clock=context.clock,
         observe=metrics.observe,
+        may_take=drain.may_take,
     )
     lookup = Lookup(
         domain=context.settings.domain,
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -27,6 +27,7 @@
     ReportNow,
 )
 from chicoryhold.metrics import Metrics, serve_metrics
+from chicoryhold.programs.draining import Drain, DrainTiming
 from chicoryhold.programs.gateway_host import Gateway
 from chicoryhold.programs.gateway_links import (
     create_prober,
@@ -58,6 +59,7 @@
 def running_gateway(
     settings: GatewaySettings, *, seeds: Callable[[], tuple[str, ...]],
     header_translator: HeaderTranslator, dialect: TargetDialect,
+    drain_timing: DrainTiming,
 ) -> Iterator[Gateway]:  # fmt: skip
     """Run an entry host until the block ends.
 
@@ -108,6 +110,7 @@
             links=links,
             metrics=metrics,
             clock=clock,
+            drain=Drain(clock=clock, timing=drain_timing),
         )
         delivery = Delivery(
             chooser=chooser,
@@ -197,6 +200,7 @@
         clock=clock,
         random=Random(settings.name),
         metrics=gateway.metrics,
+        may_take=gateway.drain.may_take,
     )
 
 
--- a/src/chicoryhold/programs/gateway_host.py
+++ b/src/chicoryhold/programs/gateway_host.py
@@ -12,6 +12,7 @@
 from chicoryhold.gateway.service import GatewayService
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
+from chicoryhold.programs.draining import Drain
 from chicoryhold.programs.gateway_links import TargetLinks
 from chicoryhold.programs.host_settings import GatewaySettings
 from chicoryhold.quarantine.crash_watch import CrashWatch
@@ -28,7 +29,7 @@
     def __init__(
         self, *, settings: GatewaySettings, follower: Follower, chooser: TargetChooser,
         limits: StatedLimits, crashes: CrashWatch, links: TargetLinks, metrics: Metrics,
-        clock: BootClock,
+        clock: BootClock, drain: Drain,
     ) -> None:  # fmt: skip
         self._settings = settings
         self._follower = follower
@@ -40,7 +41,7 @@
         self._clock = clock
         self._route_index = RouteIndex(follower.state.configuration)
         self._failed_version: int | None = None
-        self._draining = False
+        self._drain = drain
         self._announce: Callable[[], None] = lambda: None
         self._metrics = metrics
         self._metrics.gauge("chicoryhold_revision", lambda: follower.state.revision)
@@ -73,16 +74,16 @@
         return min(self._follower.age, UNCONFIRMED_AGE_SECONDS)
 
     @property
-    def draining(self) -> bool:
-        return self._draining
+    def drain(self) -> Drain:
+        return self._drain
 
     @property
     def ready(self) -> bool:
-        return self._route_index.version > 0 and not self._draining
+        return self._route_index.version > 0 and not self._drain.is_started
 
-    def start_draining(self) -> None:
-        """Stop being listed for callers. Requests that still arrive are served."""
-        self._draining = True
+    def start_draining(self, requested_at: float) -> None:
+        """Stop being listed for callers, as was asked at ``requested_at``."""
+        self._drain.start(requested_at)
         self._announce()
 
     def describe(self) -> EntryHost:
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -22,6 +22,7 @@
 from chicoryhold.hosts.actors import Tick
 from chicoryhold.hosts.domain_view import DomainView
 from chicoryhold.metrics import Metrics
+from chicoryhold.programs.draining import Drain, drain_timing
 from chicoryhold.programs.gateway_host import Gateway
 from chicoryhold.programs.gateway_links import create_target_links
 from chicoryhold.programs.host_settings import GatewaySettings
@@ -174,6 +175,9 @@
         links=links,
         metrics=metrics,
         clock=clock,
+        drain=Drain(
+            clock=clock, timing=drain_timing(6.0, min_seconds=1.5, idle_seconds=0.5)
+        ),
     )
 
 
