Drain control hosts: answer the orders and look-ups they have read

Cause: the same as at entry hosts, without any drain: the process left its context managers at the signal, whatever it worked on.

Their callers use another control host at once.

--- a/src/chicoryhold/operators/api.py
+++ b/src/chicoryhold/operators/api.py
@@ -92,9 +92,11 @@
     """A WSGI application that authenticates each request by an operator's token."""
 
     def __init__(
-        self, *, replica: pykka.ActorRef, operators: tuple[OperatorSettings, ...]
-    ) -> None:
+        self, *, replica: pykka.ActorRef, operators: tuple[OperatorSettings, ...],
+        is_refusing: Callable[[], bool] = lambda: False,
+    ) -> None:  # fmt: skip
         self._replica = replica
+        self._is_refusing = is_refusing
         self._operators = operators
 
     def __call__(self, environ: dict, start_response: Callable) -> object:
@@ -102,6 +104,10 @@
         return response(environ, start_response)
 
     def _respond(self, request: Request) -> Response:
+        if self._is_refusing():
+            message = "this control replica stops: use another one"
+            problem = Problem(status=503, error="stopping", message=message)
+            return _json_response(Err(problem))
         operator = self._authenticate(request)
         if operator is None:
             message = "send Authorization: Bearer with an operator's token"
--- a/src/chicoryhold/programs/control.py
+++ b/src/chicoryhold/programs/control.py
@@ -29,10 +29,11 @@
 from chicoryhold.hosts.bus import Bus, running_bus
 from chicoryhold.hosts.curve import load_key_pair, load_public_keys
 from chicoryhold.hosts.transport import CurveTransport
-from chicoryhold.http_server import serve_http
+from chicoryhold.http_server import HttpServer, serve_http
 from chicoryhold.logs import configure_text_logging
 from chicoryhold.metrics import create_meter, serve_metrics
 from chicoryhold.operators.api import AdministrationApi
+from chicoryhold.programs.draining import Drain, control_drain_timing
 from chicoryhold.programs.running import run_program
 from chicoryhold.programs.signals import stop_signals
 from chicoryhold.settings import ControlSettings, load_settings
@@ -47,6 +48,7 @@
 """
 REPLICA_TICK_SECONDS = 0.05
 API_THREADS = 8
+DRAIN_TIMEOUT_SECONDS = 10.0
 FOUND_CHECK_TIMEOUT_SECONDS = 0.5
 
 _SETTINGS = flags.DEFINE_string("settings", None, "The TOML settings file.")
@@ -63,13 +65,20 @@
         raise SettingsError("--settings is missing: name the TOML settings file")
     settings = load_settings(Path(_SETTINGS.value), ControlSettings)
     configure_text_logging(process=settings.name, level=settings.log.level)
-    with stop_signals(clock=BootClock()) as stopping, _running_replica(settings):
-        stopping.wait()
+    clock = BootClock()
+    drain = Drain(clock=clock, timing=control_drain_timing(DRAIN_TIMEOUT_SECONDS))
+    with (
+        stop_signals(clock=clock) as stopping,
+        _running_replica(settings, drain) as server,
+    ):
+        drain.start(stopping.wait())
+        logger.info("control: draining.")
+        drain.run([server]).log("control")
         logger.info("control: stopping.")
 
 
 @contextmanager
-def _running_replica(settings: ControlSettings) -> Iterator[None]:
+def _running_replica(settings: ControlSettings, drain: Drain) -> Iterator[HttpServer]:
     with ExitStack() as stack:
         storage = stack.enter_context(open_storage(settings.data_folder))
         bus = stack.enter_context(running_bus(_create_bus(settings)))
@@ -87,13 +96,24 @@
         stack.enter_context(running_actor(actor, interval=REPLICA_TICK_SECONDS))
         _register_handlers(bus, actor)
         _create_metrics(settings, replica, state)
-        api = AdministrationApi(replica=actor, operators=settings.operators)
-        stack.enter_context(serve_http(api, settings.api_address, threads=API_THREADS))
+        api = AdministrationApi(
+            replica=actor,
+            operators=settings.operators,
+            is_refusing=lambda: drain.is_refusing,
+        )
+        server = stack.enter_context(
+            serve_http(
+                api,
+                settings.api_address,
+                threads=API_THREADS,
+                should_close=lambda: drain.is_started,
+            )
+        )
         stack.enter_context(
             serve_metrics(settings.metrics_address, lambda: _unready_reason(replica))
         )
         logger.info("control: replica {} is up.", identity)
-        yield
+        yield server
 
 
 def _create_bus(settings: ControlSettings) -> Bus:
