Keep dating a cut from its first failure when it begins gradually

Cause: after a cut, failures at targets are forgotten from the time on that the cut is dated to. It was dated from the first failure since a connection was last opened. If targets get out of reach one after the other, a connection to one that still is in reach, or a probe that finds it, came between two failures of the same cut. The cut was then dated from the later one, and the earlier failure stayed counted at its target.

Change: a series of failures ends only if a connection was opened or found since, and the next failure comes more than FAILURE_WINDOW_SECONDS (2 s) after the last one. It is still dated 10 s before the verdict at most. Failures of that time at targets that are really down are forgotten as well; they fail and are ejected again at the next request. The duration in the log may then be overstated, within the same 10 s.

--- a/src/chicoryhold/gateway/reachability.py
+++ b/src/chicoryhold/gateway/reachability.py
@@ -42,6 +42,7 @@
         self._lock = threading.Lock()
         self._failed_at: dict[str, float] = {}
         self._failing_since = float("inf")
+        self._last_failure_at = float("-inf")
         self._opened_at = float("-inf")
         self._next_probe_at = float("-inf")
         self._is_suspected = False
@@ -54,7 +55,11 @@
 
     @property
     def cut_off_since(self) -> float:
-        """When the failures began that led to the latest verdict of being cut off."""
+        """When the failures began that led to the latest verdict of being cut off.
+
+        Targets may get out of reach one after the other, so a connection that is opened
+        between two failures doesn't separate them, if they follow each other closely.
+        """
         return self._cut_off_since
 
     @property
@@ -74,15 +79,15 @@
         """Note that a connection to a target was opened."""
         with self._lock:
             self._opened_at = self._clock.now()
-            self._forget_failures()
+            self._failed_at.clear()
             self._is_suspected = False
 
     def record_failure(self, address: str) -> None:
         """Note that no connection could be opened, or that an open one was lost."""
         with self._lock:
             now = self._clock.now()
+            self._extend_failures(now)
             self._failed_at[address] = now
-            self._failing_since = min(self._failing_since, now)
             if self.needs_probe or now < self._next_probe_at:
                 return
             self._failed_at = {
@@ -105,7 +110,7 @@
             self._is_suspected = False
             if result.reached or self._opened_at >= result.started_at:
                 self._next_probe_at = self._clock.now() + PROBE_INTERVAL_SECONDS
-                self._forget_failures()
+                self._failed_at.clear()
                 self._is_cut_off = False
             elif not was_cut_off and result.probed >= SUSPICION_FAILURES:
                 self._is_cut_off = True
@@ -115,6 +120,13 @@
                 )
             return was_cut_off != self._is_cut_off
 
-    def _forget_failures(self) -> None:
-        self._failed_at.clear()
-        self._failing_since = float("inf")
+    def _extend_failures(self, now: float) -> None:
+        """Begin a new series of failures at ``now``, or continue the last one.
+
+        The last one has ended if a connection was opened since its failures, and they
+        are older than ``FAILURE_WINDOW_SECONDS``.
+        """
+        is_recent = now - self._last_failure_at <= FAILURE_WINDOW_SECONDS
+        if not self._failed_at and not is_recent:
+            self._failing_since = now
+        self._last_failure_at = now
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -12,6 +12,7 @@
 
 import pytest
 from hypothesis import given, strategies as st
+from wiring.targets import DIALECT
 
 from chicoryhold.clock import BootClock, Clock
 from chicoryhold.gateway.reachability import ProbeResult, TargetReachability
@@ -21,11 +22,13 @@
     TargetProber,
     choose_probe_targets,
 )
-from chicoryhold.programs.gateway_links import probe_candidates
+from chicoryhold.metrics import Metrics
+from chicoryhold.programs.gateway_links import create_target_links, probe_candidates
 from chicoryhold.state.targets import TargetState
 from chicoryhold.targets.probe import ProbeOutcome, probe_addresses
 from chicoryhold.trial.fleet import wait_until
 from tests.conftest import FakeClock
+from tests.test_target_choice import a_chooser
 from tests.test_targets_state import a_record
 
 SERVICES = ("menu", "ledger", "delivery")
@@ -181,6 +184,74 @@
     assert reachability.cut_off_since == first_failure
 
 
+def a_probe(clock: FakeClock, *, reached: int) -> ProbeResult:
+    return ProbeResult(started_at=clock.now(), probed=5, reached=reached)
+
+
+def test_a_cut_that_begins_gradually_is_dated_from_its_first_failure(clock):
+    reachability = TargetReachability(clock=clock)
+    first_failure = clock.now()
+    reachability.record_failure("a:1")
+    reachability.record_failure("b:1")
+    assert not reachability.record_probe(a_probe(clock, reached=1))
+    clock.advance(0.1)
+    reachability.record_opened()
+    clock.advance(1.4)
+    reachability.record_failure("c:1")
+    reachability.record_failure("d:1")
+    assert reachability.record_probe(a_probe(clock, reached=0))
+    assert reachability.cut_off_since == first_failure
+
+
+def test_a_cut_is_not_dated_from_failures_that_had_ended_before(clock):
+    reachability = TargetReachability(clock=clock)
+    reachability.record_failure("a:1")
+    reachability.record_opened()
+    clock.advance(2.5)
+    first_failure = clock.now()
+    reachability.record_failure("c:1")
+    clock.advance(0.5)
+    reachability.record_failure("d:1")
+    assert reachability.record_probe(a_probe(clock, reached=0))
+    assert reachability.cut_off_since == first_failure
+
+
+def test_a_cut_is_dated_from_ten_seconds_before_the_verdict_at_most(clock):
+    reachability = TargetReachability(clock=clock)
+    for _ in range(20):
+        reachability.record_failure("a:1")
+        reachability.record_opened()
+        clock.advance(1.0)
+    reachability.record_failure("b:1")
+    reachability.record_failure("c:1")
+    assert reachability.record_probe(a_probe(clock, reached=0))
+    assert reachability.cut_off_since == clock.now() - 10.0
+
+
+def test_no_failure_of_a_cut_that_began_gradually_stays_after_it(clock):
+    chooser = a_chooser("north-a", "north-a", "north-a", clock=clock)
+    links = create_target_links(
+        chooser=chooser, dialect=DIALECT, clock=clock, metrics=Metrics(process="test")
+    )
+
+    def fail(instance: str) -> None:
+        view = chooser.views[instance]
+        view.record_failure(clock.now(), unreachable=True)
+        links.reachability.record_failure(view.record.address)
+
+    fail("i-0")
+    links.reachability.record_opened()  # at a target that isn't cut off yet
+    clock.advance(1.5)
+    fail("i-1")
+    fail("i-2")
+    assert links.reachability.record_probe(a_probe(clock, reached=0))
+    links.reset()
+    clock.advance(1.0)
+    assert links.reachability.record_probe(a_probe(clock, reached=1))
+    links.reset()
+    assert [view.failures for view in chooser.views.values()] == [0, 0, 0]
+
+
 def test_a_connection_opened_during_a_failed_probe_prevents_the_verdict(clock):
     reachability = TargetReachability(clock=clock)
     reachability.record_failure("a:80")
