Move elections out of the replica into a module of their own

The replica still decides when it campaigns, which role it has and whether it knows a functioning leader. Behaviour, messages and effects are unchanged. One condition is gone, since it never held: an election timeout is never drawn while the replica is the leader.

--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -14,13 +14,9 @@
 
 from chicoryhold.clock import Clock
 from chicoryhold.consensus.committed_log import CommittedLog
-from chicoryhold.consensus.effects import (
-    Effect,
-    LeadershipLost,
-    SaveVote,
-    Send,
-)
-from chicoryhold.consensus.election_timer import ElectionTimer, Timing
+from chicoryhold.consensus.effects import Effect, LeadershipLost, Send
+from chicoryhold.consensus.election import Election
+from chicoryhold.consensus.election_timer import Timing
 from chicoryhold.consensus.leadership import Leadership
 from chicoryhold.consensus.log import Log
 from chicoryhold.consensus.messages import (
@@ -58,7 +54,6 @@
     ) -> None:  # fmt: skip
         self._identity = identity
         self._log = log
-        self._vote = vote
         self._clock = clock
         self._timing = timing or Timing()
         self._role = Role.FOLLOWER
@@ -73,13 +68,16 @@
             timing=self._timing,
             send=self._send,
         )
-        self._votes_received: set[str] = set()
-        self._pre_vote = False
-        self._leader_heard_at = float("-inf")
-        self._copy_confirmed_at = float("-inf")
-        self._election_timer = ElectionTimer(
-            timing=self._timing, clock=clock, random=random
+        self._election = Election(
+            identity=identity,
+            log=log,
+            vote=vote,
+            clock=clock,
+            random=random,
+            timing=self._timing,
+            request=self._request,
         )
+        self._copy_confirmed_at = float("-inf")
 
     @property
     def identity(self) -> str:
@@ -91,7 +89,7 @@
 
     @property
     def term(self) -> int:
-        return self._vote.term
+        return self._election.term
 
     @property
     def leader(self) -> str | None:
@@ -152,8 +150,8 @@
         """Handle timeouts; call this several times per heartbeat interval."""
         if self._role is Role.LEADER:
             self._tick_leader()
-        elif self._election_timer.is_due(self._clock.now()):
-            self._start_election(pre_vote=True)
+        elif self._election.is_due:
+            self._campaign(pre_vote=True)
 
     def propose(self, command: bytes) -> int:
         """Append ``command`` and return its index.
@@ -206,71 +204,37 @@
 
     # Elections
 
-    def _start_election(self, *, pre_vote: bool) -> None:
-        self._reset_election_timeout()
+    def _campaign(self, *, pre_vote: bool) -> None:
+        self._election.reset_timeout()
         if self._identity not in self.members.voters:
             return
         self._role = Role.CANDIDATE
         self._leader = None
-        self._pre_vote = pre_vote
-        self._votes_received = {self._identity}
-        term = self.term + 1
-        if not pre_vote:
-            self._save_vote(Vote(term=term, candidate=self._identity))
-        for voter in self._other_voters():
-            request = VoteRequest(
-                term=term,
-                candidate=self._identity,
-                last_index=self._log.last_index,
-                last_term=self._log.last_term,
-                trial=pre_vote,
-            )
-            self._send(voter, request)
-        self._count_votes()
+        self._election.campaign(pre_vote=pre_vote)
+        self._proceed_with_majority()
 
     def _on_vote_request(self, request: VoteRequest) -> None:
-        if not request.trial and self._heard_leader_recently():
+        has_leader = self._has_leader()
+        if not request.trial and has_leader:
             # A candidate that returns from a network partition must not depose a
             # functioning leader.
             return
         if not request.trial and request.term > self.term:
             self._become_follower(request.term, leader=None)
-        granted = self._would_grant(request)
-        if granted and not request.trial:
-            self._reset_election_timeout()
-            self._save_vote(Vote(term=request.term, candidate=request.candidate))
-        term = request.term if granted else self.term
-        reply = VoteReply(
-            term=term, voter=self._identity, granted=granted, trial=request.trial
-        )
-        self._send(request.candidate, reply)
-
-    def _would_grant(self, request: VoteRequest) -> bool:
-        own_last = (self._log.last_term, self._log.last_index)
-        if (request.last_term, request.last_index) < own_last:
-            return False
-        if request.trial:
-            return request.term > self.term and not self._heard_leader_recently()
-        may_vote = self._vote.candidate in (None, request.candidate)
-        return request.term == self.term and may_vote
+        self._election.answer(request, has_leader=has_leader)
 
     def _on_vote_reply(self, reply: VoteReply) -> None:
         if not reply.granted and reply.term > self.term:
             self._become_follower(reply.term, leader=None)
+        elif self._role is Role.CANDIDATE and self._election.record_vote(reply):
+            self._proceed_with_majority()
+
+    def _proceed_with_majority(self) -> None:
+        """Ask for votes after a pre-vote, or lead, if a majority allows it."""
+        if not self._election.has_majority:
             return
-        if self._role is not Role.CANDIDATE or reply.trial != self._pre_vote:
-            return
-        expected = self.term + 1 if reply.trial else self.term
-        if reply.granted and reply.term == expected:
-            self._votes_received.add(reply.voter)
-            self._count_votes()
-
-    def _count_votes(self) -> None:
-        votes = self._votes_received & set(self.members.voters)
-        if len(votes) < self.members.majority:
-            return
-        if self._pre_vote:
-            self._start_election(pre_vote=False)
+        if self._election.is_pre_vote:
+            self._campaign(pre_vote=False)
         else:
             self._become_leader()
 
@@ -289,19 +253,15 @@
         self._role = Role.FOLLOWER
         self._leader = leader
         if term > self.term:
-            self._save_vote(Vote(term=term))
-        self._reset_election_timeout()
+            self._election.enter_term(term)
+        self._election.reset_timeout()
 
-    def _heard_leader_recently(self) -> bool:
-        now = self._clock.now()
-        if self._role is Role.LEADER:
-            acknowledged_at = self._leadership.quorum_acknowledged_at()
-            return acknowledged_at > now - self._timing.election
-        return now - self._leader_heard_at < self._timing.election
-
-    def _reset_election_timeout(self) -> None:
-        has_heard = self._role is Role.LEADER or self._leader_heard_at > float("-inf")
-        self._election_timer.reset(has_heard_leader=has_heard)
+    def _has_leader(self) -> bool:
+        """Whether there is a functioning leader, as far as this replica knows."""
+        if self._role is not Role.LEADER:
+            return self._election.has_recent_leader
+        acknowledged_at = self._leadership.quorum_acknowledged_at()
+        return acknowledged_at > self._clock.now() - self._timing.election
 
     # Replication by the leader
 
@@ -367,8 +327,7 @@
         if term > self.term or self._role is not Role.FOLLOWER:
             self._become_follower(term, leader=leader)
         self._leader = leader
-        self._leader_heard_at = self._clock.now()
-        self._reset_election_timeout()
+        self._election.record_leader_contact()
         return True
 
     def _reply_append(
@@ -385,15 +344,8 @@
 
     # Helpers
 
-    def _save_vote(self, vote: Vote) -> None:
-        self._vote = vote
-        self._request(SaveVote(vote=vote))
-
     def _send(self, to: str, message: object) -> None:
         self._request(Send(to=to, message=message))
 
     def _request(self, effect: Effect) -> None:
         self._effects.append(effect)
-
-    def _other_voters(self) -> list[str]:
-        return [voter for voter in self.members.voters if voter != self._identity]
