Move waiting for tokens out of the coordinator into a module of its own

Cause: steering/coordinator.py had 388 lines and two jobs: granting slots, and the queues of requests that wait for a token, with the rounds in which other domains are asked to lend some.

Change: steering/token_queues.py has the second. It calls the coordinator back with a request that got its token, or that gets none in time. Behaviour, messages and the order of effects are unchanged.

--- a/src/chicoryhold/steering/coordinator.py
+++ b/src/chicoryhold/steering/coordinator.py
@@ -24,7 +24,6 @@
 )
 from chicoryhold.limits.domain_limits import DomainLimits
 from chicoryhold.limits.target_permits import MIN_RATE
-from chicoryhold.steering.borrow_rounds import BorrowRounds
 from chicoryhold.steering.effects import (
     AnswerBorrower,
     AnswerRequest,
@@ -36,10 +35,9 @@
 from chicoryhold.steering.pending import Grant, PendingRequest, UnsavedLoan
 from chicoryhold.steering.shifts import ShiftLimiter
 from chicoryhold.steering.targets import TargetRegistry
+from chicoryhold.steering.token_queues import TokenQueues
 
 MAX_SLOT_QUEUE_REQUESTS = 256
-MAX_TOKEN_QUEUE_REQUESTS = 64
-MAX_TOKEN_WAIT_SECONDS = 0.25
 RETRY_AFTER_OVERLOAD_SECONDS = 0.5
 RETRY_AFTER_NO_TARGET_SECONDS = 1.0
 # Targets announce themselves every second, so a new coordinator knows them by then.
@@ -66,9 +64,14 @@
         self._clock = clock
         self._effects: list[Effect] = []
         self._slot_queues: dict[str, FairQueue[PendingRequest]] = {}
-        self._token_queues: dict[str, list[PendingRequest]] = {}
+        self._token_queues = TokenQueues(
+            limits=limits,
+            clock=clock,
+            on_token=self._grant_or_enqueue,
+            refuse=self._refuse_rate_exceeded,
+            request=self._request,
+        )
         self._grants: dict[str, Grant] = {}
-        self._borrow_rounds = BorrowRounds(limits=limits, clock=clock)
         self._unsaved_loans: list[UnsavedLoan] = []
         self._ledger_version = 0
         self._last_grant_number = 0
@@ -108,12 +111,10 @@
             self._admit_shifted(pending)
         elif not request.organisation or request.has_token:
             self._grant_or_enqueue(pending)
-        elif self._limits.take(request.organisation):
-            if self._limits.should_borrow(request.organisation):
-                self._start_borrow_round(request.organisation)
+        elif self._token_queues.take(request.organisation):
             self._grant_or_enqueue(pending)
         else:
-            self._enqueue_for_token(pending)
+            self._token_queues.enqueue(pending)
 
     def release(self, release: Release) -> None:
         """Free a slot and grant it to the next waiting request, if any."""
@@ -145,9 +146,10 @@
         """Handle timeouts and retries; call this several times per second."""
         self._expire_grants()
         self._targets.expire()
-        self._end_timed_out_rounds()
-        self._serve_token_queues()
+        self._token_queues.end_timed_out_rounds()
+        self._token_queues.serve()
         self._refuse_expired()
+        self._token_queues.refuse_expired()
         self._end_target_discovery()
         self._serve_slot_queues()
         self._notify_lenders(self._limits.give_back_ending())
@@ -161,12 +163,12 @@
         self._notify_lenders(self._limits.give_back(request.organisation))
         answer = self._limits.lend(request)
         if answer.seconds <= 0:
-            self._effects.append(AnswerBorrower(ticket=ticket, answer=answer))
+            self._request(AnswerBorrower(ticket=ticket, answer=answer))
             return
         self._ledger_version += 1
         loan = UnsavedLoan(ticket=ticket, answer=answer, version=self._ledger_version)
         self._unsaved_loans.append(loan)
-        self._effects.append(SaveLedger(ledger=self.ledger()))
+        self._request(SaveLedger(ledger=self.ledger()))
 
     def take_back(self, message: LoanGivenBack) -> None:
         """Add to this domain's share what another domain gave back."""
@@ -177,7 +179,7 @@
         for loan in self._unsaved_loans:
             if loan.version <= version:
                 answer = AnswerBorrower(ticket=loan.ticket, answer=loan.answer)
-                self._effects.append(answer)
+                self._request(answer)
         self._unsaved_loans = [
             loan for loan in self._unsaved_loans if loan.version > version
         ]
@@ -186,13 +188,7 @@
         self, number: int, lender: str, reply: BorrowReply | None
     ) -> None:
         """Process the reply of another domain, ``None`` if there is no usable reply."""
-        organisation = self._borrow_rounds.record_reply(number, lender, reply)
-        if organisation is None:
-            return
-        if reply is not None and reply.seconds > 0:
-            self._serve_token_queue(organisation)
-        if self._borrow_rounds.is_complete(number):
-            self._end_borrow_round(number)
+        self._token_queues.on_borrow_reply(number, lender, reply)
 
     # Steps of admission
 
@@ -207,43 +203,6 @@
         elif not self._try_grant(pending):
             self._refund_and_refuse(pending, OVERLOADED, RETRY_AFTER_OVERLOAD_SECONDS)
 
-    def _enqueue_for_token(self, pending: PendingRequest) -> None:
-        organisation = pending.request.organisation
-        if self._limits.may_borrow(organisation):
-            self._start_borrow_round(organisation)
-        if not self._may_get_token_soon(organisation):
-            self._refuse_rate_exceeded(pending)
-            return
-        token_queue = self._token_queues.setdefault(organisation, [])
-        if len(token_queue) >= MAX_TOKEN_QUEUE_REQUESTS:
-            self._refuse_rate_exceeded(pending)
-        else:
-            token_queue.append(pending)
-
-    def _may_get_token_soon(self, organisation: str) -> bool:
-        """Whether tokens may arrive from other domains within a short time.
-
-        That is possible even while no borrow round is open. An organisation whose
-        demand here exceeds its whole rate is refused at once, unless a round is open.
-        """
-        if not self._limits.other_domains:
-            return False
-        has_open_round = self._borrow_rounds.has_open(organisation)
-        return has_open_round or not self._limits.is_above_rate(organisation)
-
-    def _serve_token_queue(self, organisation: str) -> None:
-        token_queue = self._token_queues.get(organisation, [])
-        while token_queue and self._limits.retry_take(organisation):
-            self._grant_or_enqueue(token_queue.pop(0))
-
-    def _serve_token_queues(self) -> None:
-        for organisation in list(self._token_queues):
-            self._serve_token_queue(organisation)
-            if self._token_queues[organisation] and self._limits.may_borrow(
-                organisation
-            ):
-                self._start_borrow_round(organisation)
-
     def _grant_or_enqueue(self, pending: PendingRequest) -> None:
         service = pending.request.service
         queue = self._slot_queues.get(service)
@@ -319,7 +278,7 @@
             waited=now - pending.arrived_at,
             instance=target.instance,
         )
-        self._effects.append(AnswerRequest(ticket=pending.ticket, answer=answer))
+        self._request(AnswerRequest(ticket=pending.ticket, answer=answer))
         return True
 
     def _refund_and_refuse(
@@ -336,7 +295,7 @@
 
     def _refuse(self, pending: PendingRequest, reason: str, retry_after: float) -> None:
         answer = NotAdmitted(reason=reason, retry_after=retry_after)
-        self._effects.append(AnswerRequest(ticket=pending.ticket, answer=answer))
+        self._request(AnswerRequest(ticket=pending.ticket, answer=answer))
 
     def _refuse_expired(self) -> None:
         now = self._clock.now()
@@ -345,18 +304,6 @@
                 self._refund_and_refuse(
                     pending, OVERLOADED, RETRY_AFTER_OVERLOAD_SECONDS
                 )
-        for organisation, pending in self._expired_token_waits(now):
-            self._token_queues[organisation].remove(pending)
-            self._refuse_rate_exceeded(pending)
-
-    def _expired_token_waits(self, now: float) -> list[tuple[str, PendingRequest]]:
-        return [
-            (organisation, pending)
-            for organisation, token_queue in self._token_queues.items()
-            for pending in token_queue
-            if min(pending.expires_at, pending.arrived_at + MAX_TOKEN_WAIT_SECONDS)
-            <= now
-        ]
 
     def _expire_grants(self) -> None:
         now = self._clock.now()
@@ -366,23 +313,11 @@
         for name in expired:
             self._targets.release_slot(self._grants.pop(name).address)
 
-    # Steps of borrowing
+    # Helpers
 
     def _notify_lenders(self, messages: list[tuple[str, LoanGivenBack]]) -> None:
         for lender, message in messages:
-            self._effects.append(NotifyLender(lender=lender, message=message))
-
-    def _start_borrow_round(self, organisation: str) -> None:
-        if not self._borrow_rounds.has_open(organisation):
-            self._effects.append(self._borrow_rounds.start(organisation))
-
-    def _end_timed_out_rounds(self) -> None:
-        for number in self._borrow_rounds.timed_out():
-            self._end_borrow_round(number)
-
-    def _end_borrow_round(self, number: int) -> None:
-        organisation = self._borrow_rounds.end(number)
-        self._serve_token_queue(organisation)
-        if not self._may_get_token_soon(organisation):
-            for pending in self._token_queues.pop(organisation, []):
-                self._refuse_rate_exceeded(pending)
+            self._request(NotifyLender(lender=lender, message=message))
+
+    def _request(self, effect: Effect) -> None:
+        self._effects.append(effect)
