Use the usual terms in comments on consensus, steering and followers

Cause: comments and docstrings said that a leader is heard, that hosts answer, tell or forget, and that a source is left or stayed away from.

Change: messages arrive, hosts reply, state is discarded, sources are avoided.

--- a/src/chicoryhold/consensus/election.py
+++ b/src/chicoryhold/consensus/election.py
@@ -45,7 +45,7 @@
 
     @property
     def is_pre_vote(self) -> bool:
-        """Whether the latest campaign only asks if votes would be given."""
+        """Whether the latest campaign is a pre-vote, which elects no leader."""
         return self._is_pre_vote
 
     @property
@@ -62,8 +62,8 @@
 
     def reset_timeout(self) -> None:
         """Draw a new election timeout, counted from now."""
-        has_heard = self._leader_contact_at > float("-inf")
-        self._timer.reset(has_heard_leader=has_heard)
+        had_contact = self._leader_contact_at > float("-inf")
+        self._timer.reset(has_heard_leader=had_contact)
 
     def record_leader_contact(self) -> None:
         """Note that a message of the leader of this term has arrived."""
@@ -75,7 +75,7 @@
         self._save_vote(Vote(term=term))
 
     def campaign(self, *, pre_vote: bool) -> None:
-        """Vote for this replica, and ask all other voters for their votes.
+        """Vote for this replica, and request the votes of all other voters.
 
         A pre-vote changes neither the term nor the vote.
         """
@@ -105,7 +105,7 @@
         self._votes_received.add(reply.voter)
         return True
 
-    def answer(self, request: VoteRequest, *, has_leader: bool) -> None:
+    def reply_to(self, request: VoteRequest, *, has_leader: bool) -> None:
         """Grant or deny a vote.
 
         ``has_leader`` means that a functioning leader is known; no pre-vote is granted
--- a/src/chicoryhold/consensus/election_timer.py
+++ b/src/chicoryhold/consensus/election_timer.py
@@ -1,4 +1,4 @@
-"""The random timeout after which a replica that hears no leader campaigns."""
+"""The random timeout after which a replica without a leader starts an election."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from chicoryhold.clock import Clock
 
 # Ranges of the random factor by which the minimum election timeout is multiplied.
-INITIAL_ELECTION_FACTORS = (0.3, 1.0)  # until a leader has been heard
+INITIAL_ELECTION_FACTORS = (0.3, 1.0)  # until a leader's first message
 ELECTION_FACTORS = (1.0, 2.0)
 
 
@@ -18,7 +18,7 @@
     """Intervals in seconds; ``election`` is the minimum election timeout.
 
     Each timeout is drawn from [1, 2) times the minimum, and from a shorter range
-    until the replica has heard a leader.
+    until the first message of a leader has arrived.
     """
 
     heartbeat: float = 0.1
@@ -26,7 +26,7 @@
 
 
 class ElectionTimer:
-    """Says when the next campaign is due.
+    """Determines when the next campaign is due.
 
     The first timeout is short because there is no leader if all replicas have just
     started. If there is one, its heartbeat ends the campaign, and the pre-vote keeps
@@ -45,9 +45,9 @@
     def reset(self, *, has_heard_leader: bool) -> None:
         """Draw a new timeout, counted from now.
 
-        Until a leader has been heard, as after all replicas have started at once, an
-        early retry disturbs no leader. With the longer range, a split vote would delay
-        the election by one or two minimum timeouts.
+        Until the first message of a leader has arrived, as after all replicas have
+        started at once, an early retry disturbs no leader. With the longer range, a
+        split vote would delay the election by one or two minimum timeouts.
         """
         factors = ELECTION_FACTORS if has_heard_leader else INITIAL_ELECTION_FACTORS
         timeout = self._timing.election * self._random.uniform(*factors)
--- a/src/chicoryhold/consensus/leadership.py
+++ b/src/chicoryhold/consensus/leadership.py
@@ -17,7 +17,7 @@
 from chicoryhold.consensus.progress import Progress
 
 MAX_ENTRIES_PER_REQUEST = 256
-# Answers to older broadcasts don't count; in minimum election timeouts.
+# Replies to older broadcasts don't count; in minimum election timeouts.
 ROUND_LIFETIME_FACTOR = 4
 
 
@@ -85,7 +85,7 @@
         return self._progress.match_index_of(identity)
 
     def silent_members(self, *, longer_than: float) -> tuple[str, ...]:
-        """Return members that haven't answered for ``longer_than`` seconds.
+        """Return members that haven't replied for ``longer_than`` seconds.
 
         Empty unless the replica has led for that long.
         """
--- a/src/chicoryhold/consensus/messages.py
+++ b/src/chicoryhold/consensus/messages.py
@@ -60,7 +60,7 @@
 
 @message
 class VoteRequest:
-    """Asks for a vote, or with ``trial`` only whether it would be given (pre-vote)."""
+    """Requests a vote; with ``trial`` a pre-vote: whether it would be granted."""
 
     term: int
     candidate: str
--- a/src/chicoryhold/consensus/progress.py
+++ b/src/chicoryhold/consensus/progress.py
@@ -1,4 +1,4 @@
-"""What a leader knows of the other members' logs, and when they acknowledged it."""
+"""How far a leader has replicated its log, and which members acknowledged it when."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 class MemberProgress:
     """The leader's view of one follower.
 
-    ``acknowledged_at`` is when the latest broadcast that the follower answered was
-    sent.
+    ``acknowledged_at`` is when the latest broadcast that the follower has replied to
+    was sent.
     """
 
     next_index: int
@@ -23,8 +23,8 @@
 class Progress:
     """The progress of each follower during one term of leadership.
 
-    Broadcasts are numbered; an answer to one acknowledges the leader as of the time
-    at which it was sent. Broadcasts older than ``round_lifetime`` are forgotten.
+    Broadcasts are numbered; a reply to one acknowledges the leader as of the time at
+    which it was sent. Broadcasts older than ``round_lifetime`` are discarded.
     """
 
     def __init__(self, *, identity: str, round_lifetime: float) -> None:
@@ -40,7 +40,7 @@
         return self._round
 
     def reset(self) -> None:
-        """Forget all followers, as a new term of leadership begins."""
+        """Discard the progress of all followers, as a new term begins."""
         self._round_sent_at = {}
         self._members = {}
 
--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -132,7 +132,7 @@
         return self._copy_confirmed_at
 
     def silent_members(self, *, longer_than: float) -> tuple[str, ...]:
-        """Return members that haven't answered this leader for ``longer_than`` seconds.
+        """Return members that haven't replied for ``longer_than`` seconds.
 
         Empty unless this replica has been the leader for that long.
         """
@@ -221,7 +221,7 @@
             return
         if not request.trial and request.term > self.term:
             self._become_follower(request.term, leader=None)
-        self._election.answer(request, has_leader=has_leader)
+        self._election.reply_to(request, has_leader=has_leader)
 
     def _on_vote_reply(self, reply: VoteReply) -> None:
         if not reply.granted and reply.term > self.term:
@@ -230,7 +230,7 @@
             self._proceed_with_majority()
 
     def _proceed_with_majority(self) -> None:
-        """Ask for votes after a pre-vote, or lead, if a majority allows it."""
+        """After a majority: request votes if it was a pre-vote, otherwise lead."""
         if not self._election.has_majority:
             return
         if self._election.is_pre_vote:
--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -60,7 +60,7 @@
 
     @property
     def live_back_off(self) -> float:
-        """For how long a source is avoided that answers, but isn't confirmed.
+        """For how long a source is avoided that replies, but isn't confirmed.
 
         It is the time of a fetch from another one.
         """
@@ -71,7 +71,7 @@
     """Fetches from one source at a time and serves its copy to other hosts.
 
     ``sources`` returns process names in order of preference. If a source doesn't
-    answer, is behind the copy or is stale, the next one is used. ``on_applied`` is
+    reply, is behind the copy or is stale, the next one is used. ``on_applied`` is
     called after the revision of the follower's state has changed.
     """
 
@@ -175,7 +175,7 @@
             case ImagePiece() as piece:
                 self._on_piece(piece)
             case SourceUnavailable(leader=leader):
-                self._leave_live_source("the source is unavailable", leader)
+                self._avoid_unconfirmed_source("the source is unavailable", leader)
         if not self._fetch_in_flight and self._clock.now() >= self._next_fetch_at:
             self._fetch()
 
@@ -201,9 +201,9 @@
             and batch.confirmed_age > self._timing.stale_age
             and not self._awaits_confirmation(batch)
         ):
-            self._leave_live_source("the source is stale")
+            self._avoid_unconfirmed_source("the source is stale")
         else:
-            self._stay_away_from_stale_sources(batch.confirmed_age)
+            self._avoid_stale_sources(batch.confirmed_age)
 
     def _awaits_confirmation(self, batch: ChangeBatch) -> bool:
         """Whether to stay with a source that isn't confirmed yet, as nobody may be."""
@@ -243,16 +243,16 @@
         else:
             self._needs_image = True
 
-    def _leave_live_source(self, reason: str, suggested: str = "") -> None:
-        """Avoid a source that answers, but isn't confirmed, for a short time.
+    def _avoid_unconfirmed_source(self, reason: str, suggested: str = "") -> None:
+        """Avoid a source that replies, but isn't confirmed, for a short time.
 
         Until a leader is elected that is so of all sources, and then of none.
         """
         self._found_stale_at[self._source] = self._clock.now()
         self._back_off(reason, suggested, self._timing.live_back_off)
 
-    def _stay_away_from_stale_sources(self, confirmed_age: float) -> None:
-        """Avoid those for long that weren't confirmed when the current one was."""
+    def _avoid_stale_sources(self, confirmed_age: float) -> None:
+        """Avoid sources for longer that weren't confirmed when the current one was."""
         now = self._clock.now()
         for source, found_at in list(self._found_stale_at.items()):
             if found_at < now - confirmed_age:
--- a/src/chicoryhold/membership/presence_actor.py
+++ b/src/chicoryhold/membership/presence_actor.py
@@ -32,7 +32,7 @@
 
 @attrs.frozen(kw_only=True)
 class ReportNow:
-    """Tells the presence actor to report at once, as the host's state has changed."""
+    """Makes the presence actor report at once, as the host's state has changed."""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chicoryhold/steering/coordinator_actor.py
+++ b/src/chicoryhold/steering/coordinator_actor.py
@@ -63,7 +63,7 @@
     """Runs on each domain replica's host; at most one of them coordinates.
 
     The lease is checked before every message, so an actor whose process was suspended
-    until after its lease expired never answers from stale state.
+    until after its lease expired never replies from stale state.
     """
 
     def __init__(
@@ -228,9 +228,9 @@
     def _run_effect(self, effect: Effect) -> None:
         match effect:
             case AnswerRequest(ticket=ticket, answer=answer):
-                self._answer(ticket, answer)
+                self._send_reply(ticket, answer)
             case AnswerBorrower(ticket=ticket, answer=answer):
-                self._answer(ticket, answer)
+                self._send_reply(ticket, answer)
             case SaveLedger(ledger=ledger):
                 self._ask_voters(self._candidate.start_round(ledger))
             case SendBorrowRequest():
@@ -238,7 +238,7 @@
             case NotifyLender(lender=lender, message=message):
                 self._bus.tell(self._coordinator_of(lender), message)
 
-    def _answer(self, ticket: int, answer: object) -> None:
+    def _send_reply(self, ticket: int, answer: object) -> None:
         reply = self._pending_replies.pop(ticket, None)
         if reply is not None:
             reply.set_result(answer)
@@ -278,7 +278,7 @@
     def _update_known_coordinator(self, domain: str, coordinator: str) -> None:
         """Store ``coordinator`` if it is a replica of ``domain``, else the next one.
 
-        Called after a host of ``domain`` answered that it isn't the coordinator.
+        Called after a host of ``domain`` replied that it isn't the coordinator.
         """
         hosts = self._replicas_by_domain[domain]
         asked_host = self._coordinator_of(domain)
--- a/src/chicoryhold/steering/targets.py
+++ b/src/chicoryhold/steering/targets.py
@@ -25,8 +25,8 @@
     ``latency`` is an exponentially weighted moving average in seconds. ``failures``
     counts consecutive failed requests. ``inherited`` counts, by host, the slots that an
     earlier coordinator granted. ``limit`` is the number of requests per second that it
-    takes, ``None`` for any. ``has_stated_limit`` means that this coordinator has heard
-    from an answer whether there is one.
+    takes, ``None`` for any. ``has_stated_limit`` means that a response under this
+    coordinator has stated whether there is one.
     """
 
     service: str
@@ -160,7 +160,7 @@
             self._permits.take(target.address, rate=target.limit)
 
     def record_limit(self, address: str, limit: float | None) -> None:
-        """Store the limit that an answer of the target named, ``None`` for none."""
+        """Store the limit that a response of the target stated, ``None`` for none."""
         target = self._targets.get(address)
         if target is not None:
             target.has_stated_limit = True
--- a/src/chicoryhold/steering/token_queues.py
+++ b/src/chicoryhold/steering/token_queues.py
@@ -1,4 +1,4 @@
-"""Requests that wait for a token, and the borrowing that may get them one."""
+"""Requests that wait for a token, and the loans by which they may get one."""
 
 from __future__ import annotations
 
@@ -84,7 +84,7 @@
             self._end_borrow_round(number)
 
     def end_timed_out_rounds(self) -> None:
-        """Stop waiting for domains that haven't replied to a request to lend."""
+        """End the borrow rounds to which a domain hasn't replied in time."""
         for number in self._borrow_rounds.timed_out():
             self._end_borrow_round(number)
 
