Let the stand-in target answer what it works on before it ends

Cause: the simulated target waits for its requests only while an entry host accepts its announcement that it drains. If none does, it ended with requests running.

Change: it waits for its running requests, for 10 s at most, however it is announced.

--- a/src/chicoryhold/trial/target.py
+++ b/src/chicoryhold/trial/target.py
@@ -36,6 +36,7 @@
 ANNOUNCE_INTERVAL_SECONDS = 0.5
 ANNOUNCE_TIMEOUT_SECONDS = 3.0
 CRASH_CHECK_INTERVAL_SECONDS = 0.02
+MAX_DRAIN_SECONDS = 10.0
 
 _SERVICE = flags.DEFINE_string("service", "menus", "The service that it provides.")
 _ADDRESS = flags.DEFINE_string("address", "127.0.0.1:0", "The listening address.")
@@ -281,6 +282,14 @@
     while announcer.announce(draining=True):
         time.sleep(0.1)
     time.sleep(_LINGER.value)
+    _wait_until_answered()
+
+
+def _wait_until_answered() -> None:
+    """Wait for the requests that the target works on, for a limited time."""
+    deadline = time.monotonic() + MAX_DRAIN_SECONDS
+    while _REQUEST_LOG.concurrent and time.monotonic() < deadline:
+        time.sleep(CRASH_CHECK_INTERVAL_SECONDS)
 
 
 if __name__ == "__main__":
