Notice every stop signal, and let none break off the end of a process

A process that misses SIGTERM serves as ready until it is killed, with requests in flight. One that gets SIGHUP, or a second SIGTERM while its components are closed, ends at once.

Cause: a signal that arrives just before the main thread blocks doesn't interrupt the wait, so its Python handler doesn't run. The handlers were restored while the process was ending. chicoryhold-entry and chicoryhold-control had no handler for SIGHUP.

Change: the wait for a stop wakes up four times a second. After a stop signal the handlers stay, and SIGHUP is ignored after its block. The two programs log and ignore SIGHUP, as they read their settings only at the start.

--- a/src/chicoryhold/programs/control.py
+++ b/src/chicoryhold/programs/control.py
@@ -35,7 +35,7 @@
 from chicoryhold.operators.api import AdministrationApi
 from chicoryhold.programs.draining import Drain, control_drain_timing
 from chicoryhold.programs.running import run_program
-from chicoryhold.programs.signals import stop_signals
+from chicoryhold.programs.signals import ignore_sighup, stop_signals
 from chicoryhold.settings import ControlSettings, load_settings
 from chicoryhold.state.control_state import ControlState
 
@@ -69,6 +69,7 @@
     drain = Drain(clock=clock, timing=control_drain_timing(DRAIN_TIMEOUT_SECONDS))
     with (
         stop_signals(clock=clock) as stopping,
+        ignore_sighup(),
         _running_replica(settings, drain) as server,
     ):
         drain.start(stopping.wait())
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -54,7 +54,7 @@
 )
 from chicoryhold.programs.entry_quarantine import EntryQuarantine, running_quarantine
 from chicoryhold.programs.running import run_program
-from chicoryhold.programs.signals import stop_signals
+from chicoryhold.programs.signals import ignore_sighup, stop_signals
 from chicoryhold.settings import EntrySettings, load_settings
 from chicoryhold.steering.admission_client import AdmissionClient
 from chicoryhold.steering.coordinator import Coordinator
@@ -102,6 +102,7 @@
     drain = Drain(clock=clock, timing=timing)
     with (
         stop_signals(clock=clock) as stopping,
+        ignore_sighup(),
         _running_host(settings, drain) as server,
     ):
         drain.start(stopping.wait())
--- a/src/chicoryhold/programs/signals.py
+++ b/src/chicoryhold/programs/signals.py
@@ -6,11 +6,15 @@
 import signal
 import threading
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
-from queue import SimpleQueue
+from contextlib import AbstractContextManager, contextmanager, suppress
+from queue import Empty, SimpleQueue
+
+from loguru import logger
 
 from chicoryhold.clock import Clock
 
+NOTICE_SECONDS = 0.25  # until a signal is handled that didn't interrupt the wait
+
 
 class StopSignal:
     """Whether the process was asked to stop, and when. Further requests change nothing.
@@ -43,13 +47,19 @@
     def wait(self) -> float:
         """Return the time of the request to stop, once there is one."""
         while self._requested_at is None:
-            self._requests.get()
+            # A signal that arrives just before the wait doesn't always interrupt it.
+            with suppress(Empty):
+                self._requests.get(timeout=NOTICE_SECONDS)
         return self._requested_at
 
 
 @contextmanager
 def stop_signals(*, clock: Clock) -> Iterator[StopSignal]:
-    """Yield a ``StopSignal`` that is set by SIGTERM or SIGINT."""
+    """Yield a ``StopSignal`` that is set by SIGTERM or SIGINT.
+
+    Once it is set, the process is ending, and further signals change nothing, also after
+    the block.
+    """
     stopping = StopSignal(clock=clock)
 
     def on_signal(number: int, frame: object) -> None:
@@ -62,18 +72,29 @@
     try:
         yield stopping
     finally:
-        for number, handler in previous.items():
-            signal.signal(number, handler)
+        if not stopping.is_set:
+            for number, handler in previous.items():
+                signal.signal(number, handler)
 
 
 @contextmanager
 def reload_on_sighup(reload: Callable[[], None]) -> Iterator[None]:
-    """Call ``reload`` at each SIGHUP, which would otherwise end the process."""
-    previous = signal.signal(signal.SIGHUP, lambda number, frame: reload())
+    """Call ``reload`` at each SIGHUP, which would otherwise end the process.
+
+    After the block, SIGHUP is ignored: the process is ending.
+    """
+    signal.signal(signal.SIGHUP, lambda number, frame: reload())
     try:
         yield
     finally:
-        signal.signal(signal.SIGHUP, previous)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
+def ignore_sighup() -> AbstractContextManager[None]:
+    """Note each SIGHUP in the log, for a program that reads its settings only once."""
+    return reload_on_sighup(
+        lambda: logger.info("settings: SIGHUP ignored; restart to read them again.")
+    )
 
 
 def exit_after(seconds: float) -> None:
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -8,10 +8,18 @@
 import sys
 import threading
 import time
+from collections.abc import Iterator
+
+import pytest
 
 from chicoryhold.clock import BootClock
-from chicoryhold.programs.signals import stop_signals
+from chicoryhold.programs.signals import (
+    ignore_sighup,
+    reload_on_sighup,
+    stop_signals,
+)
 
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 PROCESSES = 20
 FLOOD_SECONDS = 0.04
 EXIT_TIMEOUT_SECONDS = 5.0
@@ -26,6 +34,15 @@
 """
 
 
+@pytest.fixture(autouse=True)
+def former_handlers() -> Iterator[None]:
+    """Put the handlers of this process back after the test."""
+    handlers = {number: signal.getsignal(number) for number in HANDLED_SIGNALS}
+    yield
+    for number, handler in handlers.items():
+        signal.signal(number, handler)
+
+
 def ends_after_many_signals() -> bool:
     """Return whether a process ends that gets one stop signal after the other."""
     process = subprocess.Popen(
@@ -52,6 +69,25 @@
     assert [ends_after_many_signals() for _ in range(PROCESSES)] == [True] * PROCESSES
 
 
+def test_sighup_does_not_end_a_program_that_reads_its_settings_only_once():
+    with ignore_sighup():
+        os.kill(os.getpid(), signal.SIGHUP)
+
+
+def test_a_stop_signal_does_not_break_off_the_end_of_a_process_that_is_stopping():
+    with stop_signals(clock=BootClock()) as stopping:
+        os.kill(os.getpid(), signal.SIGTERM)
+        stopping.wait()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        os.kill(os.getpid(), number)
+
+
+def test_sighup_does_not_break_off_the_end_of_a_process_that_is_stopping():
+    with reload_on_sighup(lambda: None):
+        pass
+    os.kill(os.getpid(), signal.SIGHUP)
+
+
 def test_the_time_of_a_stop_is_that_of_its_first_signal():
     clock = BootClock()
     with stop_signals(clock=clock) as stopping:
