Add failing tests: a control host that is stopped cuts what it has read

Cause: platform/wiring/control_process.py doesn't drain. At SIGTERM it leaves its context managers at once and ends about 0.1 s later, whatever it works on.

Change: tests of the real process, judged from sockets only. A request is lost if it was sent more than 0.2 s before its connection ended, or if the kernel shows that the process had read it (the connection was closed in order, not reset).

- request that waits for a majority (PUT and GET /config, POST and DELETE /evacuation, PUT /instances), also with a second SIGTERM, SIGINT or SIGHUP: "no answer, read, closed 0.208 s after sending: RemoteDisconnected"
- order whose body is still arriving: "no answer, not read, closed 0.000 s after sending: RemoteDisconnected" (closed between 100 Continue and the last byte)
- response of 16 MiB that is being written: "no answer, read, closed 0.090 s after sending: IncompleteRead(0 bytes read,  more expected)"
- requests on open connections until the process is gone: "no answer, read, closed 0.006 s to 0.045 s after sending"

The clean exit of an idle host passes today and guards against a drain that never ends.

--- /dev/null
+++ b/tests/test_stopping_control_host.py
@@ -0,0 +1,468 @@
+"""A platform control host that is stopped answers every request that it has read."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import select
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from pathlib import Path
+
+import attrs
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+IP = "127.0.8.21"
+ABSENT_SEED_IP = "127.0.8.22"
+START_TIMEOUT_SECONDS = 20.0
+ANSWER_TIMEOUT_SECONDS = 8.0
+# A request sent later than this before its connection ends may not have been read.
+UNREAD_SECONDS = 0.2
+MILLISECONDS_PER_SECOND = 1000
+# The code before the drain of control hosts always exited within 1 s.
+FORMER_STOP_SECONDS = 1.0
+READ_PAUSE_SECONDS = FORMER_STOP_SECONDS + 0.5
+LARGE_BYTES = 16 * 1024 * 1024  # more than the kernel buffers for one connection
+RECEIVE_BUFFER_BYTES = 65_536
+CONNECTIONS_PER_KIND = 16
+CONFIGURATION = {
+    "version": "00000001",
+    "routes": [
+        {
+            "name": "r",
+            "host": "shop.example",
+            "path_prefix": "/a/",
+            "kind": "safe",
+            "service": "s",
+        }
+    ],
+    "services": [{"name": "s"}],
+}
+CONFIGURATION_BODY = json.dumps(CONFIGURATION).encode()
+EVACUATION_PATH = "/evacuation/north-b"
+REPORT_PATH = "/instances/i-1"
+RESOLVE_PATH = "/resolve?name=shop.example&region=north&zone=north-a"
+
+
+@attrs.frozen(kw_only=True)
+class HttpRequest:
+    """A request as a client sends it."""
+
+    method: str
+    path: str
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+    @property
+    def head(self) -> bytes:
+        lines = [f"{self.method} {self.path} HTTP/1.1", "Host: shop.example"]
+        lines += [f"{name}: {value}" for name, value in self.headers]
+        lines += [f"Content-Length: {len(self.body)}", "", ""]
+        return "\r\n".join(lines).encode()
+
+    def __str__(self) -> str:
+        return f"{self.method} {self.path}"
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """A complete response; ``closes`` says that it is the connection's last one."""
+
+    status: int
+    body: bytes
+    closes: bool
+    headers: http.client.HTTPMessage = attrs.field(repr=False)
+
+
+@attrs.frozen(kw_only=True)
+class NoAnswer:
+    """The connection ended ``seconds`` after the request was sent in full.
+
+    ``was_read`` says whether the host had read the request.
+    """
+
+    seconds: float
+    was_read: bool
+    reason: str
+
+    @property
+    def is_loss(self) -> bool:
+        return self.was_read or self.seconds > UNREAD_SECONDS
+
+    def __str__(self) -> str:
+        read = "read" if self.was_read else "not read"
+        return (
+            f"no answer, {read}, closed {self.seconds:.3f} s after sending: "
+            f"{self.reason}"
+        )
+
+
+class Connection:
+    """A client's connection, on which one request is sent after the other."""
+
+    def __init__(
+        self, *, address: tuple[str, int], receive_buffer_bytes: int = 0
+    ) -> None:
+        self._socket = socket.socket()
+        if receive_buffer_bytes:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+            )
+        self._socket.settimeout(ANSWER_TIMEOUT_SECONDS)
+        self._socket.connect(address)
+        self._sent_at = 0.0
+
+    def close(self) -> None:
+        self._socket.close()
+
+    def send(self, data: bytes) -> None:
+        self._socket.sendall(data)
+        self._sent_at = time.monotonic()
+
+    def wait_for_continue(self) -> None:
+        """Wait for the interim response which shows that the head was read."""
+        received = b""
+        while not received.endswith(b"\r\n\r\n"):
+            data = self._socket.recv(1)
+            assert data, "the connection was closed before 100 Continue"
+            received += data
+        assert received.startswith(b"HTTP/1.1 100 "), received
+
+    def wait_for_response(self) -> None:
+        """Wait until the first byte of the response has arrived."""
+        assert self._socket.recv(1, socket.MSG_PEEK), "closed without a response"
+
+    def has_data(self) -> bool:
+        return bool(select.select([self._socket], [], [], 0)[0])
+
+    def read_answer(self, method: str = "GET") -> Answer | NoAnswer:
+        response = http.client.HTTPResponse(self._socket, method=method)
+        try:
+            response.begin()
+            body = response.read()
+        except (http.client.HTTPException, OSError) as error:
+            seconds = time.monotonic() - self._sent_at
+            return NoAnswer(
+                seconds=seconds, was_read=self._was_read(error), reason=repr(error)
+            )
+        return Answer(
+            status=response.status,
+            body=body,
+            closes=response.will_close,
+            headers=response.headers,
+        )
+
+    def exchange(self, request: HttpRequest) -> Answer | NoAnswer:
+        """Send a request and read its answer."""
+        try:
+            self.send(request.head + request.body)
+        except OSError as error:
+            # The kernel has refused it, so the host hasn't read it.
+            return NoAnswer(seconds=0.0, was_read=False, reason=repr(error))
+        return self.read_answer(request.method)
+
+    def _was_read(self, error: Exception) -> bool:
+        """Return whether the peer read all that was sent before it closed.
+
+        The kernel resets a connection that is closed with data unread, and one on which
+        data arrive after it was closed.
+        """
+        if isinstance(error, ConnectionError) and not isinstance(
+            error, http.client.RemoteDisconnected
+        ):
+            return False
+        poller = select.poll()
+        poller.register(self._socket, 0)  # errors are reported without a mask
+        return not poller.poll(UNREAD_SECONDS * MILLISECONDS_PER_SECOND)
+
+
+@contextmanager
+def connected(
+    address: tuple[str, int], *, receive_buffer_bytes: int = 0
+) -> Iterator[Connection]:
+    connection = Connection(address=address, receive_buffer_bytes=receive_buffer_bytes)
+    try:
+        yield connection
+    finally:
+        connection.close()
+
+
+@attrs.frozen(kw_only=True)
+class ControlProcess:
+    """A control host in a process of its own."""
+
+    process: subprocess.Popen
+    control_address: tuple[str, int]
+    directory_address: tuple[str, int]
+
+    def stop(self, signal_number: int = signal.SIGTERM) -> None:
+        self.process.send_signal(signal_number)
+
+    def wait_for_exit(self, seconds: float) -> bool:
+        """Return whether the process exits within ``seconds``."""
+        try:
+            self.process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            return False
+        return True
+
+    def wait_until_listening(self) -> None:
+        def is_listening() -> bool:
+            try:
+                with connected(self.directory_address):
+                    return True
+            except OSError:
+                return False
+
+        self._wait_until(is_listening, what="listening")
+
+    def request_until_ok(self, request: HttpRequest) -> Answer:
+        """Repeat a request on new connections until it succeeds."""
+
+        def send() -> Answer | None:
+            try:
+                with connected(self.control_address) as connection:
+                    answer = connection.exchange(request)
+            except OSError:
+                return None
+            is_ok = isinstance(answer, Answer) and answer.status == 200
+            return answer if is_ok else None
+
+        return self._wait_until(send, what=str(request))
+
+    def _wait_until(self, condition: Callable[[], object], *, what: str) -> object:
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
+        while not (value := condition()):
+            assert self.process.poll() is None, "the process has exited"
+            assert time.monotonic() < deadline, f"{what} did not happen in time"
+            time.sleep(0.02)
+        return value
+
+
+@contextmanager
+def running_control_process(
+    folder: Path, *, seeds: tuple[str, ...] = (IP,)
+) -> Iterator[ControlProcess]:
+    """Start the only process of a new installation that has ``seeds``."""
+    control_port, directory_port, bus_port = free_ports(3)
+    settings = folder / "settings.toml"
+    seed_addresses = [f"{seed}:{control_port}" for seed in seeds]
+    settings.write_text(
+        f"""
+[self]
+ip = "{IP}"
+zone = "north-a"
+region = "north"
+bootstrap = true
+data_dir = "{folder}/data"
+[network]
+internal_ports = [{bus_port}, {bus_port + 15}]
+seeds = {json.dumps(seed_addresses)}
+[network.zones]
+north-a = "north"
+[network.listen]
+control = "{IP}:{control_port}"
+directory = "{IP}:{directory_port}"
+"""
+    )
+    process = subprocess.Popen(
+        [sys.executable, str(ROOT / "platform" / "run.py"), "control"],
+        cwd=ROOT,
+        env={**os.environ, "CHICORYHOLD_SETTINGS": str(settings)},
+        stdout=subprocess.DEVNULL,
+    )
+    try:
+        yield ControlProcess(
+            process=process,
+            control_address=(IP, control_port),
+            directory_address=(IP, directory_port),
+        )
+    finally:
+        process.kill()
+        process.wait()
+
+
+def free_ports(count: int) -> list[int]:
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
+        probe.bind((IP, 0))
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
+
+
+@pytest.fixture
+def control(tmp_path) -> Iterator[ControlProcess]:
+    """A control host that has accepted a configuration."""
+    with running_control_process(tmp_path) as process:
+        process.request_until_ok(put_configuration())
+        yield process
+
+
+@pytest.fixture
+def lone_control(tmp_path) -> Iterator[ControlProcess]:
+    """A control host whose only peer never starts, so that it has no majority."""
+    seeds = (IP, ABSENT_SEED_IP)
+    with running_control_process(tmp_path, seeds=seeds) as process:
+        process.wait_until_listening()
+        yield process
+
+
+def put_configuration(body: bytes = CONFIGURATION_BODY) -> HttpRequest:
+    return HttpRequest(method="PUT", path="/config", body=body)
+
+
+def report(sequence: int = 1) -> HttpRequest:
+    """Return the report of a target, which is new to the host if its sequence is."""
+    fields = {
+        "address": "127.0.8.99:80",
+        "born": 1,
+        "info": {"service": "s", "zone": "north-b", "slots": 4},
+        "status": {
+            "state": "ready" if sequence % 2 else "draining",
+            "sequence": sequence,
+        },
+    }
+    return HttpRequest(method="PUT", path=REPORT_PATH, body=json.dumps(fields).encode())
+
+
+REQUESTS_THAT_WAIT_FOR_A_MAJORITY = (
+    put_configuration(),
+    HttpRequest(method="GET", path="/config"),
+    HttpRequest(method="POST", path=EVACUATION_PATH),
+    HttpRequest(method="DELETE", path=EVACUATION_PATH),
+    report(),
+)
+
+
+def check_answered(answer: Answer | NoAnswer) -> None:
+    """Fail unless the answer is complete and either a success or a refusal."""
+    assert isinstance(answer, Answer), str(answer)
+    assert answer.status in (200, 503), answer
+
+
+@pytest.mark.parametrize("waiting", REQUESTS_THAT_WAIT_FOR_A_MAJORITY, ids=str)
+def test_sigterm_cuts_no_request_that_waits_for_a_majority(lone_control, waiting):
+    answer = answer_around_signals(lone_control, waiting, (signal.SIGTERM,))
+    check_answered(answer)
+
+
+@pytest.mark.parametrize(
+    "second", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP], ids=lambda s: s.name
+)
+def test_second_signal_in_a_drain_cuts_no_order(lone_control, second):
+    order = put_configuration()
+    answer = answer_around_signals(lone_control, order, (signal.SIGTERM, second))
+    check_answered(answer)
+
+
+def answer_around_signals(
+    control: ControlProcess, request: HttpRequest, signals: tuple[int, ...]
+) -> Answer | NoAnswer:
+    """Send a request and, while the host works on it, the signals."""
+    with connected(control.control_address) as connection:
+        connection.send(request.head + request.body)
+        time.sleep(UNREAD_SECONDS)
+        assert not connection.has_data(), "answered before the signal"
+        for number in signals:
+            control.stop(number)
+        return connection.read_answer(request.method)
+
+
+def test_sigterm_cuts_no_order_whose_body_is_still_arriving(control):
+    body = CONFIGURATION_BODY.replace(b"00000001", b"00000002")
+    expects = (("Expect", "100-continue"),)
+    order = HttpRequest(method="PUT", path="/config", body=body, headers=expects)
+    with connected(control.control_address) as connection:
+        connection.send(order.head)
+        connection.wait_for_continue()
+        connection.send(order.body[:-1])
+        control.stop()
+        control.wait_for_exit(READ_PAUSE_SECONDS)
+        check_answered(finish(connection, order))
+
+
+def finish(connection: Connection, request: HttpRequest) -> Answer | NoAnswer:
+    """Send the last byte of a request and read the answer."""
+    try:
+        connection.send(request.body[-1:])
+    except OSError as error:
+        return NoAnswer(
+            seconds=0.0, was_read=False, reason=f"closed within the body: {error!r}"
+        )
+    return connection.read_answer(request.method)
+
+
+def test_sigterm_cuts_no_response_that_is_still_being_written(control):
+    body = CONFIGURATION_BODY.replace(b"00000001", b"00000002").ljust(LARGE_BYTES)
+    control.request_until_ok(put_configuration(body))
+    with connected(
+        control.control_address, receive_buffer_bytes=RECEIVE_BUFFER_BYTES
+    ) as connection:
+        connection.send(HttpRequest(method="GET", path="/config").head)
+        connection.wait_for_response()
+        control.stop()
+        control.wait_for_exit(READ_PAUSE_SECONDS)
+        answer = connection.read_answer()
+    check_answered(answer)
+    assert answer.body == body
+
+
+REQUESTS_UNTIL_THE_END = {
+    "orders": lambda number: HttpRequest(method="POST", path=EVACUATION_PATH),
+    "reports": report,
+    "reads": lambda number: HttpRequest(method="GET", path="/config"),
+    "look-ups": lambda number: HttpRequest(method="GET", path=RESOLVE_PATH),
+}
+
+
+@pytest.mark.parametrize("kind", REQUESTS_UNTIL_THE_END)
+def test_no_request_on_an_open_connection_is_lost_until_the_process_is_gone(
+    control, kind
+):
+    address = (
+        control.directory_address if kind == "look-ups" else control.control_address
+    )
+    with ThreadPoolExecutor(CONNECTIONS_PER_KIND) as executor:
+        clients = [
+            executor.submit(request_until_closed, address, REQUESTS_UNTIL_THE_END[kind])
+            for _ in range(CONNECTIONS_PER_KIND)
+        ]
+        control.request_until_ok(HttpRequest(method="GET", path="/config"))
+        control.stop()
+        ends = [client.result() for client in clients]
+    lost = [str(end) for end in ends if end and end.is_loss]
+    assert not lost, lost
+
+
+def request_until_closed(
+    address: tuple[str, int], new_request: Callable[[int], HttpRequest]
+) -> NoAnswer | None:
+    """Send requests on one connection until it ends.
+
+    Returns what became of the last one if it wasn't answered, or ``None`` if the host
+    announced the end of the connection.
+    """
+    with connected(address) as connection:
+        number = 1
+        while True:
+            answer = connection.exchange(new_request(number))
+            if isinstance(answer, NoAnswer):
+                return answer
+            if answer.closes:
+                return None
+            number += 1
+
+
+def test_stopped_control_host_exits_cleanly_once_it_is_idle(control):
+    control.stop()
+    assert control.process.wait(timeout=5) == 0
