--- a/tests/test_stopping_control_host.py
+++ b/tests/test_stopping_control_host.py
@@ -124,8 +124,18 @@
         self._socket.close()
 
     def send(self, data: bytes) -> None:
-        self._socket.sendall(data)
-        self._sent_at = time.monotonic()
+        try:
+            self._socket.sendall(data)
+        finally:
+            self._sent_at = time.monotonic()
+
+    def try_to_send(self, data: bytes) -> bool:
+        """Return whether the connection is still open for sending."""
+        try:
+            self.send(data)
+        except OSError:
+            return False
+        return True
 
     def wait_for_continue(self) -> None:
         """Wait for the interim response which shows that the head was read."""
@@ -162,11 +172,7 @@
 
     def exchange(self, request: HttpRequest) -> Answer | NoAnswer:
         """Send a request and read its answer."""
-        try:
-            self.send(request.head + request.body)
-        except OSError as error:
-            # The kernel has refused it, so the host hasn't read it.
-            return NoAnswer(seconds=0.0, was_read=False, reason=repr(error))
+        self.try_to_send(request.head + request.body)
         return self.read_answer(request.method)
 
     def _was_read(self, error: Exception) -> bool:
@@ -393,12 +399,7 @@
 
 def finish(connection: Connection, request: HttpRequest) -> Answer | NoAnswer:
     """Send the last byte of a request and read the answer."""
-    try:
-        connection.send(request.body[-1:])
-    except OSError as error:
-        return NoAnswer(
-            seconds=0.0, was_read=False, reason=f"closed within the body: {error!r}"
-        )
+    connection.try_to_send(request.body[-1:])
     return connection.read_answer(request.method)
 
 
