Add failing tests: stop signals that are missed or break off the stop

Cause: the handler of stop_signals sets a threading.Event. If the signal arrives while the main thread is inside Event.wait or Event.set, set waits for a lock that its own thread holds: the process never stops and serves on until it is killed. And once the context managers are left, the former handlers are back, so a second signal kills the process in the middle of its stop.

Change: a test that sends one or two signals at each line of the wait, a test that sends SIGTERM and SIGINT in a series until the process is gone, and in the tests with a second signal a check that the process exits. A table check of 300,000 rows, so that its response doesn't fit into kernel buffers.

--- a/tests/test_stopping_control_host.py
+++ b/tests/test_stopping_control_host.py
@@ -24,6 +24,7 @@
 ABSENT_SEED_IP = "127.0.8.22"
 START_TIMEOUT_SECONDS = 20.0
 ANSWER_TIMEOUT_SECONDS = 8.0
+EXIT_TIMEOUT_SECONDS = 6.0
 # A request sent later than this before its connection ends may not have been read.
 UNREAD_SECONDS = 0.2
 MILLISECONDS_PER_SECOND = 1000
@@ -341,6 +342,45 @@
     return HttpRequest(method="PUT", path=REPORT_PATH, body=json.dumps(fields).encode())
 
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+NOTICE_SECONDS = 3.0
+ASLEEP_EXIT_CODE = 3
+MAX_WAIT_LINES = 16  # a wait that wakes up now and then has any number
+# It sends itself signals at consecutive lines of Python code from the first one named.
+WAITING_PROGRAM = f"""
+import os
+import signal
+import sys
+import threading
+
+from chicoryhold.programs.signals import stop_signals
+
+first, *numbers = map(int, sys.argv[1:])
+lines = 0
+
+
+def trace(frame, event, argument):
+    global lines
+    if event == "line":
+        lines += 1
+        if first <= lines < first + len(numbers):
+            signal.raise_signal(numbers[lines - first])
+    return trace
+
+
+def exit_if_asleep():
+    if lines < first:
+        os._exit({ASLEEP_EXIT_CODE})
+
+
+asleep = threading.Timer(0.5, exit_if_asleep)
+asleep.daemon = True
+with stop_signals() as stopping:
+    asleep.start()
+    sys.settrace(trace)
+    stopping.wait()
+    sys.settrace(None)
+"""
 REQUESTS_THAT_WAIT_FOR_A_MAJORITY = (
     put_configuration(),
     HttpRequest(method="GET", path="/config"),
@@ -360,6 +400,7 @@
 def test_sigterm_cuts_no_request_that_waits_for_a_majority(lone_control, waiting):
     answer = answer_around_signals(lone_control, waiting, (signal.SIGTERM,))
     check_answered(answer)
+    assert lone_control.wait_for_exit(EXIT_TIMEOUT_SECONDS), "still running"
 
 
 @pytest.mark.parametrize(
@@ -369,6 +410,7 @@
     order = put_configuration()
     answer = answer_around_signals(lone_control, order, (signal.SIGTERM, second))
     check_answered(answer)
+    assert lone_control.wait_for_exit(EXIT_TIMEOUT_SECONDS), "still running"
 
 
 def answer_around_signals(
@@ -466,4 +508,33 @@
 
 def test_stopped_control_host_exits_cleanly_once_it_is_idle(control):
     control.stop()
-    assert control.process.wait(timeout=5) == 0
+    assert control.process.wait(EXIT_TIMEOUT_SECONDS) == 0
+
+
+def test_series_of_stop_signals_neither_blocks_nor_breaks_off_the_stop(control):
+    deadline = time.monotonic() + EXIT_TIMEOUT_SECONDS
+    while control.process.poll() is None:
+        assert time.monotonic() < deadline, "still running"
+        for number in STOP_SIGNALS:
+            control.process.send_signal(number)
+    assert control.process.returncode == 0
+
+
+@pytest.mark.parametrize(
+    "signals", [STOP_SIGNALS[:1], STOP_SIGNALS], ids=["one", "two"]
+)
+def test_stop_signal_is_noticed_at_whatever_line_of_the_wait_it_arrives(signals):
+    for line in range(1, MAX_WAIT_LINES + 1):
+        try:
+            exit_code = run_waiting_program(line, signals)
+        except subprocess.TimeoutExpired:
+            pytest.fail(f"not noticed at line {line} of the wait")
+        if exit_code == ASLEEP_EXIT_CODE and line > 1:
+            return
+        assert exit_code == 0, f"line {line}"
+
+
+def run_waiting_program(line: int, signals: tuple[int, ...]) -> int:
+    arguments = [str(int(number)) for number in (line, *signals)]
+    command = [sys.executable, "-c", WAITING_PROGRAM, *arguments]
+    return subprocess.run(command, cwd=ROOT, timeout=NOTICE_SECONDS).returncode
--- a/tests/test_stopping_own_interface.py
+++ b/tests/test_stopping_own_interface.py
@@ -40,6 +40,7 @@
 DOMAIN = "north-a"
 ENTRY_HOST = "north-a-1"
 TIMEOUT_SECONDS = 20.0
+EXIT_TIMEOUT_SECONDS = 8.0
 ANNOUNCE_INTERVAL_SECONDS = 0.3
 FORMER_IDLE_SECONDS = 1.0  # without a request in flight, which ended a drain
 FORMER_DRAIN_SECONDS = 3 * FORMER_IDLE_SECONDS
@@ -47,7 +48,7 @@
 GROUP_CONNECTIONS = 8
 FREEZES = 3
 LARGE_BYTES = 12 * 1024 * 1024  # more than the kernel buffers for one connection
-FAULTY_ROWS = 100_000  # each is described in the response of a table check
+FAULTY_ROWS = 300_000  # each is described in the response of a table check
 TABLE = """scope,name,field,value,unit
 route,/menus,service,menus,
 route,/menus,access,open,
@@ -99,7 +100,8 @@
     def repair(self) -> None:
         """Start what was stopped and wait until requests are served again."""
         for member in self._stopped:
-            member.process.wait(TIMEOUT_SECONDS)
+            wait_for_exit(member.process, EXIT_TIMEOUT_SECONDS)
+            member.kill()
         self._stopped.clear()
         for member in self._fleet.members.values():
             if member.running:
@@ -170,6 +172,11 @@
         return
 
 
+def check_exits(member: Member) -> None:
+    wait_for_exit(member.process, EXIT_TIMEOUT_SECONDS)
+    assert not member.running, f"{member.name} still runs"
+
+
 def check_answered(answer: Answer | NoAnswer) -> None:
     """Fail unless the request succeeded or was refused as not run."""
     assert isinstance(answer, Answer), str(answer)
@@ -199,11 +206,13 @@
 
 def test_sigterm_cuts_no_request_that_a_target_works_on(installation):
     check_answered(answer_around_signals(installation, (signal.SIGTERM,)))
+    check_exits(installation.entry)
 
 
 @pytest.mark.parametrize("second", SECOND_SIGNALS, ids=lambda number: number.name)
 def test_second_signal_in_a_drain_cuts_no_request(installation, second):
     check_answered(answer_around_signals(installation, (signal.SIGTERM, second)))
+    check_exits(installation.entry)
 
 
 def answer_around_signals(
@@ -365,7 +374,9 @@
         installation.stop(leader, signals)
         for member in others:
             member.resume()
-        return connection.read_answer(order.method)
+        answer = connection.read_answer(order.method)
+    check_exits(leader)
+    return answer
 
 
 def test_sigterm_cuts_no_order_whose_body_is_still_arriving(installation):
