--- a/src/chicoryhold/programs/signals.py
+++ b/src/chicoryhold/programs/signals.py
@@ -57,8 +57,8 @@
 def stop_signals(*, clock: Clock) -> Iterator[StopSignal]:
     """Yield a ``StopSignal`` that is set by SIGTERM or SIGINT.
 
-    Once it is set, the process is ending, and further signals change nothing, also after
-    the block.
+    Once it is set, the process is ending, and further signals change nothing, even
+    after the block.
     """
     stopping = StopSignal(clock=clock)
 
