--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,11 @@
 
 processes: setup
 	$(BIN)/python -m bench.processes
+
+.PHONY: stops
+
+SEED ?= 1
+STOPS_SECONDS ?= 6
+
+stops: setup
+	$(BIN)/python -m chicoryhold.trial.stops --seed=$(SEED) --seconds=$(STOPS_SECONDS)
--- a/src/chicoryhold/trial/stops_hosts.py
+++ b/src/chicoryhold/trial/stops_hosts.py
@@ -48,7 +48,9 @@
         self._ip = ip
         self._place = place
         self._settings = place.folder / f"{ip}.toml"
-        self._settings.write_text(_settings_text(ip, place, listen))
+        self._settings_text = _settings_text(ip, place, listen)
+        self._settings.write_text(self._settings_text)
+        self._reloads = 0
         self._process: subprocess.Popen | None = None
 
     @property
@@ -75,6 +77,12 @@
     def send_signal(self, number: signal.Signals) -> None:
         self._process.send_signal(number)
 
+    def rewrite_settings(self) -> None:
+        """Write the settings again, as the platform does before it sends SIGHUP."""
+        self._reloads += 1
+        text = f"{self._settings_text}# version {self._reloads}\n"
+        self._settings.write_text(text)
+
     def kill(self) -> None:
         if self.is_running:
             self._process.kill()
@@ -141,7 +149,7 @@
             life.stopped_at = time.monotonic()
             life.stopping.set()
         if number is signal.SIGHUP:
-            life.reloaded_at = time.monotonic()
+            self._process.rewrite_settings()
         self._process.send_signal(number)
 
     def wait_exit(self) -> None:
--- /dev/null
+++ b/src/chicoryhold/trial/stops_outcome.py
@@ -0,0 +1,85 @@
+"""The result of a run with stopping hosts."""
+
+from __future__ import annotations
+
+import enum
+import json
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+
+import attrs
+
+from chicoryhold.trial.stops_judge import Fault, Judge
+from chicoryhold.trial.stops_records import Ending, Ledger, SentRequest
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """The result of a run.
+
+    ``results`` counts requests by status, or by the end of their connection, and
+    ``results_after_stop`` those among them that were sent after the stop signal.
+    ``unread`` counts requests that no host read, ``refused_connects`` connections to
+    hosts that weren't there. ``lag_seconds`` is how late the run's own threads were.
+    """
+
+    seed: int
+    grace_seconds: float
+    clients: Mapping[str, int]
+    requests: int
+    results: Mapping[str, int]
+    results_after_stop: Mapping[str, int]
+    unread: int
+    refused_connects: int
+    exits_after_stop: Sequence[float | None]
+    exit_codes: Mapping[str, int]
+    version: int
+    lag_seconds: float
+    fault_counts: Mapping[str, int]
+    fault_clients: Mapping[str, int]
+    faults: Sequence[Fault]
+
+    def to_json(self) -> str:
+        fields = attrs.asdict(self, value_serializer=_serialize)
+        return json.dumps(fields, indent=1)
+
+
+def summarize(
+    ledger: Ledger, judge: Judge, *, seed: int, grace_seconds: float,
+    clients: Mapping[str, int], version: int, lag_seconds: float,
+) -> Outcome:  # fmt: skip
+    """Return the outcome that the records of a run show."""
+    requests, lives, faults = ledger.requests, ledger.lives, judge.faults
+    return Outcome(
+        seed=seed,
+        grace_seconds=grace_seconds,
+        clients=clients,
+        requests=len(requests),
+        results=_count_results(requests),
+        results_after_stop=_count_results(
+            request for request in requests if request.sent_after_stop
+        ),
+        unread=judge.unread,
+        refused_connects=ledger.refused_connects,
+        exits_after_stop=[life.after_stop(life.exited_at) for life in lives],
+        exit_codes=Counter(str(life.exit_code) for life in lives),
+        version=version,
+        lag_seconds=round(lag_seconds, 3),
+        fault_counts=Counter(fault.kind.name for fault in faults),
+        fault_clients=Counter(fault.client for fault in faults),
+        faults=faults,
+    )
+
+
+def _count_results(requests: Iterable[SentRequest]) -> Mapping[str, int]:
+    return Counter(map(_result, requests))
+
+
+def _result(request: SentRequest) -> str:
+    if request.ending is Ending.ANSWERED:
+        return str(request.status)
+    return request.ending.name if request.ending else "OPEN"
+
+
+def _serialize(instance: object, attribute: object, value: object) -> object:
+    return value.name if isinstance(value, enum.Enum) else value
--- a/src/chicoryhold/trial/stops_records.py
+++ b/src/chicoryhold/trial/stops_records.py
@@ -32,7 +32,6 @@
     number: int
     started_at: float
     stopped_at: float | None = None
-    reloaded_at: float | None = None
     exited_at: float | None = None
     exit_code: int | None = None
     killed: bool = False
@@ -67,6 +66,12 @@
     body_bytes: int = 0
     sealed: bool = False
 
+    @property
+    def sent_after_stop(self) -> bool:
+        """Whether its last byte was sent after the host's stop signal."""
+        stopped_at = self.life.stopped_at
+        return None not in (self.sent_at, stopped_at) and self.sent_at > stopped_at
+
     @property
     def deadline_at(self) -> float | None:
         return None if self.sent_at is None else self.sent_at + self.deadline_seconds
--- /dev/null
+++ b/src/chicoryhold/trial/stops_run.py
@@ -0,0 +1,184 @@
+"""One run: hosts, targets, clients, signals, and the judgement of their records."""
+
+from __future__ import annotations
+
+import os
+import threading
+import time
+from collections.abc import Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from random import Random
+
+import attrs
+
+from chicoryhold.trial.fleet import wait_until
+from chicoryhold.trial.stops_behaviours import draw_groups
+from chicoryhold.trial.stops_clients import ClientGroup, running_clients
+from chicoryhold.trial.stops_hosts import DOMAIN, EntryHost, running_installation
+from chicoryhold.trial.stops_judge import LOSS_SLACK_SECONDS, Judge
+from chicoryhold.trial.stops_operator import SERVICE, Operator
+from chicoryhold.trial.stops_outcome import Outcome, summarize
+from chicoryhold.trial.stops_records import Ledger
+from chicoryhold.trial.stops_schedule import run_schedules
+from chicoryhold.trial.stops_targets import Reporter, running_targets
+
+MIN_GRACE_SECONDS = 5.0
+MAX_GRACE_SECONDS = 6.0
+CROWD_SHARE = 0.3
+CROWD_CLIENTS = 200  # more than the threads of a host
+TARGETS = 3
+TARGET_SLOTS = 150
+FIRST_ANSWER_TIMEOUT_SECONDS = 10.0
+IP_PREFIX = "127.0.8."
+IP_BLOCKS = 24
+IPS_PER_BLOCK = 10
+LAG_PAUSE_SECONDS = 0.02
+
+
+@attrs.frozen(kw_only=True)
+class Plan:
+    """What a run is made of. Settings and logs are in ``folder``.
+
+    Stops begin in the first ``seconds``; a calm run has none.
+    """
+
+    seed: int
+    seconds: float
+    hosts: int
+    folder: Path
+    calm: bool = False
+
+
+class LagWatch:
+    """Measures how late threads of this process wake up."""
+
+    def __init__(self) -> None:
+        self._seconds = 0.0
+
+    @property
+    def seconds(self) -> float:
+        return self._seconds
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        closing = threading.Event()
+        thread = threading.Thread(target=self._run, args=[closing], daemon=True)
+        thread.start()
+        try:
+            yield
+        finally:
+            closing.set()
+            thread.join()
+
+    def _run(self, closing: threading.Event) -> None:
+        while True:
+            started_at = time.monotonic()
+            if closing.wait(LAG_PAUSE_SECONDS):
+                return
+            late = time.monotonic() - started_at - LAG_PAUSE_SECONDS
+            self._seconds = max(self._seconds, late)
+
+
+class StopRun:
+    """Draws a run from the seed of its plan, runs and judges it."""
+
+    def __init__(self, plan: Plan) -> None:
+        random = Random(plan.seed)
+        self._plan = plan
+        self._random = random
+        self._grace_seconds = round(
+            random.uniform(MIN_GRACE_SECONDS, MAX_GRACE_SECONDS), 2
+        )
+        crowd_clients = CROWD_CLIENTS if random.random() < CROWD_SHARE else 0
+        self._groups: Sequence[ClientGroup] = draw_groups(
+            random, grace_seconds=self._grace_seconds, crowd_clients=crowd_clients
+        )
+        self._ledger = Ledger()
+        self._lag = LagWatch()
+
+    def run(self) -> Outcome:
+        with ExitStack() as stack:
+            hosts, operator = self._start(stack)
+            with running_clients(
+                groups=self._groups,
+                hosts=hosts,
+                ledger=self._ledger,
+                seed=self._plan.seed,
+            ):
+                self._wait_for_answers(hosts)
+                with operator.running():
+                    self._stop_hosts(hosts)
+        return self._judge(operator)
+
+    def _start(self, stack: ExitStack) -> tuple[Sequence[EntryHost], Operator]:
+        """Start all but the clients and wait until the hosts are ready."""
+        ips = _own_ips(1 + self._plan.hosts)
+        ledger = self._ledger
+        targets = stack.enter_context(
+            running_targets(count=TARGETS, ip=ips[0], service=SERVICE, ledger=ledger)
+        )
+        installation = stack.enter_context(
+            running_installation(
+                ips=ips,
+                folder=self._plan.folder,
+                grace_seconds=self._grace_seconds,
+                ledger=ledger,
+            )
+        )
+        control = installation.control
+        operator = Operator(control=control, random=self._random)
+        operator.put_first()
+        reporter = Reporter(
+            control=control,
+            targets=targets,
+            service=SERVICE,
+            domain=DOMAIN,
+            slots=TARGET_SLOTS,
+        )
+        stack.enter_context(reporter.running())
+        for host in installation.hosts:
+            host.wait_ready()
+        stack.enter_context(self._lag.running())
+        return installation.hosts, operator
+
+    def _wait_for_answers(self, hosts: Sequence[EntryHost]) -> None:
+        def answering() -> set[str]:
+            requests = self._ledger.requests
+            return {request.life.host for request in requests if request.sealed}
+
+        wait_until(
+            lambda: len(answering()) == len(hosts),
+            what="a first answer of each host",
+            timeout=FIRST_ANSWER_TIMEOUT_SECONDS,
+        )
+
+    def _stop_hosts(self, hosts: Sequence[EntryHost]) -> None:
+        if not self._plan.calm:
+            run_schedules(hosts=hosts, seed=self._plan.seed, seconds=self._plan.seconds)
+            return
+        time.sleep(self._plan.seconds)
+        for host in hosts:
+            host.life.stopping.set()  # ends the wait of the late clients
+
+    def _judge(self, operator: Operator) -> Outcome:
+        judge = Judge(
+            self._ledger,
+            grace_seconds=self._grace_seconds,
+            slack_seconds=LOSS_SLACK_SECONDS + self._lag.seconds,
+        )
+        return summarize(
+            self._ledger,
+            judge,
+            seed=self._plan.seed,
+            grace_seconds=self._grace_seconds,
+            clients={group.behaviour.name: group.count for group in self._groups},
+            version=operator.version,
+            lag_seconds=self._lag.seconds,
+        )
+
+
+def _own_ips(count: int) -> list[str]:
+    """Return loopback addresses that runs at the same time hardly share."""
+    first = IPS_PER_BLOCK * (1 + os.getpid() % IP_BLOCKS)
+    return [f"{IP_PREFIX}{first + number}" for number in range(count)]
