--- a/src/chicoryhold/trial/stops_outcome.py
+++ b/src/chicoryhold/trial/stops_outcome.py
@@ -19,8 +19,9 @@
 
     ``results`` counts requests by status, or by the end of their connection, and
     ``results_after_stop`` those among them that were sent after the stop signal.
-    ``unread`` counts requests that no host read, ``refused_connects`` connections to
-    hosts that weren't there. ``lag_seconds`` is how late the run's own threads were.
+    ``unsent`` counts requests whose connection ended before they were sent in full,
+    ``unread`` those that no host read, ``refused_connects`` connections to hosts that
+    weren't there. ``lag_seconds`` is how late the run's own threads were.
     """
 
     seed: int
@@ -29,6 +30,7 @@
     requests: int
     results: Mapping[str, int]
     results_after_stop: Mapping[str, int]
+    unsent: int
     unread: int
     refused_connects: int
     exits_after_stop: Sequence[float | None]
@@ -59,6 +61,7 @@
         results_after_stop=_count_results(
             request for request in requests if request.sent_after_stop
         ),
+        unsent=sum(request.sent_at is None for request in requests),
         unread=judge.unread,
         refused_connects=ledger.refused_connects,
         exits_after_stop=[life.after_stop(life.exited_at) for life in lives],
--- a/src/chicoryhold/trial/stops_run.py
+++ b/src/chicoryhold/trial/stops_run.py
@@ -50,6 +50,12 @@
     calm: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class _RunningParts:
+    hosts: Sequence[EntryHost]
+    operator: Operator
+
+
 class LagWatch:
     """Measures how late threads of this process wake up."""
 
@@ -98,20 +104,21 @@
         self._lag = LagWatch()
 
     def run(self) -> Outcome:
+        """Start everything, stop the hosts again and again, and judge the records."""
         with ExitStack() as stack:
-            hosts, operator = self._start(stack)
+            parts = self._start(stack)
             with running_clients(
                 groups=self._groups,
-                hosts=hosts,
+                hosts=parts.hosts,
                 ledger=self._ledger,
                 seed=self._plan.seed,
             ):
-                self._wait_for_answers(hosts)
-                with operator.running():
-                    self._stop_hosts(hosts)
-        return self._judge(operator)
+                self._wait_for_answers(parts.hosts)
+                with parts.operator.running():
+                    self._stop_hosts(parts.hosts)
+        return self._judge(parts.operator)
 
-    def _start(self, stack: ExitStack) -> tuple[Sequence[EntryHost], Operator]:
+    def _start(self, stack: ExitStack) -> _RunningParts:
         """Start all but the clients and wait until the hosts are ready."""
         ips = _own_ips(1 + self._plan.hosts)
         ledger = self._ledger
@@ -140,7 +147,7 @@
         for host in installation.hosts:
             host.wait_ready()
         stack.enter_context(self._lag.running())
-        return installation.hosts, operator
+        return _RunningParts(hosts=installation.hosts, operator=operator)
 
     def _wait_for_answers(self, hosts: Sequence[EntryHost]) -> None:
         def answering() -> set[str]:
