Send chunked bodies in the soak run and fail it if a schedule fails

Cause: an error in a schedule's thread ended only that thread, so that a run could pass without stops; all bodies had a length. Change: errors of schedules end the run; half of the slow bodies are chunked; bytes that are no response are a fault; the test lets the run clean up at its time limit.

--- a/src/chicoryhold/trial/stops_behaviours.py
+++ b/src/chicoryhold/trial/stops_behaviours.py
@@ -20,6 +20,7 @@
 MAX_DEADLINE_SECONDS = 2.9  # shorter than the timeout of all routes
 UNSAFE_SHARE = 0.5
 LARGE_SHARE = 0.03
+CHUNKED_SHARE = 0.5
 QUIET_SHARE = 0.25  # of the runs without a crowd
 STOP_WAIT_SECONDS = 60.0  # longer than a run
 
@@ -142,7 +143,7 @@
 
 @attrs.frozen(kw_only=True)
 class SlowSender:
-    """Sends its body in small pieces."""
+    """Sends its body in small pieces, some as chunks."""
 
     name: str = "slow-sender"
     keeps_connection: bool = True
@@ -150,7 +151,9 @@
 
     def pace(self, random: Random) -> Pace:
         return Pace(
-            piece_bytes=8 * KILOBYTE, send_pause_seconds=random.uniform(0.01, 0.15)
+            piece_bytes=8 * KILOBYTE,
+            send_pause_seconds=random.uniform(0.01, 0.15),
+            chunked=random.random() < CHUNKED_SHARE,
         )
 
     def terms(self, random: Random) -> RequestTerms:
--- a/src/chicoryhold/trial/stops_clients.py
+++ b/src/chicoryhold/trial/stops_clients.py
@@ -124,19 +124,16 @@
             answer_bytes=terms.answer_bytes,
         )
         self._ledger.add_request(request)
-        self._connection.exchange(
-            request,
-            _request_head(request, terms),
-            bytes(terms.body_bytes),
-            pace=self._behaviour.pace(self._random),
-        )
+        pace = self._behaviour.pace(self._random)
+        head = _request_head(request, terms, chunked=pace.chunked)
+        self._connection.exchange(request, head, bytes(terms.body_bytes), pace=pace)
         answered = request.ending is Ending.ANSWERED
         if not (answered and self._behaviour.keeps_connection):
             self._disconnect()
 
 
-def _request_head(request: SentRequest, terms: RequestTerms) -> bytes:
-    method = "POST" if terms.body_bytes or not terms.safe else "GET"
+def _request_head(request: SentRequest, terms: RequestTerms, *, chunked: bool) -> bytes:
+    method = "POST" if chunked or terms.body_bytes or not terms.safe else "GET"
     prefix = SAFE_PREFIX if terms.safe else UNSAFE_PREFIX
     lines = [
         f"{method} {prefix}{request.request_id} HTTP/1.1",
@@ -146,7 +143,9 @@
         f"Work-Seconds: {terms.work_seconds:.3f}",
         f"Answer-Bytes: {terms.answer_bytes}",
     ]
-    if method == "POST":
+    if chunked:
+        lines.append("Transfer-Encoding: chunked")
+    elif method == "POST":
         lines.append(f"Content-Length: {terms.body_bytes}")
     return "\r\n".join((*lines, "", "")).encode()
 
--- a/src/chicoryhold/trial/stops_judge.py
+++ b/src/chicoryhold/trial/stops_judge.py
@@ -32,7 +32,7 @@
     BROKEN_OFF = "broken off: the target was at work, the host gave its own answer"
     REFUSED_AND_RUN = "refused and run: promised not to have run, but a target ran it"
     RUN_TWICE = "run twice: an unsafe request ran at two targets"
-    WRONG_ANSWER = "wrong answer: its length isn't that of the target's answer"
+    WRONG_ANSWER = "wrong answer: no response, or not as long as the target's"
     NOT_IN_TIME = "not in time: killed at the end of the grace"
     ENDED_BY_ITSELF = "ended by itself: the process exited without a stop signal"
 
@@ -98,7 +98,7 @@
             yield self._fault(FaultKind.REFUSED_AND_RUN, request)
         if not request.safe and runs > 1:
             yield self._fault(FaultKind.RUN_TWICE, request)
-        if request.ending is Ending.ANSWERED and _has_wrong_length(request):
+        if request.ending is Ending.GARBLED or _has_wrong_length(request):
             yield self._fault(FaultKind.WRONG_ANSWER, request)
 
     def _loss(self, request: SentRequest) -> FaultKind | None:
@@ -183,9 +183,12 @@
 
 
 def _has_wrong_length(request: SentRequest) -> bool:
-    if request.status != SUCCESS_STATUS or not request.sealed:
+    """Whether a complete response isn't as long as the target's answer."""
+    if request.ending is not Ending.ANSWERED or not request.sealed:
         return False
-    return request.body_bytes != request.answer_bytes
+    return (
+        request.status == SUCCESS_STATUS and request.body_bytes != request.answer_bytes
+    )
 
 
 def _life_faults(life: HostLife) -> Iterator[Fault]:
--- a/src/chicoryhold/trial/stops_records.py
+++ b/src/chicoryhold/trial/stops_records.py
@@ -17,6 +17,7 @@
     ANSWERED = "answered in full"
     CLOSED = "connection closed after all its bytes were read"
     RESET = "connection reset"
+    GARBLED = "answered with bytes that aren't a response"
     ABANDONED = "closed by the client"
 
 
--- a/src/chicoryhold/trial/stops_schedule.py
+++ b/src/chicoryhold/trial/stops_schedule.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import signal
-import threading
 import time
 from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
 from random import Random
 
 import attrs
@@ -124,14 +124,12 @@
 
 
 def run_schedules(*, hosts: Sequence[EntryHost], seed: int, seconds: float) -> None:
-    """Run the schedules of all hosts at the same time."""
+    """Run the schedules of all hosts at the same time; raise if one of them fails."""
     end_at = time.monotonic() + seconds
     schedules = [
         HostSchedule(host=host, random=Random(f"{seed}-{number}"), end_at=end_at)
         for number, host in enumerate(hosts)
     ]
-    threads = [threading.Thread(target=schedule.run) for schedule in schedules]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    with ThreadPoolExecutor(len(schedules)) as pool:
+        for future in [pool.submit(schedule.run) for schedule in schedules]:
+            future.result()
--- a/src/chicoryhold/trial/stops_wire.py
+++ b/src/chicoryhold/trial/stops_wire.py
@@ -14,14 +14,19 @@
 GIVE_UP_SECONDS = 1.0  # after the deadline, the client closes its connection
 READ_BYTES = 262_144
 HEAD_END = b"\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
 SEAL_HEADER = "server-seal"
 
 
 @attrs.frozen(kw_only=True)
 class Pace:
-    """How fast a client sends and reads; a pause of 0 means without pauses."""
+    """How fast a client sends and reads; a pause of 0 means without pauses.
+
+    If ``chunked`` is set, each piece of the body is sent as a chunk.
+    """
 
     piece_bytes: int = READ_BYTES
+    chunked: bool = False
     send_pause_seconds: float = 0.0
     read_pause_seconds: float = 0.0
 
@@ -69,6 +74,8 @@
             request.ending = Ending.ABANDONED
         except OSError:
             request.ending = Ending.RESET
+        except (ValueError, IndexError):
+            request.ending = Ending.GARBLED
         self._end(request, request.ending)
 
     def _end(self, request: SentRequest, ending: Ending) -> None:
@@ -85,11 +92,11 @@
         self._socket.settimeout(request.deadline_seconds + GIVE_UP_SECONDS)
         if pace.send_pause_seconds:
             self._socket.sendall(head)
-            for piece in _pieces(body, pace.piece_bytes):
+            for piece in _pieces(body, pace):
                 time.sleep(pace.send_pause_seconds)
                 self._socket.sendall(piece)
         else:
-            self._socket.sendall(head + body)
+            self._socket.sendall(b"".join((head, *_pieces(body, pace))))
         request.sent_at = time.monotonic()
         return request.sent_at - started_at
 
@@ -124,8 +131,12 @@
         return piece
 
 
-def _pieces(body: bytes, size: int) -> Iterable[bytes]:
-    return (body[start : start + size] for start in range(0, len(body), size))
+def _pieces(body: bytes, pace: Pace) -> Iterable[bytes]:
+    for start in range(0, len(body), pace.piece_bytes):
+        piece = body[start : start + pace.piece_bytes]
+        yield b"%x\r\n%b\r\n" % (len(piece), piece) if pace.chunked else piece
+    if pace.chunked:
+        yield LAST_CHUNK
 
 
 def _read_head(request: SentRequest, head: bytes) -> int:
--- a/tests/test_stops_soak.py
+++ b/tests/test_stops_soak.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import subprocess
 import sys
 
@@ -29,21 +30,33 @@
 STOPPED_AT = 100.0
 
 
+def run_soak(seed: int) -> dict:
+    """Run the program and return its result; let it end its processes in any case."""
+    command = [sys.executable, "-m", "chicoryhold.trial.stops"]
+    run = subprocess.Popen(
+        [*command, f"--seed={seed}", f"--seconds={SECONDS}"],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        output, errors = run.communicate(timeout=RUN_TIMEOUT_SECONDS)
+    except subprocess.TimeoutExpired:
+        run.send_signal(signal.SIGINT)
+        run.communicate()
+        raise
+    assert output, errors
+    outcome = json.loads(output)
+    assert run.returncode == (1 if outcome["faults"] else 0)
+    return outcome
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_request_is_lost_or_broken_off_when_hosts_are_stopped_in_series(seed):
     # Regression test: requests that a draining host took on open connections were
     # passed on to a target, and its process ended without an answer to them.
-    command = [sys.executable, "-m", "chicoryhold.trial.stops", f"--seed={seed}"]
-    completed = subprocess.run(
-        [*command, f"--seconds={SECONDS}"],
-        capture_output=True,
-        text=True,
-        timeout=RUN_TIMEOUT_SECONDS,
-    )
-    assert completed.stdout, completed.stderr
-    outcome = json.loads(completed.stdout)
+    outcome = run_soak(seed)
     assert outcome["fault_counts"] == {}, outcome["faults"][:5]
-    assert completed.returncode == 0
     assert outcome["results"].get("200", 0) >= MIN_ANSWERS
     assert None not in outcome["exits_after_stop"]
 
@@ -116,6 +129,7 @@
         (answered(status=503), [ran()], FaultKind.REFUSED_AND_RUN),
         (answered(status=200, sealed=True), [ran(), ran()], FaultKind.RUN_TWICE),
         (answered(status=200, sealed=True), [], FaultKind.WRONG_ANSWER),
+        (sent_request(ending=Ending.GARBLED), [], FaultKind.WRONG_ANSWER),
     ],
 )
 def test_judge_finds_each_fault_of_a_request(request_, arrivals, kind):
