--- a/src/chicoryhold/trial/stops_clients.py
+++ b/src/chicoryhold/trial/stops_clients.py
@@ -166,10 +166,10 @@
     """Run the clients of all groups until the block ends."""
     closing = threading.Event()
     threads = []
-    for host in hosts:
+    for host_number, host in enumerate(hosts):
         for group in groups:
             for number in range(group.count):
-                name = f"{seed}-{host.name}-{group.behaviour.name}-{number}"
+                name = f"{seed}-{host_number}-{group.behaviour.name}-{number}"
                 client = Client(
                     name=name,
                     behaviour=group.behaviour,
