Let large bodies of the soak run wait at the client, not in its send buffer

Cause: bodies of several megabytes counted as sent while they were in the client's send buffer, so that a trial run named 4 of them unread after more than 1 s.

--- a/src/chicoryhold/trial/stops_behaviours.py
+++ b/src/chicoryhold/trial/stops_behaviours.py
@@ -209,7 +209,7 @@
         )
 
     def next_moment(self, random: Random, life: HostLife, sent: int) -> float:
-        return time.monotonic() + random.uniform(0.0, 0.3)
+        return time.monotonic() + random.uniform(0.0, 0.4)
 
 
 def draw_groups(
--- a/src/chicoryhold/trial/stops_clients.py
+++ b/src/chicoryhold/trial/stops_clients.py
@@ -18,7 +18,7 @@
 
 MILLISECONDS_PER_SECOND = 1000
 JOIN_TIMEOUT_SECONDS = 10.0
-RECONNECT_PAUSE_SECONDS = 0.1
+RECONNECT_PAUSE_SECONDS = 0.2
 
 
 @attrs.frozen(kw_only=True)
@@ -121,6 +121,7 @@
             life=self._life,
             safe=terms.safe,
             deadline_seconds=terms.deadline_seconds,
+            body_bytes=terms.body_bytes,
             answer_bytes=terms.answer_bytes,
         )
         self._ledger.add_request(request)
--- a/src/chicoryhold/trial/stops_judge.py
+++ b/src/chicoryhold/trial/stops_judge.py
@@ -164,10 +164,15 @@
 
     def _detail(self, request: SentRequest) -> str:
         """Say how the request ended and where it was then."""
-        answer = f"status {request.status}, " if request.status else "no status, "
-        answer += f"{request.body_bytes} of {request.answer_bytes} body bytes"
-        places = [_place(arrival, request) for arrival in self._arrivals(request)]
-        return f"{request.ending.value}; {answer}; {', '.join(places) or 'no target'}"
+        parts = [
+            request.ending.value,
+            f"status {request.status}" if request.status else "no status",
+            f"sent {request.body_bytes} body bytes",
+            f"received {request.received_bytes} bytes",
+            f"{request.received_body_bytes} of {request.answer_bytes} body bytes",
+            *(_place(arrival, request) for arrival in self._arrivals(request)),
+        ]
+        return "; ".join(parts if self._arrivals(request) else (*parts, "no target"))
 
 
 def _place(arrival: Arrival, request: SentRequest) -> str:
@@ -187,7 +192,8 @@
     if request.ending is not Ending.ANSWERED or not request.sealed:
         return False
     return (
-        request.status == SUCCESS_STATUS and request.body_bytes != request.answer_bytes
+        request.status == SUCCESS_STATUS
+        and request.received_body_bytes != request.answer_bytes
     )
 
 
--- a/src/chicoryhold/trial/stops_records.py
+++ b/src/chicoryhold/trial/stops_records.py
@@ -50,7 +50,9 @@
     """A request as its client saw it.
 
     ``sent_at`` is the time at which its last byte was sent, ``None`` before that.
-    ``sealed`` means that the response carried the target's ``Server-Seal``.
+    ``body_bytes`` and ``answer_bytes`` are the sizes of the request's and the expected
+    response's bodies. ``sealed`` means that the response carried the target's
+    ``Server-Seal``.
     """
 
     request_id: str
@@ -58,13 +60,14 @@
     life: HostLife
     safe: bool
     deadline_seconds: float
+    body_bytes: int
     answer_bytes: int
     sent_at: float | None = None
     ended_at: float | None = None
     ending: Ending | None = None
     status: int = 0
     received_bytes: int = 0
-    body_bytes: int = 0
+    received_body_bytes: int = 0
     sealed: bool = False
 
     @property
--- a/src/chicoryhold/trial/stops_wire.py
+++ b/src/chicoryhold/trial/stops_wire.py
@@ -12,6 +12,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 GIVE_UP_SECONDS = 1.0  # after the deadline, the client closes its connection
+SEND_BUFFER_BYTES = 65_536  # small, so that what was sent has hardly to wait there
 READ_BYTES = 262_144
 HEAD_END = b"\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
@@ -37,6 +38,7 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self._socket = socket.create_connection(address, CONNECT_TIMEOUT_SECONDS)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
     @property
     def has_ended(self) -> bool:
@@ -111,14 +113,14 @@
             data += piece
         head, _, body = data.partition(HEAD_END)
         length = _read_head(request, head)
-        request.body_bytes = len(body)
-        while request.body_bytes < length:
+        request.received_body_bytes = len(body)
+        while request.received_body_bytes < length:
             if pace.read_pause_seconds:
                 time.sleep(pace.read_pause_seconds)
             piece = self._receive(request, pace.piece_bytes, give_up_at)
             if not piece:
                 return Ending.CLOSED
-            request.body_bytes += len(piece)
+            request.received_body_bytes += len(piece)
         return Ending.ANSWERED
 
     def _receive(self, request: SentRequest, size: int, give_up_at: float) -> bytes:
--- a/tests/test_stops_soak.py
+++ b/tests/test_stops_soak.py
@@ -77,6 +77,7 @@
         life=stopped_life(),
         safe=False,
         deadline_seconds=2.0,
+        body_bytes=0,
         answer_bytes=10,
         sent_at=STOPPED_AT + 4.0,
         ended_at=STOPPED_AT + 4.5,
@@ -134,7 +135,7 @@
 )
 def test_judge_finds_each_fault_of_a_request(request_, arrivals, kind):
     if kind is FaultKind.RUN_TWICE:
-        request_ = attrs.evolve(request_, body_bytes=request_.answer_bytes)
+        request_ = attrs.evolve(request_, received_body_bytes=request_.answer_bytes)
     assert kind in fault_kinds(request_, *arrivals)
 
 
@@ -154,7 +155,7 @@
         ),
         (answered(status=503), []),
         (
-            answered(status=200, sealed=True, body_bytes=10, safe=True),
+            answered(status=200, sealed=True, received_body_bytes=10, safe=True),
             [ran(broken_after=4.2), ran()],
         ),
     ],
