Show in the soak run's faults what came of an unfinished response head

Cause: one trial run named a request lost with some bytes received and no status, and nothing told which bytes. Change: the fault names them.

--- a/src/chicoryhold/trial/stops_judge.py
+++ b/src/chicoryhold/trial/stops_judge.py
@@ -166,7 +166,7 @@
         """Say how the request ended and where it was then."""
         parts = [
             request.ending.value,
-            f"status {request.status}" if request.status else "no status",
+            _status(request),
             f"sent {request.body_bytes} body bytes",
             f"received {request.received_bytes} bytes",
             f"{request.received_body_bytes} of {request.answer_bytes} body bytes",
@@ -175,6 +175,12 @@
         return "; ".join(parts if self._arrivals(request) else (*parts, "no target"))
 
 
+def _status(request: SentRequest) -> str:
+    if request.status:
+        return f"status {request.status}"
+    return f"only {request.partial_head!r}" if request.partial_head else "no status"
+
+
 def _place(arrival: Arrival, request: SentRequest) -> str:
     def seconds_before_end(moment: float) -> str:
         return f"{request.ended_at - moment:.3f} s before the end"
--- a/src/chicoryhold/trial/stops_records.py
+++ b/src/chicoryhold/trial/stops_records.py
@@ -67,6 +67,7 @@
     ending: Ending | None = None
     status: int = 0
     received_bytes: int = 0
+    partial_head: bytes = b""
     received_body_bytes: int = 0
     sealed: bool = False
 
--- a/src/chicoryhold/trial/stops_wire.py
+++ b/src/chicoryhold/trial/stops_wire.py
@@ -109,6 +109,7 @@
         while HEAD_END not in data:
             piece = self._receive(request, READ_BYTES, give_up_at)
             if not piece:
+                request.partial_head = data
                 return Ending.CLOSED
             data += piece
         head, _, body = data.partition(HEAD_END)
