--- a/src/chicoryhold/callers/refusals.py
+++ b/src/chicoryhold/callers/refusals.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+STOPPING_RETRY_AFTER_SECONDS = 0.05  # other hosts can take the request at once
+
 
 class RunStatus(enum.Enum):
     """Whether the refused request ran at a target."""
@@ -55,3 +57,13 @@
     message: str
     retry_after: float = 0.0
     proved: bool = False
+
+
+def stopping_refusal() -> Refusal:
+    """Return the refusal of a host that may end before the request's deadline."""
+    return Refusal(
+        kind=RefusalKind.STOPPING,
+        ran=RunStatus.NOT_RUN,
+        message="this entry host may end before the deadline: use another one",
+        retry_after=STOPPING_RETRY_AFTER_SECONDS,
+    )
--- a/src/chicoryhold/callers/service.py
+++ b/src/chicoryhold/callers/service.py
@@ -12,7 +12,12 @@
 from chicoryhold.callers.authentication import Authenticator
 from chicoryhold.callers.forwarding import ForwardedRequest, Forwarder
 from chicoryhold.callers.observations import CompletedRequest, classify_outcome
-from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
+from chicoryhold.callers.refusals import (
+    Refusal,
+    RefusalKind,
+    RunStatus,
+    stopping_refusal,
+)
 from chicoryhold.callers.request import CallerRequest
 from chicoryhold.claims.attempt import Verdict
 from chicoryhold.claims.client import Claim, ClaimClient
@@ -129,8 +134,7 @@
 
     def _run(self, authorized: _AuthorizedRequest) -> Outcome:
         if not self._may_take(authorized.deadline):
-            message = "this host may end before the deadline: use another entry host"
-            return Err(_not_run_refusal(RefusalKind.STOPPING, message))
+            return Err(stopping_refusal())
         quarantined = self._guard.refusal(authorized.digest)
         if quarantined is not None:
             return Err(quarantined)
--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -7,9 +7,14 @@
 
 import attrs
 from loguru import logger
-from result import Err, Ok, Result
+from result import Err, Ok
 
-from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
+from chicoryhold.callers.refusals import (
+    Refusal,
+    RefusalKind,
+    RunStatus,
+    stopping_refusal,
+)
 from chicoryhold.clock import Clock
 from chicoryhold.errors import (
     ConnectFailed,
@@ -19,6 +24,15 @@
     InvalidResponse,
     RequestNotSent,
 )
+from chicoryhold.gateway.outcomes import (
+    NOT_RUN_STATUSES,
+    OVERLOAD_RETRY_AFTER_SECONDS,
+    Outcome,
+    failure,
+    forwarded_failure,
+    no_target,
+    rejected_by_target,
+)
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata, TargetCall
 from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.quarantine.crash_watch import CrashWatch
@@ -30,17 +44,11 @@
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
 
-NO_TARGET_RETRY_AFTER_SECONDS = 0.3
-OVERLOAD_RETRY_AFTER_SECONDS = 0.2
 # A timeout counts as the target's failure if the target had at least this multiple of
 # the expected latency to respond.
 OVERDUE_FACTOR = 4.0
 MIN_REMAINING_SECONDS = 0.02  # with less time left, a target could not respond
 MIN_FAILURE_STATUS = 500
-# Statuses from which callers conclude that the request did not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-
-Outcome = Result[TargetResponse, Refusal]
 
 
 class TargetHeaderTranslator(Protocol):
@@ -86,6 +94,7 @@
     """Sends requests to targets, with retries. Thread-safe.
 
     While ``is_cut_off()`` is true, no target can be reached, so nothing is retried.
+    ``may_take`` returns whether a request with a given deadline may still be sent.
     """
 
     def __init__(
@@ -93,7 +102,9 @@
         header_translator: TargetHeaderTranslator, budgets: RetryBudgets, clock: Clock,
         limits: StatedLimits, crashes: CrashWatch, guard: RequestGuard,
         is_cut_off: Callable[[], bool] = lambda: False,
+        may_take: Callable[[float], bool] = lambda deadline: True,
     ) -> None:  # fmt: skip
+        self._may_take = may_take
         self._chooser = chooser
         self._connections = connections
         self._header_translator = header_translator
@@ -116,6 +127,11 @@
         for attempt in range(max(1, routed.route.attempts)):
             if attempt and not self._may_retry(routed, last):
                 break
+            if not self._may_take(routed.deadline):
+                last = last or _AttemptResult(
+                    outcome=Err(stopping_refusal()), known_not_run=True
+                )
+                break
             choice = self._chooser.choose(self._criteria(routed, avoid))
             if isinstance(choice, Overloaded):
                 last = last or self._overload_result(routed, choice)
@@ -127,7 +143,7 @@
                 return attempt_result.outcome
             last = _decisive_result(last, attempt_result)
             avoid |= {choice.view.record.instance}
-        return last.outcome if last else _no_target(routed)
+        return last.outcome if last else no_target(routed.service)
 
     def _criteria(
         self, routed: RoutedRequest, avoid: frozenset[str]
@@ -197,13 +213,13 @@
             self._chooser.release(choice)
             self._log_failed_attempt(routed, choice, attempt, str(error))
             return _AttemptResult(
-                outcome=_failure(RefusalKind.NO_TARGET, RunStatus.NOT_RUN, error),
+                outcome=failure(RefusalKind.NO_TARGET, RunStatus.NOT_RUN, error),
                 known_not_run=True,
             )
         except ConnectFailed as error:
             self._record_failure(routed, choice, attempt, error, unreachable=True)
             return _AttemptResult(
-                outcome=_failure(RefusalKind.NO_TARGET, RunStatus.NOT_RUN, error),
+                outcome=failure(RefusalKind.NO_TARGET, RunStatus.NOT_RUN, error),
                 known_not_run=True,
             )
         return self._handle_response(routed, choice, attempt, response, started)
@@ -254,18 +270,18 @@
             self._record_failure(
                 routed, choice, attempt, "another instance has the address"
             )
-            return _AttemptResult(outcome=_rejected_by_target(), known_not_run=True)
+            return _AttemptResult(outcome=rejected_by_target(), known_not_run=True)
         if metadata.did_not_run:
             self._chooser.record_rejection(choice, load=metadata.load)
             self._log_failed_attempt(
                 routed, choice, attempt, "the target did not run the request"
             )
-            return _AttemptResult(outcome=_rejected_by_target(), known_not_run=True)
+            return _AttemptResult(outcome=rejected_by_target(), known_not_run=True)
         self._guard.record_success(routed.digest)
         if response.status >= MIN_FAILURE_STATUS or response.status in NOT_RUN_STATUSES:
             self._record_failure(routed, choice, attempt, f"status {response.status}")
             return _AttemptResult(
-                outcome=_forwarded_failure(response), known_not_run=False
+                outcome=forwarded_failure(response), known_not_run=False
             )
         self._chooser.record_success(
             choice,
@@ -292,7 +308,7 @@
     ) -> _AttemptResult:  # fmt: skip
         if isinstance(error, ExchangeCancelled):
             self._chooser.release(choice)
-            outcome = _failure(RefusalKind.TIMED_OUT, RunStatus.UNKNOWN, error)
+            outcome = failure(RefusalKind.TIMED_OUT, RunStatus.UNKNOWN, error)
             return _AttemptResult(outcome=outcome, known_not_run=False)
         timed_out = isinstance(error, ExchangeTimeout)
         overdue = (
@@ -308,7 +324,7 @@
             self._crashes.record_lost(choice.view.record, routed.digest)
         kind = RefusalKind.TIMED_OUT if timed_out else RefusalKind.ANSWER_BROKEN
         return _AttemptResult(
-            outcome=_failure(kind, RunStatus.UNKNOWN, error), known_not_run=False
+            outcome=failure(kind, RunStatus.UNKNOWN, error), known_not_run=False
         )
 
     def _record_failure(
@@ -355,40 +371,3 @@
     if last is not None and not last.known_not_run:
         return last
     return attempt_result
-
-
-def _forwarded_failure(response: TargetResponse) -> Outcome:
-    """Return a target's failure response, or a refusal for ``NOT_RUN_STATUSES``.
-
-    Callers may repeat a request after such a status, but this target has not stated
-    that it did not run the request.
-    """
-    if response.status in NOT_RUN_STATUSES:
-        message = f"the target answered {response.status}, and may have run it"
-        return _failure(RefusalKind.ANSWER_BROKEN, RunStatus.UNKNOWN, message)
-    return Ok(response)
-
-
-def _failure(kind: RefusalKind, ran: RunStatus, error: object) -> Outcome:
-    retry_after = NO_TARGET_RETRY_AFTER_SECONDS if ran is RunStatus.NOT_RUN else 0.0
-    return Err(Refusal(kind=kind, ran=ran, message=str(error), retry_after=retry_after))
-
-
-def _rejected_by_target() -> Outcome:
-    refusal = Refusal(
-        kind=RefusalKind.OVERLOADED,
-        ran=RunStatus.NOT_RUN,
-        message="the target didn't run it",
-        retry_after=OVERLOAD_RETRY_AFTER_SECONDS,
-    )
-    return Err(refusal)
-
-
-def _no_target(routed: RoutedRequest) -> Outcome:
-    refusal = Refusal(
-        kind=RefusalKind.NO_TARGET,
-        ran=RunStatus.NOT_RUN,
-        message=f"no target of {routed.service} may get it now",
-        retry_after=NO_TARGET_RETRY_AFTER_SECONDS,
-    )
-    return Err(refusal)
--- /dev/null
+++ b/src/chicoryhold/gateway/outcomes.py
@@ -0,0 +1,52 @@
+"""Outcomes of a delivery: a target's response, or a refusal that says if it ran."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
+from chicoryhold.targets.exchange import TargetResponse
+
+NO_TARGET_RETRY_AFTER_SECONDS = 0.3
+OVERLOAD_RETRY_AFTER_SECONDS = 0.2
+# Statuses from which callers conclude that the request did not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+Outcome = Result[TargetResponse, Refusal]
+
+
+def forwarded_failure(response: TargetResponse) -> Outcome:
+    """Return a target's failure response, or a refusal for ``NOT_RUN_STATUSES``.
+
+    Callers may repeat a request after such a status, but this target has not stated
+    that it did not run the request.
+    """
+    if response.status in NOT_RUN_STATUSES:
+        message = f"the target answered {response.status}, and may have run it"
+        return failure(RefusalKind.ANSWER_BROKEN, RunStatus.UNKNOWN, message)
+    return Ok(response)
+
+
+def failure(kind: RefusalKind, ran: RunStatus, error: object) -> Outcome:
+    retry_after = NO_TARGET_RETRY_AFTER_SECONDS if ran is RunStatus.NOT_RUN else 0.0
+    return Err(Refusal(kind=kind, ran=ran, message=str(error), retry_after=retry_after))
+
+
+def rejected_by_target() -> Outcome:
+    refusal = Refusal(
+        kind=RefusalKind.OVERLOADED,
+        ran=RunStatus.NOT_RUN,
+        message="the target didn't run it",
+        retry_after=OVERLOAD_RETRY_AFTER_SECONDS,
+    )
+    return Err(refusal)
+
+
+def no_target(service: str) -> Outcome:
+    refusal = Refusal(
+        kind=RefusalKind.NO_TARGET,
+        ran=RunStatus.NOT_RUN,
+        message=f"no target of {service} may get it now",
+        retry_after=NO_TARGET_RETRY_AFTER_SECONDS,
+    )
+    return Err(refusal)
--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import attrs
@@ -18,7 +18,7 @@
     ExchangeFailed,
     ExchangeTimeout,
 )
-from chicoryhold.gateway.delivery import NOT_RUN_STATUSES
+from chicoryhold.gateway.outcomes import NOT_RUN_STATUSES
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.relay_peers import RelayPeers
 from chicoryhold.gateway.request import GatewayRequest, RelayCall, RelayTerms
@@ -93,13 +93,16 @@
 
     The peer handles a relayed request like one of a caller: it checks the key, takes
     the permit and chooses the target. It never relays the request further.
+    ``may_take`` returns whether a request with a given deadline may still be sent.
     """
 
     def __init__(
         self, *, reachability: TargetReachability, peers: RelayPeers,
         connections: TargetConnections, header_translator: RelayHeaderTranslator,
         budgets: RetryBudgets, clock: Clock, metrics: Metrics,
+        may_take: Callable[[float], bool] = lambda deadline: True,
     ) -> None:  # fmt: skip
+        self._may_take = may_take
         self._reachability = reachability
         self._peers = peers
         self._connections = connections
@@ -161,6 +164,8 @@
     def _may_send(self, relayed: RelayedRequest, last: _RelayAttempt | None) -> bool:
         if relayed.request.cancellation.is_set:
             return False
+        if not self._may_take(relayed.deadline):
+            return False
         if relayed.deadline - self._clock.now() < MIN_REMAINING_SECONDS:
             return False
         if last is None or last.untried:
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -9,7 +9,12 @@
 from loguru import logger
 from result import Err, Result
 
-from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
+from chicoryhold.callers.refusals import (
+    Refusal,
+    RefusalKind,
+    RunStatus,
+    stopping_refusal,
+)
 from chicoryhold.clock import Clock
 from chicoryhold.gateway.delivery import Delivery, RoutedRequest
 from chicoryhold.gateway.relay import Relay, RelayedRequest
@@ -27,7 +32,6 @@
 
 RATE_RETRY_AFTER_SECONDS = 0.5
 NOT_READY_RETRY_AFTER_SECONDS = 0.3
-STOPPING_RETRY_AFTER_SECONDS = 0.05  # other hosts can take the request at once
 LOGGED_DIGEST_CHARACTERS = 8  # enough to tell keys apart, not to find one
 
 
@@ -122,11 +126,7 @@
         if request.cancellation.is_set:
             return _refused(RefusalKind.TIMED_OUT, "its caller has left")
         if not self._may_take(_deadline(request, route)):
-            return _refused(
-                RefusalKind.STOPPING,
-                "this entry host may end before the deadline: use another one",
-                retry_after=STOPPING_RETRY_AFTER_SECONDS,
-            )
+            return Err(stopping_refusal())
         digest = request_digest(
             method=request.method,
             host=request.host,
--- a/src/chicoryhold/http_channel.py
+++ b/src/chicoryhold/http_channel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import select
 import socket
 import threading
 from collections.abc import Callable
@@ -19,6 +20,9 @@
 QUEUED_REQUESTS = "chicoryhold.queued_requests"
 ARRIVED_AT = "chicoryhold.arrived_at"
 CANCELLATION = "chicoryhold.cancellation"
+LINGER_SECONDS = 2.0
+MAX_LINGERING = 32  # threads
+MILLISECONDS_PER_SECOND = 1000
 
 _CLOCK = BootClock()
 
@@ -71,6 +75,20 @@
         return False
 
 
+def _close_after_peer(connection: socket.socket, lingering: set[socket.socket]) -> None:
+    """Close ``connection`` once its peer has, or after ``LINGER_SECONDS``."""
+    try:
+        connection.shutdown(socket.SHUT_WR)
+        poller = select.poll()
+        poller.register(connection, select.POLLRDHUP)
+        poller.poll(LINGER_SECONDS * MILLISECONDS_PER_SECOND)
+    except OSError as error:
+        logger.debug("http: a caller's connection is broken: {}.", error)
+    finally:
+        connection.close()
+        lingering.discard(connection)
+
+
 class Task(WSGITask):
     """Runs the application for one request and writes its response.
 
@@ -107,12 +125,17 @@
     ``refuses`` is set, the application refuses every request, so the rest of a request
     that is still being received isn't waited for. ``request_id_header`` is the name
     under which waitress keeps that header.
+
+    ``running`` are the channels whose request is being handled, also if their caller
+    has left. ``lingering`` are sockets that are closed once their peer has got all.
     """
 
     should_close: Callable[[], bool]
     request_id_header: str = ""
     closes_idle: bool = False
     refuses: bool = False
+    running: set[Channel] = attrs.field(factory=set)
+    lingering: set[socket.socket] = attrs.field(factory=set)
 
 
 class Channel(HTTPChannel):
@@ -136,7 +159,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether each request that was read is answered in full."""
-        return not (self.requests or self.request or self.total_outbufs_len)
+        return not (self.requests or self._has_partial() or self.total_outbufs_len)
 
     def readable(self) -> bool:
         control = self.server.control
@@ -161,16 +184,26 @@
         If the next one has been read, even in part, it must be answered first.
         """
         with self._read_lock:
-            if len(self.requests) > 1 or self.request:
+            if len(self.requests) > 1 or self._has_partial():
                 return False
             self._has_stopped_reading = True
             return True
 
+    def _has_partial(self) -> bool:
+        """Whether a request is being received. Blank lines before one don't count."""
+        request = self.request
+        if request is None:
+            return False
+        return request.headers_finished or bool(request.header_plus.strip())
+
     def _end_partial_request(self) -> None:
-        """Have a request that is being received refused without its rest."""
+        """Have a request that is being received refused without its rest.
+
+        What has arrived already is read first: it may be the rest.
+        """
         with self.requests_lock:
             request = self.request
-            if request is None or self.requests:
+            if not self._has_partial() or self.requests or has_unread(self.socket):
                 return
             self._has_stopped_reading = True
             if not request.headers_finished:
@@ -182,11 +215,17 @@
             self.server.add_task(self)
 
     def service(self) -> None:
-        self._running = self.requests[0]
+        request = self.requests[0]
+        self._running = request
+        running = self.server.control.running
+        running.add(self)
         try:
             super().service()
         finally:
-            self._answered, self._running = self._running, None
+            # Another thread may have begun the next request of this channel.
+            if self._running is request:
+                self._answered, self._running = request, None
+                running.discard(self)
 
     def new_cancellation(self) -> Cancellation:
         self.cancellation = Cancellation()
@@ -195,10 +234,27 @@
         return self.cancellation
 
     def handle_close(self) -> None:
+        if self._has_stopped_reading and self.connected and has_unread(self.socket):
+            self._linger()
         super().handle_close()
         if self.cancellation is not None:
             self.cancellation.set()
 
+    def _linger(self) -> None:
+        """Let the peer receive the last response although it has sent more.
+
+        The kernel resets a connection that is closed with data unread, and drops what
+        the peer hasn't received yet.
+        """
+        lingering = self.server.control.lingering
+        if len(lingering) >= MAX_LINGERING:
+            return
+        copy = self.socket.dup()
+        lingering.add(copy)
+        threading.Thread(
+            target=_close_after_peer, args=(copy, lingering), daemon=True
+        ).start()
+
     def open_requests(self) -> list[OpenRequest]:
         """Return the requests that were read and aren't answered in full."""
         running = self._running
--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -68,7 +68,7 @@
     @property
     def is_closed(self) -> bool:
         """Whether no connection is open and none is accepted any more."""
-        return not (self._accepts or self._channels())
+        return not (self._accepts or self._channels() or self._control.lingering)
 
     def open_requests(self) -> list[OpenRequest]:
         """Return the requests that were read and aren't answered in full."""
@@ -102,8 +102,10 @@
             self._server.task_dispatcher.set_thread_count(threads)
             self._server.pull_trigger()
 
-    def _channels(self) -> list[Channel]:
-        return list(self._server.active_channels.values())
+    def _channels(self) -> set[Channel]:
+        """Return the open channels and those whose caller left during its request."""
+        connected = list(self._server.active_channels.values())
+        return {*connected, *tuple(self._control.running)}
 
     def _stop_accepting(self) -> None:
         if not self._accepts:
--- a/src/chicoryhold/programs/control.py
+++ b/src/chicoryhold/programs/control.py
@@ -66,16 +66,14 @@
     settings = load_settings(Path(_SETTINGS.value), ControlSettings)
     configure_text_logging(process=settings.name, level=settings.log.level)
     clock = BootClock()
-    drain = Drain(clock=clock, timing=control_drain_timing(DRAIN_TIMEOUT_SECONDS))
-    with (
-        stop_signals(clock=clock) as stopping,
-        ignore_sighup(),
-        _running_replica(settings, drain) as server,
-    ):
-        drain.start(stopping.wait())
-        logger.info("control: draining.")
-        drain.run([server]).log("control")
-        logger.info("control: stopping.")
+    timing = control_drain_timing(DRAIN_TIMEOUT_SECONDS)
+    with stop_signals(clock=clock) as stopping, ignore_sighup():
+        drain = Drain(clock=clock, timing=timing, stopping=stopping)
+        with _running_replica(settings, drain) as server:
+            stopping.wait()
+            logger.info("control: draining.")
+            drain.run([server]).log("control")
+            logger.info("control: stopping.")
 
 
 @contextmanager
--- a/src/chicoryhold/programs/draining.py
+++ b/src/chicoryhold/programs/draining.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-import threading
 import time
 from collections.abc import Sequence
 
@@ -13,6 +12,7 @@
 from chicoryhold.clock import Clock
 from chicoryhold.http_channel import OpenRequest
 from chicoryhold.http_server import HttpServer
+from chicoryhold.programs.signals import StopSignal
 
 POLL_INTERVAL_SECONDS = 0.05
 MAX_LOGGED_REQUESTS = 50  # lines a second are limited
@@ -84,13 +84,11 @@
 class DrainReport:
     """How a drain ended.
 
-    ``refused`` counts the requests that weren't taken, ``cut`` are those that were read
-    and left unanswered.
+    ``cut`` are the requests that were read and left unanswered.
     """
 
     seconds: float
     end: DrainEnd
-    refused: int
     cut: tuple[OpenRequest, ...]
 
     def log(self, component: str) -> None:
@@ -106,7 +104,6 @@
         logger.bind(
             seconds=round(self.seconds, 3),
             end=self.end.value,
-            refused=self.refused,
             cut=len(self.cut),
         ).info(f"{component}: drained.")
 
@@ -114,41 +111,34 @@
 class Drain:
     """Decides which requests a stopping process takes, and when it may end.
 
-    A request that was read is answered before the process ends: it is taken only if its
-    deadline is before the end, and otherwise refused at once. Until ``start``, all are
-    taken. Thread-safe.
+    A request that was read is answered before the process ends: it is taken only if
+    its deadline is before the end, and otherwise refused at once. Until the process is
+    asked to stop, all are taken. Thread-safe.
     """
 
-    def __init__(self, *, clock: Clock, timing: DrainTiming) -> None:
+    def __init__(
+        self, *, clock: Clock, timing: DrainTiming, stopping: StopSignal
+    ) -> None:
         self._clock = clock
         self._timing = timing
-        self._requested_at: float | None = None
-        self._refused = 0
-        self._lock = threading.Lock()
+        self._stopping = stopping
 
     @property
     def is_started(self) -> bool:
-        return self._requested_at is not None
+        return self._stopping.is_set
 
     @property
     def is_refusing(self) -> bool:
         """Whether no request is taken any more."""
         return self.is_started and self._seconds() >= self._timing.refuse_after
 
-    def start(self, requested_at: float) -> None:
-        """Start the drain of a process that was asked to stop at ``requested_at``."""
-        self._requested_at = requested_at
-
     def may_take(self, deadline: float) -> bool:
         """Return whether a request with this deadline is surely answered in time."""
-        started = self._requested_at
+        started = self._stopping.requested_at
         if started is None:
             return True
-        if not self.is_refusing and deadline <= started + self._timing.answer_within:
-            return True
-        with self._lock:
-            self._refused += 1
-        return False
+        in_time = deadline <= started + self._timing.answer_within
+        return in_time and not self.is_refusing
 
     def run(self, servers: Sequence[HttpServer]) -> DrainReport:
         """Return once the last request is answered, or at the limit of the drain.
@@ -163,12 +153,11 @@
                 for server in servers:
                     server.refuse_waiting()
             if self._seconds() >= self._timing.end_after:
+                end = DrainEnd.LIMIT
                 break
             time.sleep(POLL_INTERVAL_SECONDS)
         cut = [request for server in servers for request in server.open_requests()]
-        return DrainReport(
-            seconds=self._seconds(), end=end, refused=self._refused, cut=tuple(cut)
-        )
+        return DrainReport(seconds=self._seconds(), end=end, cut=tuple(cut))
 
     def _serve_until_idle(self, servers: Sequence[HttpServer]) -> DrainEnd:
         idle_since = self._clock.now()
@@ -183,4 +172,4 @@
         return DrainEnd.LIMIT
 
     def _seconds(self) -> float:
-        return self._clock.now() - self._requested_at
+        return self._clock.now() - self._stopping.requested_at
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -99,16 +99,13 @@
     timing = drain_timing(
         DRAIN_TIMEOUT_SECONDS, min_seconds=0.0, idle_seconds=DRAIN_IDLE_SECONDS
     )
-    drain = Drain(clock=clock, timing=timing)
-    with (
-        stop_signals(clock=clock) as stopping,
-        ignore_sighup(),
-        _running_host(settings, drain) as server,
-    ):
-        drain.start(stopping.wait())
-        logger.info("entry: draining.")
-        drain.run([server]).log("entry")
-        logger.info("entry: stopping.")
+    with stop_signals(clock=clock) as stopping, ignore_sighup():
+        drain = Drain(clock=clock, timing=timing, stopping=stopping)
+        with _running_host(settings, drain) as server:
+            stopping.wait()
+            logger.info("entry: draining.")
+            drain.run([server]).log("entry")
+            logger.info("entry: stopping.")
 
 
 def _check_settings(settings: EntrySettings) -> None:
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -27,7 +27,7 @@
     ReportNow,
 )
 from chicoryhold.metrics import Metrics, serve_metrics
-from chicoryhold.programs.draining import Drain, DrainTiming
+from chicoryhold.programs.draining import Drain
 from chicoryhold.programs.gateway_host import Gateway
 from chicoryhold.programs.gateway_links import (
     create_prober,
@@ -59,7 +59,7 @@
 def running_gateway(
     settings: GatewaySettings, *, seeds: Callable[[], tuple[str, ...]],
     header_translator: HeaderTranslator, dialect: TargetDialect,
-    drain_timing: DrainTiming,
+    drain: Drain,
 ) -> Iterator[Gateway]:  # fmt: skip
     """Run an entry host until the block ends.
 
@@ -110,7 +110,7 @@
             links=links,
             metrics=metrics,
             clock=clock,
-            drain=Drain(clock=clock, timing=drain_timing),
+            drain=drain,
         )
         delivery = Delivery(
             chooser=chooser,
@@ -122,6 +122,7 @@
             crashes=crashes,
             guard=guard,
             is_cut_off=lambda: links.reachability.is_cut_off,
+            may_take=drain.may_take,
         )
         relay = create_relay(
             links,
@@ -129,6 +130,7 @@
             peers=lambda: control_hosts.relay_hosts,
             header_translator=header_translator,
             metrics=metrics,
+            may_take=drain.may_take,
         )
         gateway.service = _create_service(
             settings, gateway, delivery, relay, permit_sources, guard, bus
--- a/src/chicoryhold/programs/gateway_host.py
+++ b/src/chicoryhold/programs/gateway_host.py
@@ -81,9 +81,8 @@
     def ready(self) -> bool:
         return self._route_index.version > 0 and not self._drain.is_started
 
-    def start_draining(self, requested_at: float) -> None:
-        """Stop being listed for callers, as was asked at ``requested_at``."""
-        self._drain.start(requested_at)
+    def announce_stop(self) -> None:
+        """Tell control hosts that this host is stopping, so that look-ups omit it."""
         self._announce()
 
     def describe(self) -> EntryHost:
--- a/src/chicoryhold/programs/gateway_links.py
+++ b/src/chicoryhold/programs/gateway_links.py
@@ -131,6 +131,7 @@
     links: TargetLinks, *, own: Callable[[], EntryHost],
     peers: Callable[[], tuple[EntryHost, ...]],
     header_translator: RelayHeaderTranslator, metrics: Metrics,
+    may_take: Callable[[float], bool] = lambda deadline: True,
 ) -> Relay:  # fmt: skip
     """Return a relay that uses the relay connections of ``links``."""
     return Relay(
@@ -143,4 +144,5 @@
         budgets=RetryBudgets(),
         clock=links.clock,
         metrics=metrics,
+        may_take=may_take,
     )
--- a/src/chicoryhold/programs/signals.py
+++ b/src/chicoryhold/programs/signals.py
@@ -9,8 +9,6 @@
 from contextlib import AbstractContextManager, contextmanager, suppress
 from queue import Empty, SimpleQueue
 
-from loguru import logger
-
 from chicoryhold.clock import Clock
 
 NOTICE_SECONDS = 0.25  # until a signal is handled that didn't interrupt the wait
@@ -81,6 +79,7 @@
 def reload_on_sighup(reload: Callable[[], None]) -> Iterator[None]:
     """Call ``reload`` at each SIGHUP, which would otherwise end the process.
 
+    It runs in a signal handler, so it must not acquire a lock, as logging does.
     After the block, SIGHUP is ignored: the process is ending.
     """
     signal.signal(signal.SIGHUP, lambda number, frame: reload())
@@ -91,10 +90,8 @@
 
 
 def ignore_sighup() -> AbstractContextManager[None]:
-    """Note each SIGHUP in the log, for a program that reads its settings only once."""
-    return reload_on_sighup(
-        lambda: logger.info("settings: SIGHUP ignored; restart to read them again.")
-    )
+    """Ignore SIGHUP, for a program that reads its settings only once."""
+    return reload_on_sighup(lambda: None)
 
 
 def exit_after(seconds: float) -> None:
