Keep time for a retry only if one would be allowed

Cause: an attempt on a connection that may have been lost ends after half of the time left, so that a retry can follow. It ended also on the last attempt that the route allows, or with no retry left in the budget: the target was broken off and nothing followed.

Change: the full deadline applies unless a retry would be allowed.

--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -203,7 +203,7 @@
                 self._outgoing_request(routed, choice),
                 deadline=routed.deadline,
                 stale_connection_deadline=self._stale_connection_deadline(
-                    routed, choice
+                    routed, choice, attempt
                 ),
                 cancellation=routed.request.cancellation,
             )
@@ -244,19 +244,22 @@
         )
 
     def _stale_connection_deadline(
-        self, routed: RoutedRequest, choice: Choice
+        self, routed: RoutedRequest, choice: Choice, attempt: int
     ) -> float:
         """Return the deadline of an attempt on a connection that may have been lost.
 
-        Half of the remaining time is kept for a retry, if the request is repeatable
-        and the other half is enough for an attempt.
+        Half of the remaining time is kept for a retry, if one would be allowed and the
+        other half is enough for an attempt. Otherwise, a target that is merely slow
+        would be broken off for nothing.
         """
         now = self._clock.now()
         half = (routed.deadline - now) / 2
-        if (
-            not routed.route.repeatable
-            or half < OVERDUE_FACTOR * choice.expected_latency
-        ):
+        may_retry = (
+            routed.route.repeatable
+            and attempt + 1 < routed.route.attempts
+            and self._budgets.allows_retry(routed.service)
+        )
+        if not may_retry or half < OVERDUE_FACTOR * choice.expected_latency:
             return routed.deadline
         return now + half
 
--- a/src/chicoryhold/limits/retry_budgets.py
+++ b/src/chicoryhold/limits/retry_budgets.py
@@ -29,6 +29,11 @@
         self._balance = terms.initial
         self._lock = threading.Lock()
 
+    @property
+    def allows_retry(self) -> bool:
+        """Whether a retry would be allowed now."""
+        return self._balance >= 1
+
     def earn(self) -> None:
         """Credit the budget for a first attempt."""
         with self._lock:
@@ -38,7 +43,7 @@
     def spend(self) -> bool:
         """Return whether a retry is allowed, and charge it to the budget if so."""
         with self._lock:
-            if self._balance < 1:
+            if not self.allows_retry:
                 return False
             self._balance -= 1
             return True
@@ -52,6 +57,10 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._lock = threading.Lock()
 
+    def allows_retry(self, name: str) -> bool:
+        """Return whether a retry would be allowed now."""
+        return self._budget(name).allows_retry
+
     def earn(self, name: str) -> None:
         """Credit the budget of ``name`` for a first attempt."""
         self._budget(name).earn()
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -15,7 +15,7 @@
 )
 from chicoryhold.gateway.delivery import Delivery, RoutedRequest
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata
-from chicoryhold.limits.retry_budgets import RetryBudgets
+from chicoryhold.limits.retry_budgets import RetryBudgets, RetryTerms
 from chicoryhold.metrics import Metrics
 from chicoryhold.quarantine.evidence import AMBIGUOUS_CRASHES
 from chicoryhold.quarantine.messages import CrashReport, RequestSucceeded
@@ -40,11 +40,13 @@
         self.clock = clock
         self.results = list(results)
         self.addresses: list[str] = []
+        self.seconds_for_a_retry: list[float] = []
 
     def exchange(
         self, address, request, *, deadline, stale_connection_deadline, cancellation
     ):
         self.addresses.append(address)
+        self.seconds_for_a_retry.append(deadline - stale_connection_deadline)
         self.clock.advance(0.1)
         result = self.results.pop(0)
         if isinstance(result, Exception):
@@ -60,9 +62,15 @@
         return ResponseMetadata(did_not_run=("shed", "1") in response.headers)
 
 
-def run(
+def run(*results: object, repeatable: bool, **terms: object):
+    outcome, connections = run_recorded(*results, repeatable=repeatable, **terms)
+    return outcome, connections.addresses
+
+
+def run_recorded(
     *results: object, repeatable: bool, attempts: int = 2, cancelled: bool = False,
     waiting: int = 0, crashes_before: int = 0, told: list[object] | None = None,
+    budgets: RetryBudgets | None = None, is_ending: bool = False,
 ):  # fmt: skip
     clock = FakeClock()
     guard = a_guard(clock, told=told)
@@ -81,8 +89,9 @@
         limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
         crashes=CrashedTargets().watch(clock),
         guard=guard,
-        budgets=RetryBudgets(),
+        budgets=budgets or RetryBudgets(),
         clock=clock,
+        may_take=lambda deadline: not (is_ending and connections.addresses),
     )
     cancellation = Cancellation()
     if cancelled:
@@ -119,7 +128,7 @@
         deadline=request.deadline,
         digest=b"digest",
     )
-    return delivery.deliver(routed), connections.addresses
+    return delivery.deliver(routed), connections
 
 
 @pytest.mark.parametrize(
@@ -228,3 +237,24 @@
     refusal = outcome.err_value
     assert (refusal.kind, refusal.ran) == (RefusalKind.OVERLOADED, RunStatus.NOT_RUN)
     assert refusal.retry_after > 0.2
+
+
+def test_time_is_kept_for_a_retry_only_if_one_is_left():
+    _, connections = run_recorded(NOT_RUN, OK, repeatable=True)
+    first, last = connections.seconds_for_a_retry
+    assert first > 0
+    assert last == 0
+
+
+def test_no_time_is_kept_for_a_retry_that_the_budget_would_not_allow():
+    budgets = RetryBudgets(
+        terms=RetryTerms(earned_per_request=0.0, initial=0.0, max_saved=1.0)
+    )
+    _, connections = run_recorded(OK, repeatable=True, budgets=budgets)
+    assert connections.seconds_for_a_retry == [0]
+
+
+def test_a_host_that_may_end_before_the_deadline_sends_a_request_to_no_second_target():
+    outcome, connections = run_recorded(NOT_RUN, OK, repeatable=True, is_ending=True)
+    assert outcome.err_value.ran is RunStatus.NOT_RUN
+    assert len(connections.addresses) == 1
