Test that stopping hosts relay nothing late; name what channels share

Cause: no test reached the relay's part of the drain, and 'control' names other things here (control hosts, the control state).

Change: two tests of the relay; ServerControl is ServerState, stop_reading is try_to_stop_reading, as it may refuse to.

--- a/src/chicoryhold/http_channel.py
+++ b/src/chicoryhold/http_channel.py
@@ -111,14 +111,14 @@
 
     def build_response_header(self) -> bytes:
         channel = self.channel
-        if channel.server.control.should_close() and channel.stop_reading():
+        if channel.server.state.should_close() and channel.try_to_stop_reading():
             self.request.headers["CONNECTION"] = "close"
         return super().build_response_header()
 
 
 @attrs.define(kw_only=True)
-class ServerControl:
-    """What the channels of a server are to do.
+class ServerState:
+    """What the channels of one server share: what they are to do, and what is open.
 
     While ``should_close()`` is true, connections are closed after their next response.
     While ``closes_idle`` is set, they are closed as soon as they are idle. While
@@ -139,7 +139,7 @@
 
 
 class Channel(HTTPChannel):
-    """A connection of a caller. Its ``server.control`` is a ``ServerControl``.
+    """A connection of a caller. Its ``server.state`` is a ``ServerState``.
 
     Only one thread reads, that of the server, and it also closes idle connections, so
     no request is read from a connection that is then closed as idle.
@@ -150,7 +150,7 @@
     cancellation: Cancellation | None = None
     _has_stopped_reading = False
     _running: HTTPRequestParser | None = None
-    _answered: HTTPRequestParser | None = None
+    _last_answered: HTTPRequestParser | None = None
 
     def __init__(self, *args: object, **kwargs: object) -> None:
         self._read_lock = threading.Lock()
@@ -162,10 +162,10 @@
         return not (self.requests or self._has_partial() or self.total_outbufs_len)
 
     def readable(self) -> bool:
-        control = self.server.control
-        if control.refuses:
+        state = self.server.state
+        if state.refuses:
             self._end_partial_request()
-        if control.closes_idle and self.is_idle and not has_unread(self.socket):
+        if state.closes_idle and self.is_idle and not has_unread(self.socket):
             self.will_close = True
         return not self._has_stopped_reading and super().readable()
 
@@ -178,7 +178,7 @@
         self.arrived_at = _CLOCK.now()
         return super().received(data)
 
-    def stop_reading(self) -> bool:
+    def try_to_stop_reading(self) -> bool:
         """Read no further request, and return whether the current one is the last.
 
         If the next one has been read, even in part, it must be answered first.
@@ -217,14 +217,14 @@
     def service(self) -> None:
         request = self.requests[0]
         self._running = request
-        running = self.server.control.running
+        running = self.server.state.running
         running.add(self)
         try:
             super().service()
         finally:
             # Another thread may have begun the next request of this channel.
             if self._running is request:
-                self._answered, self._running = request, None
+                self._last_answered, self._running = request, None
                 running.discard(self)
 
     def new_cancellation(self) -> Cancellation:
@@ -246,7 +246,7 @@
         The kernel resets a connection that is closed with data unread, and drops what
         the peer hasn't received yet.
         """
-        lingering = self.server.control.lingering
+        lingering = self.server.state.lingering
         if len(lingering) >= MAX_LINGERING:
             return
         copy = self.socket.dup()
@@ -265,8 +265,8 @@
             )
             for request in tuple(self.requests)
         ]
-        if self.total_outbufs_len and not found and self._answered is not None:
-            found.append(self._describe(self._answered, RequestState.RESPONDING))
+        if self.total_outbufs_len and not found and self._last_answered is not None:
+            found.append(self._describe(self._last_answered, RequestState.RESPONDING))
         partial = self.request
         if partial is not None:
             found.append(self._describe(partial, RequestState.RECEIVING))
@@ -275,7 +275,7 @@
     def _describe(self, request: HTTPRequestParser, state: RequestState) -> OpenRequest:
         headers = request.headers
         return OpenRequest(
-            request_id=headers.get(self.server.control.request_id_header, ""),
+            request_id=headers.get(self.server.state.request_id_header, ""),
             method=getattr(request, "command", ""),
             path=getattr(request, "path", ""),
             state=state,
--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -13,7 +13,7 @@
 
 from chicoryhold.crash import create_critical_thread
 from chicoryhold.errors import AddressInUse
-from chicoryhold.http_channel import Channel, OpenRequest, ServerControl
+from chicoryhold.http_channel import Channel, OpenRequest, ServerState
 
 MAX_CONNECTIONS = 1_000
 POLL_TIMEOUT_SECONDS = 5  # new work and finished responses end a poll at once
@@ -47,9 +47,9 @@
 class HttpServer:
     """A running server. Thread-safe."""
 
-    def __init__(self, *, server: BaseWSGIServer, control: ServerControl) -> None:
+    def __init__(self, *, server: BaseWSGIServer, state: ServerState) -> None:
         self._server = server
-        self._control = control
+        self._state = state
         self._accepts = True
 
     @property
@@ -63,12 +63,12 @@
 
     @property
     def is_closing(self) -> bool:
-        return self._control.closes_idle
+        return self._state.closes_idle
 
     @property
     def is_closed(self) -> bool:
         """Whether no connection is open and none is accepted any more."""
-        return not (self._accepts or self._channels() or self._control.lingering)
+        return not (self._accepts or self._channels() or self._state.lingering)
 
     def open_requests(self) -> list[OpenRequest]:
         """Return the requests that were read and aren't answered in full."""
@@ -83,7 +83,7 @@
 
         What callers have sent by then is still read and handled.
         """
-        self._control.closes_idle = True
+        self._state.closes_idle = True
         # The server's thread must do it: it may be accepting a connection now.
         self.call_soon(self._stop_accepting)
 
@@ -96,8 +96,8 @@
 
         For an application that from now on refuses each request without blocking.
         """
-        if not self._control.refuses:
-            self._control.refuses = True
+        if not self._state.refuses:
+            self._state.refuses = True
             threads = self._server.adj.threads + REFUSING_THREADS
             self._server.task_dispatcher.set_thread_count(threads)
             self._server.pull_trigger()
@@ -105,7 +105,7 @@
     def _channels(self) -> set[Channel]:
         """Return the open channels and those whose caller left during its request."""
         connected = list(self._server.active_channels.values())
-        return {*connected, *tuple(self._control.running)}
+        return {*connected, *tuple(self._state.running)}
 
     def _stop_accepting(self) -> None:
         if not self._accepts:
@@ -157,16 +157,16 @@
             "change the address in the settings"
         ) from error
     server.channel_class = Channel
-    control = ServerControl(
+    state = ServerState(
         should_close=should_close,
         request_id_header=request_id_header.upper().replace("-", "_"),
     )
-    server.control = control
+    server.state = state
     server.adj.socket_options = _CALLER_SOCKET_OPTIONS
     closing = threading.Event()
     create_critical_thread(lambda: _run_server(server, closing), name="http").start()
     try:
-        yield HttpServer(server=server, control=control)
+        yield HttpServer(server=server, state=state)
     finally:
         closing.set()
         server.close()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -30,6 +30,7 @@
 
 OK = TargetResponse(status=200, headers=(), body=b"whole")
 OVERLOADED = TargetResponse(status=503, headers=(), body=b"overloaded")
+STOPPING = TargetResponse(status=503, headers=(), body=b"stopping")
 REFUSED = TargetResponse(status=503, headers=(("Retry-After", "0.4"),), body=b"")
 OVER_RATE = TargetResponse(status=429, headers=(("Retry-After", "0.5"),), body=b"")
 
@@ -71,6 +72,8 @@
 
 class HeaderTranslator:
     def refusal_kind(self, response):
+        if response is STOPPING:
+            return RefusalKind.STOPPING
         return RefusalKind.OVERLOADED if response is OVERLOADED else None
 
     def relay_headers(self, call):
@@ -100,7 +103,9 @@
     return GatewayRequest(**{**defaults, **fields})
 
 
-def create_relay(connections: Connections, clock: FakeClock, *, peers=PEERS) -> Relay:
+def create_relay(
+    connections: Connections, clock: FakeClock, *, peers=PEERS, is_ending=False
+) -> Relay:
     return Relay(
         reachability=TargetReachability(clock=clock),
         peers=RelayPeers(
@@ -111,6 +116,7 @@
         budgets=RetryBudgets(),
         clock=clock,
         metrics=Metrics(process="own"),
+        may_take=lambda deadline: not is_ending,
     )
 
 
@@ -169,6 +175,27 @@
     assert len(set(connections.addresses)) == 2
 
 
+def test_requests_that_stopping_peers_refuse_go_to_others_outside_of_the_budget():
+    clock = FakeClock()
+    requests = 20
+    connections = Connections(clock, *[STOPPING, OK] * requests)
+    relay = create_relay(connections, clock)
+    outcomes = []
+    for _ in range(requests):
+        outcomes.append(relay.deliver(a_relayed_request(clock)))
+        clock.advance(10)
+    assert outcomes == [Ok(OK)] * requests
+
+
+def test_a_host_that_may_end_before_the_deadline_relays_nothing():
+    clock = FakeClock()
+    connections = Connections(clock)
+    relay = create_relay(connections, clock, is_ending=True)
+    outcome = relay.deliver(a_relayed_request(clock))
+    assert outcome.err_value.ran is RunStatus.NOT_RUN
+    assert connections.addresses == []
+
+
 def test_requests_that_a_peers_targets_rejected_are_sent_again_within_the_budget():
     clock = FakeClock()
     requests = 200
