Move what tests use of clients' connections to a module of its own

Cause: the tests of the own interface imported it from the tests of control hosts.

Change: tests/client_connections.py; no check is changed.

--- a/tests/test_stopping_control_host.py
+++ b/tests/test_stopping_control_host.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import os
-import select
 import signal
 import socket
 import subprocess
@@ -19,20 +17,25 @@
 import attrs
 import pytest
 
+from tests.client_connections import (
+    RECEIVE_BUFFER_BYTES,
+    UNREAD_SECONDS,
+    Answer,
+    HttpRequest,
+    NoAnswer,
+    connected,
+    finish,
+)
+
 ROOT = Path(__file__).resolve().parent.parent
 IP = "127.0.8.21"
 ABSENT_SEED_IP = "127.0.8.22"
 START_TIMEOUT_SECONDS = 20.0
-ANSWER_TIMEOUT_SECONDS = 8.0
 EXIT_TIMEOUT_SECONDS = 6.0
-# A request sent later than this before its connection ends may not have been read.
-UNREAD_SECONDS = 0.2
-MILLISECONDS_PER_SECOND = 1000
 # The code before the drain of control hosts always exited within 1 s.
 FORMER_STOP_SECONDS = 1.0
 READ_PAUSE_SECONDS = FORMER_STOP_SECONDS + 0.5
 LARGE_BYTES = 16 * 1024 * 1024  # more than the kernel buffers for one connection
-RECEIVE_BUFFER_BYTES = 65_536
 CONNECTIONS_PER_KIND = 16
 CONFIGURATION = {
     "version": "00000001",
@@ -53,155 +56,6 @@
 RESOLVE_PATH = "/resolve?name=shop.example&region=north&zone=north-a"
 
 
-@attrs.frozen(kw_only=True)
-class HttpRequest:
-    """A request as a client sends it."""
-
-    method: str
-    path: str
-    body: bytes = b""
-    headers: tuple[tuple[str, str], ...] = ()
-
-    @property
-    def head(self) -> bytes:
-        lines = [f"{self.method} {self.path} HTTP/1.1", "Host: shop.example"]
-        lines += [f"{name}: {value}" for name, value in self.headers]
-        lines += [f"Content-Length: {len(self.body)}", "", ""]
-        return "\r\n".join(lines).encode()
-
-    def __str__(self) -> str:
-        return f"{self.method} {self.path}"
-
-
-@attrs.frozen(kw_only=True)
-class Answer:
-    """A complete response; ``closes`` says that it is the connection's last one."""
-
-    status: int
-    body: bytes
-    closes: bool
-    headers: http.client.HTTPMessage = attrs.field(repr=False)
-
-
-@attrs.frozen(kw_only=True)
-class NoAnswer:
-    """The connection ended ``seconds`` after the request was sent in full.
-
-    ``was_read`` says whether the host had read the request.
-    """
-
-    seconds: float
-    was_read: bool
-    reason: str
-
-    @property
-    def is_loss(self) -> bool:
-        return self.was_read or self.seconds > UNREAD_SECONDS
-
-    def __str__(self) -> str:
-        read = "read" if self.was_read else "not read"
-        return (
-            f"no answer, {read}, closed {self.seconds:.3f} s after sending: "
-            f"{self.reason}"
-        )
-
-
-class Connection:
-    """A client's connection, on which one request is sent after the other."""
-
-    def __init__(
-        self, *, address: tuple[str, int], receive_buffer_bytes: int = 0
-    ) -> None:
-        self._socket = socket.socket()
-        if receive_buffer_bytes:
-            self._socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
-            )
-        self._socket.settimeout(ANSWER_TIMEOUT_SECONDS)
-        self._socket.connect(address)
-        self._sent_at = 0.0
-
-    def close(self) -> None:
-        self._socket.close()
-
-    def send(self, data: bytes) -> None:
-        try:
-            self._socket.sendall(data)
-        finally:
-            self._sent_at = time.monotonic()
-
-    def try_to_send(self, data: bytes) -> bool:
-        """Return whether the connection is still open for sending."""
-        try:
-            self.send(data)
-        except OSError:
-            return False
-        return True
-
-    def wait_for_continue(self) -> None:
-        """Wait for the interim response which shows that the head was read."""
-        received = b""
-        while not received.endswith(b"\r\n\r\n"):
-            data = self._socket.recv(1)
-            assert data, "the connection was closed before 100 Continue"
-            received += data
-        assert received.startswith(b"HTTP/1.1 100 "), received
-
-    def wait_for_response(self) -> None:
-        """Wait until the first byte of the response has arrived."""
-        assert self._socket.recv(1, socket.MSG_PEEK), "closed without a response"
-
-    def has_data(self) -> bool:
-        return bool(select.select([self._socket], [], [], 0)[0])
-
-    def read_answer(self, method: str = "GET") -> Answer | NoAnswer:
-        response = http.client.HTTPResponse(self._socket, method=method)
-        try:
-            response.begin()
-            body = response.read()
-        except (http.client.HTTPException, OSError) as error:
-            seconds = time.monotonic() - self._sent_at
-            return NoAnswer(
-                seconds=seconds, was_read=self._was_read(error), reason=repr(error)
-            )
-        return Answer(
-            status=response.status,
-            body=body,
-            closes=response.will_close,
-            headers=response.headers,
-        )
-
-    def exchange(self, request: HttpRequest) -> Answer | NoAnswer:
-        """Send a request and read its answer."""
-        self.try_to_send(request.head + request.body)
-        return self.read_answer(request.method)
-
-    def _was_read(self, error: Exception) -> bool:
-        """Return whether the peer read all that was sent before it closed.
-
-        The kernel resets a connection that is closed with data unread, and one on which
-        data arrive after it was closed.
-        """
-        if isinstance(error, ConnectionError) and not isinstance(
-            error, http.client.RemoteDisconnected
-        ):
-            return False
-        poller = select.poll()
-        poller.register(self._socket, 0)  # errors are reported without a mask
-        return not poller.poll(UNREAD_SECONDS * MILLISECONDS_PER_SECOND)
-
-
-@contextmanager
-def connected(
-    address: tuple[str, int], *, receive_buffer_bytes: int = 0
-) -> Iterator[Connection]:
-    connection = Connection(address=address, receive_buffer_bytes=receive_buffer_bytes)
-    try:
-        yield connection
-    finally:
-        connection.close()
-
-
 @attrs.frozen(kw_only=True)
 class ControlProcess:
     """A control host in a process of its own."""
@@ -440,12 +294,6 @@
         check_answered(finish(connection, order))
 
 
-def finish(connection: Connection, request: HttpRequest) -> Answer | NoAnswer:
-    """Send the last byte of a request and read the answer."""
-    connection.try_to_send(request.body[-1:])
-    return connection.read_answer(request.method)
-
-
 def test_sigterm_cuts_no_response_that_is_still_being_written(control):
     body = CONFIGURATION_BODY.replace(b"00000001", b"00000002").ljust(LARGE_BYTES)
     control.request_until_ok(put_configuration(body))
--- a/tests/test_stopping_own_interface.py
+++ b/tests/test_stopping_own_interface.py
@@ -25,8 +25,7 @@
     running_fleet,
     wait_until,
 )
-from tests.sick_target import SickTarget, complete, sick_target
-from tests.test_stopping_control_host import (
+from tests.client_connections import (
     RECEIVE_BUFFER_BYTES,
     UNREAD_SECONDS,
     Answer,
@@ -36,6 +35,7 @@
     connected,
     finish,
 )
+from tests.sick_target import SickTarget, complete, sick_target
 
 DOMAIN = "north-a"
 ENTRY_HOST = "north-a-1"
