Name the last landing as the build in production

It knows every kind of message of this build, so no kind is new, and the check that an old control host drops WatchQuarantine is replaced by a stricter one: no host of either build drops anything.

Measured: with the old check one of 5 tests failed, as nothing was dropped; now 5 passed in 15.98s

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -23,9 +23,9 @@
 OLD_MESSAGES = ROOT / "tests" / "data" / f"messages_{PRODUCTION}.json"
 # Hosts of the build in production drop these kinds, and each is sent without waiting
 # for a reply.
-NEW_KINDS = {"CrashReport", "RequestSucceeded", "WatchQuarantine", "QuarantineChanged"}
+NEW_KINDS: set[str] = set()
 # These are only sent inside messages of other kinds, in fields that are ignored.
-NEW_NESTED_KINDS = {"SeenLimit", "KnownLimit", "TargetPermitWant", "QuarantinedRequest"}
+NEW_NESTED_KINDS: set[str] = set()
 START_TIMEOUT_SECONDS = 20.0
 CONTROL_IP, OLD_IP, NEW_IP = "127.0.9.1", "127.0.9.2", "127.0.9.3"
 PORTS = {"front": 0, "ready": 1, "control": 2, "directory": 3}
@@ -206,19 +206,11 @@
         control.wait("control", "/config", method="PUT", body=configuration(2))
         for host in (control, *hosts):
             assert host.process.poll() is None
-        assert not control_is_old or wait_for_dropped(control)
         for host in (control, *hosts):
-            assert all("WatchQuarantine" in line for line in dropped(host))
+            assert dropped(host) == []
 
 
 def dropped(host: Host) -> list[str]:
     """Return what the log says of messages that the host couldn't read."""
     lines = host.log.read_text().splitlines()
     return [line for line in lines if "dropped" in line]
-
-
-def wait_for_dropped(host: Host) -> list[str]:
-    deadline = time.monotonic() + START_TIMEOUT_SECONDS
-    while not dropped(host) and time.monotonic() < deadline:
-        time.sleep(0.05)
-    return dropped(host)
