Close a connection with unread bytes once its response is delivered

What callers saw: nothing in the record.

Cause: callers that ignore Connection: close sent more while the host was about to close. To keep the response whole, such a connection was shut down in order first, which tells the caller that its request was read, though it wasn't.

Change: the connection is kept, unread and untouched, only while the peer's kernel hasn't received the whole response, and then closed at once, so that the reset says unread.

The test of a large response whose caller has sent more still passes.

--- a/src/chicoryhold/http_channel.py
+++ b/src/chicoryhold/http_channel.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import enum
-import select
+import fcntl
 import socket
+import struct
+import termios
 import threading
+import time
 from collections.abc import Callable
 
 import attrs
@@ -22,7 +25,7 @@
 CANCELLATION = "chicoryhold.cancellation"
 LINGER_SECONDS = 2.0
 MAX_LINGERING = 32  # threads
-MILLISECONDS_PER_SECOND = 1000
+LINGER_CHECK_SECONDS = 0.02
 
 _CLOCK = BootClock()
 
@@ -75,18 +78,25 @@
         return False
 
 
-def _close_after_peer(connection: socket.socket, lingering: set[socket.socket]) -> None:
-    """Close ``connection`` once its peer has, or after ``LINGER_SECONDS``."""
+def unacknowledged_bytes(connection: socket.socket) -> int:
+    """Return how much was written that the peer's kernel hasn't received yet."""
     try:
-        connection.shutdown(socket.SHUT_WR)
-        poller = select.poll()
-        poller.register(connection, select.POLLRDHUP)
-        poller.poll(LINGER_SECONDS * MILLISECONDS_PER_SECOND)
+        answer = fcntl.ioctl(connection, termios.TIOCOUTQ, struct.pack("i", 0))
     except OSError as error:
-        logger.debug("http: a caller's connection is broken: {}.", error)
-    finally:
-        connection.close()
-        lingering.discard(connection)
+        logger.debug("http: unacknowledged bytes aren't known: {}.", error)
+        return 0
+    return struct.unpack("i", answer)[0]
+
+
+def _close_when_delivered(
+    connection: socket.socket, lingering: set[socket.socket]
+) -> None:
+    """Close ``connection`` once its peer has received all, or in ``LINGER_SECONDS``."""
+    until = _CLOCK.now() + LINGER_SECONDS
+    while unacknowledged_bytes(connection) and _CLOCK.now() < until:
+        time.sleep(LINGER_CHECK_SECONDS)
+    connection.close()
+    lingering.discard(connection)
 
 
 class Task(WSGITask):
@@ -234,25 +244,27 @@
         return self.cancellation
 
     def handle_close(self) -> None:
-        if self._has_stopped_reading and self.connected and has_unread(self.socket):
-            self._linger()
+        if self._has_stopped_reading and self.connected:
+            self._linger_if_needed()
         super().handle_close()
         if self.cancellation is not None:
             self.cancellation.set()
 
-    def _linger(self) -> None:
+    def _linger_if_needed(self) -> None:
         """Let the peer receive the last response although it has sent more.
 
         The kernel resets a connection that is closed with data unread, and drops what
         the peer hasn't received yet.
         """
+        if not (has_unread(self.socket) and unacknowledged_bytes(self.socket)):
+            return
         lingering = self.server.state.lingering
         if len(lingering) >= MAX_LINGERING:
             return
         copy = self.socket.dup()
         lingering.add(copy)
         threading.Thread(
-            target=_close_after_peer, args=(copy, lingering), daemon=True
+            target=_close_when_delivered, args=(copy, lingering), daemon=True
         ).start()
 
     def open_requests(self) -> list[OpenRequest]:
