Keep the soak run out of the product: it speaks the platform's words

Cause: src/chicoryhold/trial/stops*.py writes the platform's headers and settings, which modules of the product don't know.

Change: bench/stops/, run with 'python -m bench.stops' or 'make stops'. Nothing else is changed.

--- a/Makefile
+++ b/Makefile
@@ -39,4 +39,4 @@
 STOPS_SECONDS ?= 10
 
 stops: setup
-	$(BIN)/python -m chicoryhold.trial.stops --seed=$(SEED) --seconds=$(STOPS_SECONDS)
+	$(BIN)/python -m bench.stops --seed=$(SEED) --seconds=$(STOPS_SECONDS)
--- /dev/null
+++ b/bench/stops/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded run of real processes that are stopped, reloaded and reconfigured."""
--- a/src/chicoryhold/trial/stops.py
+++ b/bench/stops/__main__.py
@@ -14,9 +14,9 @@
 
 from absl import flags
 
+from bench.stops.run import Plan, StopRun
 from chicoryhold.programs.running import FAILURE_EXIT_CODE, run_program
 from chicoryhold.trial.fleet import FleetError
-from chicoryhold.trial.stops_run import Plan, StopRun
 
 USAGE = """Stops, reloads and reconfigures entry hosts and reports lost requests.
 
--- a/src/chicoryhold/trial/stops_behaviours.py
+++ b/bench/stops/behaviours.py
@@ -8,9 +8,9 @@
 
 import attrs
 
-from chicoryhold.trial.stops_clients import ClientGroup, RequestTerms
-from chicoryhold.trial.stops_records import HostLife
-from chicoryhold.trial.stops_wire import Pace
+from bench.stops.clients import ClientGroup, RequestTerms
+from bench.stops.records import HostLife
+from bench.stops.wire import Pace
 
 KILOBYTE = 1024
 MEGABYTE = 1024 * KILOBYTE
--- a/src/chicoryhold/trial/stops_clients.py
+++ b/bench/stops/clients.py
@@ -11,10 +11,10 @@
 
 import attrs
 
-from chicoryhold.trial.stops_hosts import EntryHost
-from chicoryhold.trial.stops_operator import HOST_NAME, SAFE_PREFIX, UNSAFE_PREFIX
-from chicoryhold.trial.stops_records import Ending, HostLife, Ledger, SentRequest
-from chicoryhold.trial.stops_wire import ClientConnection, Pace
+from bench.stops.hosts import EntryHost
+from bench.stops.operator import HOST_NAME, SAFE_PREFIX, UNSAFE_PREFIX
+from bench.stops.records import Ending, HostLife, Ledger, SentRequest
+from bench.stops.wire import ClientConnection, Pace
 
 MILLISECONDS_PER_SECOND = 1000
 JOIN_TIMEOUT_SECONDS = 10.0
--- a/src/chicoryhold/trial/stops_hosts.py
+++ b/bench/stops/hosts.py
@@ -15,10 +15,10 @@
 
 import attrs
 
+from bench.stops.records import HostLife, Ledger
 from chicoryhold.trial.fleet import FleetError, wait_until
-from chicoryhold.trial.stops_records import HostLife, Ledger
 
-PROGRAM = Path(__file__).resolve().parents[3] / "platform" / "run.py"
+PROGRAM = Path(__file__).resolve().parents[2] / "platform" / "run.py"
 SETTINGS_VARIABLE = "CHICORYHOLD_SETTINGS"
 DOMAIN = "north-a"
 REGION = "north"
--- a/src/chicoryhold/trial/stops_judge.py
+++ b/bench/stops/judge.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from chicoryhold.trial.stops_records import (
+from bench.stops.records import (
     Arrival,
     Ending,
     HostLife,
--- a/src/chicoryhold/trial/stops_outcome.py
+++ b/bench/stops/outcome.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-from chicoryhold.trial.stops_judge import Fault, Judge
-from chicoryhold.trial.stops_records import Ending, Ledger, SentRequest
+from bench.stops.judge import Fault, Judge
+from bench.stops.records import Ending, Ledger, SentRequest
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chicoryhold/trial/stops_run.py
+++ b/bench/stops/run.py
@@ -12,16 +12,16 @@
 
 import attrs
 
+from bench.stops.behaviours import draw_groups
+from bench.stops.clients import ClientGroup, running_clients
+from bench.stops.hosts import DOMAIN, EntryHost, running_installation
+from bench.stops.judge import LOSS_SLACK_SECONDS, Judge
+from bench.stops.operator import SERVICE, Operator
+from bench.stops.outcome import Outcome, summarize
+from bench.stops.records import Ledger
+from bench.stops.schedule import run_schedules
+from bench.stops.targets import Reporter, running_targets
 from chicoryhold.trial.fleet import wait_until
-from chicoryhold.trial.stops_behaviours import draw_groups
-from chicoryhold.trial.stops_clients import ClientGroup, running_clients
-from chicoryhold.trial.stops_hosts import DOMAIN, EntryHost, running_installation
-from chicoryhold.trial.stops_judge import LOSS_SLACK_SECONDS, Judge
-from chicoryhold.trial.stops_operator import SERVICE, Operator
-from chicoryhold.trial.stops_outcome import Outcome, summarize
-from chicoryhold.trial.stops_records import Ledger
-from chicoryhold.trial.stops_schedule import run_schedules
-from chicoryhold.trial.stops_targets import Reporter, running_targets
 
 MIN_GRACE_SECONDS = 5.0
 MAX_GRACE_SECONDS = 6.0
--- a/src/chicoryhold/trial/stops_schedule.py
+++ b/bench/stops/schedule.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from chicoryhold.trial.stops_hosts import EntryHost
+from bench.stops.hosts import EntryHost
 
 EARLY_STOP_SHARE = 0.2
 MAX_EARLY_STOP_SECONDS = 2.0
--- a/src/chicoryhold/trial/stops_targets.py
+++ b/bench/stops/targets.py
@@ -16,7 +16,7 @@
 from contextlib import ExitStack, contextmanager
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
-from chicoryhold.trial.stops_records import Arrival, Ledger
+from bench.stops.records import Arrival, Ledger
 
 HEALTH_PATH = "/health"
 REPORT_INTERVAL_SECONDS = 1.0
--- a/src/chicoryhold/trial/stops_wire.py
+++ b/bench/stops/wire.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from chicoryhold.trial.stops_records import Ending, SentRequest
+from bench.stops.records import Ending, SentRequest
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 GIVE_UP_SECONDS = 1.0  # after the deadline, the client closes its connection
--- a/tests/test_stops_soak.py
+++ b/tests/test_stops_soak.py
@@ -9,12 +9,13 @@
 import signal
 import subprocess
 import sys
+from pathlib import Path
 
 import attrs
 import pytest
 
-from chicoryhold.trial.stops_judge import FaultKind, Judge
-from chicoryhold.trial.stops_records import (
+from bench.stops.judge import FaultKind, Judge
+from bench.stops.records import (
     Arrival,
     Ending,
     HostLife,
@@ -22,6 +23,7 @@
     SentRequest,
 )
 
+ROOT = Path(__file__).resolve().parent.parent
 SECONDS = 8.0
 RUN_TIMEOUT_SECONDS = 60.0
 MIN_ANSWERS = 10
@@ -32,9 +34,10 @@
 
 def run_soak(seed: int) -> dict:
     """Run the program and return its result; let it end its processes in any case."""
-    command = [sys.executable, "-m", "chicoryhold.trial.stops"]
+    command = [sys.executable, "-m", "bench.stops"]
     run = subprocess.Popen(
         [*command, f"--seed={seed}", f"--seconds={SECONDS}"],
+        cwd=ROOT,
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
         text=True,
