Start request threads when a request needs one, end those without work

Change: RequestThreads takes the place of waitress's dispatcher in every server. A request that finds no idle thread starts one, up to the limit of before; the thread that became free last is used first, so those beyond the need stay idle and end after 3 s. One always stays, so no request depends on the start of another thread; if one can't be started, a line is logged at most once a second and requests wait for the threads that run.

--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -11,9 +11,11 @@
 from waitress import wasyncore
 from waitress.server import BaseWSGIServer, create_server
 
+from chicoryhold.clock import BootClock
 from chicoryhold.crash import create_critical_thread
 from chicoryhold.errors import AddressInUse
 from chicoryhold.http_channel import Channel, OpenRequest, ServerState
+from chicoryhold.request_threads import RequestThreads
 
 MAX_CONNECTIONS = 1_000
 POLL_TIMEOUT_SECONDS = 5  # new work and finished responses end a poll at once
@@ -56,6 +58,11 @@
     def port(self) -> str:
         return self._server.effective_port
 
+    @property
+    def thread_count(self) -> int:
+        """The number of threads that handle requests or wait for some."""
+        return self._server.task_dispatcher.thread_count
+
     @property
     def is_idle(self) -> bool:
         """Whether each request that was read is answered in full."""
@@ -99,7 +106,7 @@
         if not self._state.refuses:
             self._state.refuses = True
             threads = self._server.adj.threads + REFUSING_THREADS
-            self._server.task_dispatcher.set_thread_count(threads)
+            self._server.task_dispatcher.raise_limit(threads)
             self._server.pull_trigger()
 
     def _channels(self) -> set[Channel]:
@@ -129,14 +136,17 @@
 ) -> Iterator[HttpServer]:  # fmt: skip
     """Serve a WSGI application in a background thread and yield the server.
 
+    Up to ``threads`` requests are handled at once, in threads started when needed.
     ``max_body_bytes`` limits the body of a request, ``idle_timeout_seconds`` how long a
     connection may stay idle. While ``should_close()`` is true, connections are closed
     after their next response. ``request_id_header`` names requests in logs.
     """
     host, _, port = address.rpartition(":")
+    request_threads = RequestThreads(limit=threads, clock=BootClock())
     try:
         server = create_server(
             app,
+            _dispatcher=request_threads,
             host=host,
             port=int(port),
             threads=threads,
@@ -152,6 +162,7 @@
             log_socket_errors=False,
         )
     except OSError as error:
+        request_threads.shutdown()
         raise AddressInUse(
             f"can't listen on {address}: {error.strerror}; stop the other process or "
             "change the address in the settings"
