Handle pipelined requests side by side, and none after their caller has left

Cause: a caller may send further requests before the first response. They were handled one after the other, so each waited for all before it; their deadlines ran from the last byte that arrived on the connection; and with more than two of them read, the connection wasn't read any more, so nothing noticed that the caller had left: all the waiting ones went to targets.

Change: up to four requests of a connection are handled at once where the route says that they may be repeated; responses are kept and leave in order. Up to 32 requests are read ahead (1 MiB in bodies), which also shows that a caller has left; then those that run are cancelled and those that wait are dropped. Behind a response that closes the connection nothing is handled. The arrival time belongs to the request.

--- a/src/chicoryhold/http_channel.py
+++ b/src/chicoryhold/http_channel.py
@@ -9,15 +9,26 @@
 import termios
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import attrs
 from loguru import logger
 from waitress.channel import HTTPChannel
-from waitress.parser import HTTPRequestParser
 from waitress.task import WSGITask
 
 from chicoryhold.clock import BootClock
+from chicoryhold.http_pipeline import (
+    EARLY_RESPONSE,
+    MAX_PIPELINED_BYTES,
+    MAX_SIDE_BY_SIDE,
+    CapturedResponse,
+    EarlyRun,
+    OverlapRule,
+    ReceivedRequest,
+    capture,
+    overlaps_none,
+)
 from chicoryhold.targets.cancellation import Cancellation
 
 QUEUED_REQUESTS = "chicoryhold.queued_requests"
@@ -112,11 +123,14 @@
     """
 
     def get_environment(self) -> dict:
+        early_response = self.request.early_response
+        if early_response is not None:
+            return {EARLY_RESPONSE: early_response}
         environ = super().get_environment()
         channel = self.channel
         environ[QUEUED_REQUESTS] = len(channel.server.task_dispatcher.queue)
-        environ[ARRIVED_AT] = channel.arrived_at
-        environ[CANCELLATION] = channel.new_cancellation()
+        environ[ARRIVED_AT] = self.request.arrived_at
+        environ[CANCELLATION] = channel.new_cancellation(self.request)
         return environ
 
     def build_response_header(self) -> bytes:
@@ -134,17 +148,20 @@
     While ``closes_idle`` is set, they are closed as soon as they are idle. While
     ``refuses`` is set, the application refuses every request, so the rest of a request
     that is still being received isn't waited for. ``request_id_header`` is the name
-    under which waitress keeps that header.
+    under which waitress keeps that header. Requests of one connection for which
+    ``may_overlap`` is true are handled side by side.
 
-    ``running`` are the channels whose request is being handled, also if their caller
-    has left. ``lingering`` are sockets that are closed once their peer has got all.
+    ``running`` has the requests that are being handled and their channels, also if
+    their caller has left. ``lingering`` are sockets that are closed once their peer has
+    got all.
     """
 
     should_close: Callable[[], bool]
     request_id_header: str = ""
     closes_idle: bool = False
     refuses: bool = False
-    running: set[Channel] = attrs.field(factory=set)
+    may_overlap: OverlapRule = overlaps_none
+    running: dict[ReceivedRequest, Channel] = attrs.field(factory=dict)
     lingering: set[socket.socket] = attrs.field(factory=set)
 
 
@@ -156,14 +173,13 @@
     """
 
     task_class = Task
-    arrived_at = 0.0
-    cancellation: Cancellation | None = None
+    parser_class = ReceivedRequest
     _has_stopped_reading = False
-    _running: HTTPRequestParser | None = None
-    _last_answered: HTTPRequestParser | None = None
+    _last_answered: ReceivedRequest | None = None
 
     def __init__(self, *args: object, **kwargs: object) -> None:
         self._read_lock = threading.Lock()
+        self._cancellable: set[ReceivedRequest] = set()
         super().__init__(*args, **kwargs)
 
     @property
@@ -177,7 +193,15 @@
             self._end_partial_request()
         if state.closes_idle and self.is_idle and not has_unread(self.socket):
             self.will_close = True
-        return not self._has_stopped_reading and super().readable()
+        may_read = not self._has_stopped_reading and self._has_room()
+        return may_read and super().readable()
+
+    def _has_room(self) -> bool:
+        """Whether more requests may be read before the first is answered."""
+        requests = tuple(self.requests)
+        if len(requests) <= 1:
+            return True
+        return sum(r.body_bytes_received for r in requests) < MAX_PIPELINED_BYTES
 
     def handle_read(self) -> None:
         with self._read_lock:
@@ -185,8 +209,9 @@
                 super().handle_read()
 
     def received(self, data: bytes) -> bool:
-        self.arrived_at = _CLOCK.now()
-        return super().received(data)
+        result = super().received(data)
+        self._begin_early_runs()
+        return result
 
     def try_to_stop_reading(self) -> bool:
         """Read no further request, and return whether the current one is the last.
@@ -226,29 +251,87 @@
 
     def service(self) -> None:
         request = self.requests[0]
-        self._running = request
+        early_run = request.early_run
+        if early_run is not None and not early_run.may_respond():
+            return
+        with self._handling(request):
+            super().service()
+        self._last_answered = request
+        if self.close_when_flushed or self.will_close:
+            self._cancel_all()
+        else:
+            self._begin_early_runs()
+
+    @contextmanager
+    def _handling(self, request: ReceivedRequest) -> Iterator[None]:
         running = self.server.state.running
-        running.add(self)
+        running[request] = self
         try:
-            super().service()
+            yield
         finally:
-            # Another thread may have begun the next request of this channel.
-            if self._running is request:
-                self._last_answered, self._running = request, None
-                running.discard(self)
+            running.pop(request, None)
+            self._cancellable.discard(request)
+
+    def _begin_early_runs(self) -> None:
+        """Have requests handled beside the one whose turn it is, where allowed."""
+        if len(self.requests) < 2:
+            return
+        with self.requests_lock:
+            if self.close_when_flushed or self.will_close or not self.connected:
+                return
+            for request in self._side_by_side()[1:]:
+                if request.early_run is None:
+                    request.early_run = EarlyRun(owner=self, request=request)
+                    self.server.add_task(request.early_run)
+
+    def _side_by_side(self) -> list[ReceivedRequest]:
+        """Return the first requests, as far as they may be handled at once."""
+        may_overlap = self.server.state.may_overlap
+        found: list[ReceivedRequest] = []
+        kept_bytes = 0
+        for request in self.requests[:MAX_SIDE_BY_SIDE]:
+            path = request.target.partition("?")[0]
+            if request.error or not may_overlap(host=request.host, path=path):
+                break
+            if request.early_response is not None:
+                kept_bytes += request.early_response.size
+            if kept_bytes > MAX_PIPELINED_BYTES:
+                break
+            found.append(request)
+            if request.is_last:
+                break
+        return found
 
-    def new_cancellation(self) -> Cancellation:
-        self.cancellation = Cancellation()
+    def run_early(self, request: ReceivedRequest) -> CapturedResponse | None:
+        """Handle ``request`` before its turn, unless its caller has left."""
+        with self._handling(request):
+            environ = self.task_class(self, request).get_environment()
+            if environ[CANCELLATION].is_set:
+                return None
+            return capture(self.server.application, environ)
+
+    def resume(self) -> None:
+        """Answer the request whose turn it is: its early run has ended."""
+        if self.requests:
+            self.server.add_task(self)
+
+    def new_cancellation(self, request: ReceivedRequest) -> Cancellation:
+        request.cancellation = cancellation = Cancellation()
+        self._cancellable.add(request)
         if not self.connected or has_ended(self.socket):
-            self.cancellation.set()
-        return self.cancellation
+            cancellation.set()
+        return cancellation
+
+    def _cancel_all(self) -> None:
+        """Cancel the requests that are being handled: nobody gets their responses."""
+        for request in tuple(self._cancellable):
+            request.cancellation.set()
 
     def handle_close(self) -> None:
         if self._has_stopped_reading and self.connected:
             self._linger_if_needed()
         super().handle_close()
-        if self.cancellation is not None:
-            self.cancellation.set()
+        self._cancel_all()
 
     def _linger_if_needed(self) -> None:
         """Let the peer receive the last response although it has sent more.
@@ -269,12 +352,8 @@
 
     def open_requests(self) -> list[OpenRequest]:
         """Return the requests that were read and aren't answered in full."""
-        running = self._running
         found = [
-            self._describe(
-                request,
-                RequestState.RUNNING if request is running else RequestState.QUEUED,
-            )
+            self._describe(request, self._state_of(request))
             for request in tuple(self.requests)
         ]
         if self.total_outbufs_len and not found and self._last_answered is not None:
@@ -284,12 +363,19 @@
             found.append(self._describe(partial, RequestState.RECEIVING))
         return found
 
-    def _describe(self, request: HTTPRequestParser, state: RequestState) -> OpenRequest:
+    def _state_of(self, request: ReceivedRequest) -> RequestState:
+        if request in self.server.state.running:
+            return RequestState.RUNNING
+        if request.early_response is not None:
+            return RequestState.RESPONDING
+        return RequestState.QUEUED
+
+    def _describe(self, request: ReceivedRequest, state: RequestState) -> OpenRequest:
         headers = request.headers
         return OpenRequest(
             request_id=headers.get(self.server.state.request_id_header, ""),
             method=getattr(request, "command", ""),
             path=getattr(request, "path", ""),
             state=state,
-            seconds=round(_CLOCK.now() - self.arrived_at, 3),
+            seconds=round(_CLOCK.now() - request.arrived_at, 3),
         )
--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -15,11 +15,16 @@
 from chicoryhold.crash import create_critical_thread
 from chicoryhold.errors import AddressInUse
 from chicoryhold.http_channel import Channel, OpenRequest, ServerState
+from chicoryhold.http_pipeline import (
+    MAX_PIPELINED_REQUESTS,
+    OverlapRule,
+    overlaps_none,
+    with_early_responses,
+)
 from chicoryhold.request_threads import RequestThreads
 
 MAX_CONNECTIONS = 1_000
 POLL_TIMEOUT_SECONDS = 5  # new work and finished responses end a poll at once
-LOOKAHEAD_REQUESTS = 1  # reading past a request detects that its caller disconnected
 DEFAULT_IDLE_TIMEOUT_SECONDS = 30
 MAX_HEADER_BYTES = 65_536
 CALLER_PROBE_IDLE_SECONDS = 10
@@ -112,7 +117,7 @@
     def _channels(self) -> set[Channel]:
         """Return the open channels and those whose caller left during its request."""
         connected = list(self._server.active_channels.values())
-        return {*connected, *tuple(self._state.running)}
+        return {*connected, *tuple(self._state.running.values())}
 
     def _stop_accepting(self) -> None:
         if not self._accepts:
@@ -133,13 +138,15 @@
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
     idle_timeout_seconds: int = DEFAULT_IDLE_TIMEOUT_SECONDS,
     request_id_header: str = "",
+    may_overlap: OverlapRule = overlaps_none,
 ) -> Iterator[HttpServer]:  # fmt: skip
     """Serve a WSGI application in a background thread and yield the server.
 
     Up to ``threads`` requests are handled at once, in threads started when needed.
     ``max_body_bytes`` limits the body of a request, ``idle_timeout_seconds`` how long a
     connection may stay idle. While ``should_close()`` is true, connections are closed
-    after their next response. ``request_id_header`` names requests in logs.
+    after their next response. ``request_id_header`` names requests in logs. Requests
+    of one connection for which ``may_overlap`` is true are handled side by side.
     """
     host, _, port = address.rpartition(":")
     request_threads = RequestThreads(limit=threads, clock=BootClock())
@@ -154,7 +161,8 @@
             clear_untrusted_proxy_headers=True,
             connection_limit=MAX_CONNECTIONS,
             channel_timeout=idle_timeout_seconds,
-            channel_request_lookahead=LOOKAHEAD_REQUESTS,
+            # Reading past a request detects that its caller has disconnected.
+            channel_request_lookahead=MAX_PIPELINED_REQUESTS,
             asyncore_use_poll=True,
             asyncore_loop_timeout=POLL_TIMEOUT_SECONDS,
             max_request_header_size=MAX_HEADER_BYTES,
@@ -167,10 +175,12 @@
             f"can't listen on {address}: {error.strerror}; stop the other process or "
             "change the address in the settings"
         ) from error
+    server.application = with_early_responses(server.application)
     server.channel_class = Channel
     state = ServerState(
         should_close=should_close,
         request_id_header=request_id_header.upper().replace("-", "_"),
+        may_overlap=may_overlap,
     )
     server.state = state
     server.adj.socket_options = _CALLER_SOCKET_OPTIONS
--- a/tests/client_connections.py
+++ b/tests/client_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import io
 import select
 import socket
 import time
@@ -71,8 +72,24 @@
         )
 
 
+class _UnclosedReader:
+    """A reader that stays open when a response has been read from it."""
+
+    def __init__(self, file: io.BufferedReader) -> None:
+        self._file = file
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._file, name)
+
+    def close(self) -> None:
+        pass
+
+
 class Connection:
-    """A client's connection, on which one request is sent after the other."""
+    """A client's connection, on which requests are sent and answers are read in order.
+
+    What arrives with an answer, and belongs to the next one, is kept for that.
+    """
 
     def __init__(
         self, *, address: tuple[str, int], receive_buffer_bytes: int = 0
@@ -84,9 +101,15 @@
             )
         self._socket.settimeout(ANSWER_TIMEOUT_SECONDS)
         self._socket.connect(address)
+        self._reader = _UnclosedReader(self._socket.makefile("rb"))
         self._sent_at = 0.0
 
+    def makefile(self, mode: str) -> _UnclosedReader:
+        """Return the reader of the answers, as ``http.client`` asks a socket for it."""
+        return self._reader
+
     def close(self) -> None:
+        self._reader._file.close()
         self._socket.close()
 
     def send(self, data: bytes) -> None:
@@ -120,7 +143,7 @@
         return bool(select.select([self._socket], [], [], 0)[0])
 
     def read_answer(self, method: str = "GET") -> Answer | NoAnswer:
-        response = http.client.HTTPResponse(self._socket, method=method)
+        response = http.client.HTTPResponse(self, method=method)
         try:
             response.begin()
             body = response.read()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable
 
 import pytest
+from waitress.adjustments import Adjustments
 from waitress.server import BaseWSGIServer
 
 from chicoryhold.http_channel import Channel, has_ended
+from chicoryhold.http_pipeline import ReceivedRequest
 from chicoryhold.http_server import serve_http
 
 EXIT_TIMEOUT_SECONDS = 5.0
@@ -63,11 +65,13 @@
 def test_a_request_is_cancelled_if_its_caller_left_before_the_server_could_read_that():
     channel = Channel.__new__(Channel)
     channel.connected = True
+    channel._cancellable = set()
+    request = ReceivedRequest(Adjustments())
     channel.socket, caller = socket.socketpair()
     with channel.socket:
-        assert not channel.new_cancellation().is_set
+        assert not channel.new_cancellation(request).is_set
         caller.close()
-        assert channel.new_cancellation().is_set
+        assert channel.new_cancellation(request).is_set
 
 
 def test_a_caller_that_has_sent_its_next_request_has_not_left():
