Refuse a request whose deadline passed while it waited, as not run

Cause: a request that waited for a thread, a permit or its turn on a connection until its deadline was sent to a target with one millisecond left, and answered 504, of which its caller can't tell whether it ran.

Change: the service and the delivery refuse it before anything is sent, as not run, with 503 and a time to retry. A route's timeout counts like the caller's own deadline.

--- a/src/chicoryhold/callers/refusals.py
+++ b/src/chicoryhold/callers/refusals.py
@@ -33,6 +33,7 @@
     OVERLOADED = ("overloaded", 503)
     NOT_READY = ("not_ready", 503)
     STOPPING = ("stopping", 503)
+    DEADLINE_PASSED = ("deadline_passed", 503)
     TIMED_OUT = ("timed_out", 504)
 
     @property
--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -25,9 +25,11 @@
     RequestNotSent,
 )
 from chicoryhold.gateway.outcomes import (
+    MIN_REMAINING_SECONDS,
     NOT_RUN_STATUSES,
     OVERLOAD_RETRY_AFTER_SECONDS,
     Outcome,
+    deadline_passed,
     failure,
     forwarded_failure,
     no_target,
@@ -47,7 +49,6 @@
 # A timeout counts as the target's failure if the target had at least this multiple of
 # the expected latency to respond.
 OVERDUE_FACTOR = 4.0
-MIN_REMAINING_SECONDS = 0.02  # with less time left, a target could not respond
 MIN_FAILURE_STATUS = 500
 
 
@@ -122,6 +123,8 @@
         known not to have run: no byte was sent, or the target itself stated it.
         """
         self._budgets.earn(routed.service)
+        if routed.deadline - self._clock.now() < MIN_REMAINING_SECONDS:
+            return deadline_passed()
         last: _AttemptResult | None = None
         avoid: frozenset[str] = frozenset()
         for attempt in range(max(1, routed.route.attempts)):
--- a/src/chicoryhold/gateway/outcomes.py
+++ b/src/chicoryhold/gateway/outcomes.py
@@ -9,6 +9,7 @@
 
 NO_TARGET_RETRY_AFTER_SECONDS = 0.3
 OVERLOAD_RETRY_AFTER_SECONDS = 0.2
+MIN_REMAINING_SECONDS = 0.02  # with less time left, a target could not respond
 # Statuses from which callers conclude that the request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -42,6 +43,17 @@
     return Err(refusal)
 
 
+def deadline_passed() -> Outcome:
+    """Return the refusal of a request whose time ran out before it was sent."""
+    refusal = Refusal(
+        kind=RefusalKind.DEADLINE_PASSED,
+        ran=RunStatus.NOT_RUN,
+        message="its deadline passed while it waited; no target has got it",
+        retry_after=OVERLOAD_RETRY_AFTER_SECONDS,
+    )
+    return Err(refusal)
+
+
 def no_target(service: str) -> Outcome:
     refusal = Refusal(
         kind=RefusalKind.NO_TARGET,
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -17,6 +17,7 @@
 )
 from chicoryhold.clock import Clock
 from chicoryhold.gateway.delivery import Delivery, RoutedRequest
+from chicoryhold.gateway.outcomes import MIN_REMAINING_SECONDS, deadline_passed
 from chicoryhold.gateway.relay import Relay, RelayedRequest
 from chicoryhold.gateway.request import GatewayRequest
 from chicoryhold.keys import key_digest
@@ -125,7 +126,10 @@
         """
         if request.cancellation.is_set:
             return _refused(RefusalKind.TIMED_OUT, "its caller has left")
-        if not self._may_take(_deadline(request, route)):
+        deadline = _deadline(request, route)
+        if deadline - self._clock.now() < MIN_REMAINING_SECONDS:
+            return deadline_passed()
+        if not self._may_take(deadline):
             return Err(stopping_refusal())
         digest = request_digest(
             method=request.method,
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -71,6 +71,7 @@
     *results: object, repeatable: bool, attempts: int = 2, cancelled: bool = False,
     waiting: int = 0, crashes_before: int = 0, told: list[object] | None = None,
     budgets: RetryBudgets | None = None, is_ending: bool = False,
+    seconds_left: float = 2.0,
 ):  # fmt: skip
     clock = FakeClock()
     guard = a_guard(clock, told=told)
@@ -107,7 +108,7 @@
         key=None,
         affinity_key="thing",
         arrived_at=clock.now(),
-        deadline=clock.now() + 2,
+        deadline=clock.now() + seconds_left,
         cancellation=cancellation,
     )
     route = RouteRule(
@@ -258,3 +259,16 @@
     outcome, connections = run_recorded(NOT_RUN, OK, repeatable=True, is_ending=True)
     assert outcome.err_value.ran is RunStatus.NOT_RUN
     assert len(connections.addresses) == 1
+
+
+@pytest.mark.parametrize("repeatable", [False, True])
+@pytest.mark.parametrize("seconds_left", [-1.0, 0.0, 0.01])
+def test_a_request_whose_time_ran_out_while_it_waited_is_refused_as_not_run(
+    seconds_left, repeatable
+):
+    outcome, addresses = run(OK, repeatable=repeatable, seconds_left=seconds_left)
+    assert addresses == []
+    refusal = outcome.err_value
+    assert refusal.kind is RefusalKind.DEADLINE_PASSED
+    assert refusal.ran is RunStatus.NOT_RUN
+    assert refusal.retry_after > 0
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -53,7 +53,7 @@
 
 def serve(
     path: str, relayed: RelayTerms | None, *, crashes: int = 0, has_left: bool = False,
-    is_ending: bool = False,
+    is_ending: bool = False, seconds_left: float = 9.0,
 ):  # fmt: skip
     """Serve a request on a host with the configuration ``VERSION``."""
     clock = FakeClock()
@@ -69,7 +69,13 @@
     cancellation = Cancellation()
     if has_left:
         cancellation.set()
-    request = a_request(clock, path=path, relayed=relayed, cancellation=cancellation)
+    request = a_request(
+        clock,
+        path=path,
+        relayed=relayed,
+        cancellation=cancellation,
+        deadline=clock.now() + seconds_left,
+    )
     guard = a_guard(clock)
     for number in range(crashes):
         guard.record_crash(
@@ -136,3 +142,12 @@
     assert (refusal.kind, refusal.ran) == (RefusalKind.STOPPING, RunStatus.NOT_RUN)
     assert refusal.retry_after > 0
     assert delivery.delivered == []
+
+
+@pytest.mark.parametrize("relayed", [None, RelayTerms(version=VERSION, attempts=1)])
+def test_a_request_whose_deadline_passed_in_the_queue_goes_to_no_target(relayed):
+    outcome, delivery = serve("/known/x", relayed, seconds_left=0.0)
+    refusal = outcome.err_value
+    assert refusal.kind is RefusalKind.DEADLINE_PASSED
+    assert refusal.ran is RunStatus.NOT_RUN
+    assert delivery.delivered == []
