Reuse connections idle for up to 4 s for requests that must not run twice

Cause: such a request took only a connection that was idle for less than 0.5 s. Where many hosts share many targets, a pair of them meets every few seconds, so nearly each such request opened a new connection.

Change: the limit is 4 s, within the time that the target states. Once a reused connection turns out to be lost, to any target, the limit is 0.5 s again for 20 s: targets may forget connections sooner than they say.

Measured: tests/test_idle_connections.py; on the code before, the case of 3.9 s and that of the reset fail.

--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -8,10 +8,8 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import closing
 
-import attrs
 import urllib3
 from loguru import logger
-from urllib3.util import wait_for_read
 
 from chicoryhold.clock import Clock
 from chicoryhold.errors import (
@@ -26,34 +24,21 @@
 from chicoryhold.targets.checked_connection import CheckedConnection, read_body
 from chicoryhold.targets.dialect import OWN_DIALECT, TargetDialect
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
+from chicoryhold.targets.idle_connections import (
+    DEFAULT_IDLE_LIMIT_SECONDS,
+    IdleConnections,
+    idle_limit_seconds,
+)
 from chicoryhold.targets.limited_reader import ExchangeDeadlines
 from chicoryhold.targets.link_failures import LinkFailure, connect_failure
 from chicoryhold.targets.response_memory import ResponseMemory
 
-DEFAULT_IDLE_LIMIT_SECONDS = 5.0  # for targets without a Keep-Alive timeout
-MAX_IDLE_LIMIT_SECONDS = 60.0  # upper bound for a target's Keep-Alive timeout
-# Reserve before the target's own timeout: it may close the connection while a request
-# is on its way.
-IDLE_MARGIN_SECONDS = 1.0
-# Shorter for requests that must not run twice: if the target closes the connection at
-# the same time, they can't be retried.
-AT_MOST_ONCE_IDLE_LIMIT_SECONDS = 0.5
 CONNECT_TIMEOUT_SECONDS = 1.0
-MAX_IDLE_CONNECTIONS_PER_TARGET = 64
-IDLE_CHECK_INTERVAL_SECONDS = 1.0
 PRECONNECT_THREADS = 2
+LOST_SECONDS = 0.25  # a connection that ends so soon after it was reused was lost
 STALE_AFTER_SECONDS = 0.1  # idle time after which a connection may have been lost
 
 
-@attrs.frozen(kw_only=True, eq=False)
-class _IdleConnection:
-    """An unused connection, which may be reused for ``idle_limit`` seconds."""
-
-    connection: CheckedConnection
-    idle_since: float
-    idle_limit: float
-
-
 class TargetConnections:
     """Sends requests to targets over pooled connections.
 
@@ -77,13 +62,11 @@
     ) -> None:  # fmt: skip
         self._record_connect_time = record_connect_time
         self._record_link_failure = record_link_failure
-        self._may_keep_idle = may_keep_idle
         self._clock = clock
         self._connect_timeout = connect_timeout
         self._dialect = dialect
         self._memory = ResponseMemory()
-        self._idle: dict[str, list[_IdleConnection]] = {}
-        self._next_idle_check = 0.0
+        self._idle = IdleConnections(clock=clock, may_keep=may_keep_idle)
         self._connecting: set[str] = set()
         self._preconnect_pool = ThreadPoolExecutor(
             PRECONNECT_THREADS, thread_name_prefix="spare"
@@ -109,8 +92,8 @@
         raised if time ran out, ``ExchangeCancelled`` if ``cancellation`` ended the
         exchange.
         """
-        idle = self._take_idle(
-            address, require_fresh=request.at_most_once and not request.cross_region
+        idle = self._idle.take(
+            address, at_most_once=request.at_most_once and not request.cross_region
         )
         if request.cross_region:
             self.preconnect(address)
@@ -121,6 +104,7 @@
             if self._clock.now() - idle.idle_since > STALE_AFTER_SECONDS:
                 deadline = stale_connection_deadline
         deadlines = ExchangeDeadlines(final=deadline, early=stale_connection_deadline)
+        started = self._clock.now()
         try:
             with cancellation.closing(connection.sock):
                 response = self._send(connection, request, deadlines)
@@ -132,7 +116,9 @@
             if cancellation.is_set:
                 raise ExchangeCancelled("the caller left: nobody waits for this") from e
             # The other connections to this address may have been lost as well.
-            self.close_idle(address)
+            self._idle.close(address)
+            if idle is not None and self._clock.now() - started < LOST_SECONDS:
+                self._idle.record_lost()
             failure = self._exchange_error(address, deadline, e)
             if not isinstance(failure, ExchangeTimeout):
                 self._record_link_failure(address, LinkFailure.LOST)
@@ -140,7 +126,7 @@
                 message = f"target {address} took no byte: {e}; look at its log"
                 raise RequestNotSent(message) from e
             raise failure from e
-        self._keep_idle(
+        self._idle.keep(
             address, connection, idle_limit_seconds(_header(response, "keep-alive"))
         )
         return response
@@ -155,8 +141,7 @@
 
     def idle_count(self, address: str) -> int:
         """Return the number of idle connections to ``address``."""
-        with self._lock:
-            return len(self._idle.get(address, ()))
+        return self._idle.count(address)
 
     def stop_preconnecting(self) -> None:
         """Stop opening connections in advance; wait for those that are being opened."""
@@ -168,7 +153,7 @@
         Opening a connection to another region takes as long as a request there.
         """
         with self._lock:
-            if self._idle.get(address) or address in self._connecting:
+            if self._idle.count(address) or address in self._connecting:
                 return
             self._connecting.add(address)
         future = self._preconnect_pool.submit(self._preconnect, address)
@@ -184,81 +169,14 @@
                 "connections: opening a connection in advance failed."
             )
         else:
-            self._keep_idle(address, connection, DEFAULT_IDLE_LIMIT_SECONDS)
+            self._idle.keep(address, connection, DEFAULT_IDLE_LIMIT_SECONDS)
         finally:
             with self._lock:
                 self._connecting.discard(address)
 
-    def close_idle(self, address: str) -> None:
-        """Close every idle connection to ``address``."""
-        with self._lock:
-            idle = self._idle.pop(address, [])
-        for entry in idle:
-            entry.connection.close()
-
     def close_all_idle(self) -> None:
         """Close every idle connection."""
-        with self._lock:
-            addresses = tuple(self._idle)
-        for address in addresses:
-            self.close_idle(address)
-
-    def _take_idle(
-        self, address: str, *, require_fresh: bool
-    ) -> _IdleConnection | None:
-        now = self._clock.now()
-        while True:
-            with self._lock:
-                idle = self._idle.get(address)
-                entry = idle.pop() if idle else None
-            if entry is None:
-                return None
-            limit = (
-                AT_MOST_ONCE_IDLE_LIMIT_SECONDS if require_fresh else entry.idle_limit
-            )
-            if now - entry.idle_since <= limit and _is_reusable(entry.connection):
-                return entry
-            entry.connection.close()
-
-    def _keep_idle(
-        self, address: str, connection: CheckedConnection, idle_limit: float
-    ) -> None:
-        self._close_unusable()
-        if connection.sock is None:
-            return
-        entry = _IdleConnection(
-            connection=connection, idle_since=self._clock.now(), idle_limit=idle_limit
-        )
-        with self._lock:
-            idle = self._idle.setdefault(address, [])
-            has_room = len(idle) < MAX_IDLE_CONNECTIONS_PER_TARGET
-            # Asked under the lock, so that a later close_all_idle finds the entry.
-            if has_room and self._may_keep_idle():
-                idle.append(entry)
-                return
-        connection.close()
-
-    def _close_unusable(self) -> None:
-        """Close the idle connections that won't be used again, once in a while.
-
-        The last one of a target is reused first, so others may stay unused for good,
-        and what the target sends on them stays in the memory of the kernel.
-        """
-        now = self._clock.now()
-        unusable = []
-        with self._lock:
-            if now < self._next_idle_check:
-                return
-            self._next_idle_check = now + IDLE_CHECK_INTERVAL_SECONDS
-            for address, idle in list(self._idle.items()):
-                usable = _usable(idle, now)
-                unusable += [entry for entry in idle if entry not in usable]
-                if usable:
-                    self._idle[address] = usable
-                else:
-                    del self._idle[address]
-        for entry in unusable:
-            entry.connection.close()
+        self._idle.close_all()
 
     def _connect(self, address: str, deadline: float) -> CheckedConnection:
         host, _, port = address.rpartition(":")
@@ -275,7 +193,7 @@
             connection.connect()
         except (OSError, urllib3.exceptions.HTTPError) as error:
             connection.close()
-            self.close_idle(address)
+            self._idle.close(address)
             self._record_link_failure(address, connect_failure(error))
             raise ConnectFailed(
                 f"target {address} can't be reached: {error}; check its process"
@@ -341,16 +259,6 @@
             )
 
 
-def idle_limit_seconds(keep_alive: str) -> float:
-    """Return how long a connection may be idle, given a Keep-Alive header value."""
-    for part in keep_alive.split(","):
-        name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdecimal():
-            advertised = min(float(value), MAX_IDLE_LIMIT_SECONDS)
-            return max(0.0, advertised - IDLE_MARGIN_SECONDS)
-    return DEFAULT_IDLE_LIMIT_SECONDS
-
-
 def _log_failure(done: Future, address: str) -> None:
     error = done.exception()
     if error is not None:
@@ -361,18 +269,3 @@
 
 def _header(response: TargetResponse, name: str) -> str:
     return next((v for k, v in response.headers if k.lower() == name), "")
-
-
-def _usable(idle: list[_IdleConnection], now: float) -> list[_IdleConnection]:
-    """Return those of ``idle`` that have not expired and have no unread data."""
-    return [
-        entry
-        for entry in idle
-        if now - entry.idle_since <= entry.idle_limit and _is_reusable(entry.connection)
-    ]
-
-
-def _is_reusable(connection: CheckedConnection) -> bool:
-    """Return whether an idle connection is open and has no unread data."""
-    sock = connection.sock
-    return sock is not None and not wait_for_read(sock, timeout=0)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -17,7 +17,7 @@
 from chicoryhold.keys import create_key
 from chicoryhold.report.burn import burn_rows, increase, worst_organisation
 from chicoryhold.report.samples import Sample
-from chicoryhold.targets.connections import idle_limit_seconds
+from chicoryhold.targets.idle_connections import idle_limit_seconds
 
 KEY = create_key().text
 
