Wait for replies from other regions when a host looks for control hosts

Cause: while no control host replies, reports go to all of them every 0.1 s, and each round gave up the requests of the round before. A reply from another region takes 0.11 s, so it always came too late.

Change: replies to the last ten rounds of reports count. Class of fault: a retry that gives up the attempt before it sooner than the peer can answer. The other users of request rounds repeat after 0.5 s and more (leases, heartbeats), within a domain.

Measured: test_a_reply_that_is_slower_than_the_next_report_is_not_lost fails on the code before.

--- a/src/chicoryhold/hosts/request_rounds.py
+++ b/src/chicoryhold/hosts/request_rounds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from concurrent.futures import Future
 from types import UnionType
@@ -14,20 +15,24 @@
 
 
 class RequestRounds:
-    """Sends an actor's requests; a new round gives up those of the round before.
+    """Sends an actor's requests; a new round gives up those of old rounds.
 
-    Replies reach the actor as messages. Only the actor calls this.
+    Replies are waited for in the last ``open_rounds`` rounds. These must last longer
+    than a reply takes, or none is ever received. Replies reach the actor as messages.
+    Only the actor calls this.
     """
 
-    def __init__(self, *, bus: Bus) -> None:
+    def __init__(self, *, bus: Bus, open_rounds: int = 1) -> None:
         self._bus = bus
-        self._pending: list[Future] = []
+        self._open_rounds = open_rounds
+        self._rounds: deque[list[Future]] = deque([[]])
 
     def start(self) -> None:
-        """Begin a round. Replies to earlier requests are no longer waited for."""
-        for future in self._pending:
-            self._bus.forget(future)
-        self._pending = []
+        """Begin a round. Replies to those of old rounds are no longer waited for."""
+        self._rounds.append([])
+        while len(self._rounds) > self._open_rounds:
+            for future in self._rounds.popleft():
+                self._bus.forget(future)
 
     def ask(
         self, peer: str, request: object, *, actor: pykka.ActorRef,
@@ -39,4 +44,4 @@
         """
         future = self._bus.ask(peer, request)
         tell_reply(future, actor, kinds=kinds, message=message)
-        self._pending.append(future)
+        self._rounds[-1].append(future)
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -21,14 +21,23 @@
 
 @attrs.define(kw_only=True)
 class FakeBus:
+    """Keeps the latest request to each peer, and all that weren't given up."""
+
     asked: dict[str, Future] = attrs.field(factory=dict)
+    open: list[Future] = attrs.field(factory=list)
 
     def ask(self, peer: str, message: object) -> Future:
         self.asked[peer] = Future()
+        self.open.append(self.asked[peer])
         return self.asked[peer]
 
     def forget(self, future: Future) -> None:
-        return
+        self.open.remove(future)
+
+    def reply(self, future: Future, message: object) -> None:
+        """Deliver a reply, unless its request was given up."""
+        if future in self.open:
+            future.set_result(message)
 
 
 def process_inbox(actor: PresenceActor) -> None:
@@ -116,3 +125,48 @@
     control_hosts.record_reply("10.1.0.1", ControlHosts(hosts=(), relay_hosts=(peer,)))
     clock.advance(5.0)
     assert control_hosts.relay_hosts == (peer,)
+
+
+def test_a_reply_that_is_slower_than_the_next_report_is_not_lost():
+    # A host that started while its region had no control host heard of none: a reply
+    # from another region takes 0.11 s, and a report was given up after 0.1 s.
+    clock = FakeClock()
+    bus = FakeBus()
+    control_hosts = ControlHostList(
+        seeds=lambda: SEEDS, domain="b", region="r", clock=clock
+    )
+    actor = PresenceActor(
+        control_hosts=control_hosts,
+        bus=bus,
+        clock=clock,
+        describe=lambda: OWN,
+        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+        guard=a_guard(clock),
+    )
+    actor.on_receive(Tick())
+    first = bus.asked["10.1.0.1"]
+    for _ in range(3):
+        clock.advance(0.1)
+        actor.on_receive(Tick())
+    bus.reply(first, ControlHosts(hosts=(), entry_hosts=1))
+    process_inbox(actor)
+    assert control_hosts.reachable == ("10.1.0.1",)
+
+
+def test_requests_that_get_no_reply_are_given_up_after_a_time():
+    clock = FakeClock()
+    bus = FakeBus()
+    actor = PresenceActor(
+        control_hosts=ControlHostList(
+            seeds=lambda: SEEDS, domain="b", region="r", clock=clock
+        ),
+        bus=bus,
+        clock=clock,
+        describe=lambda: OWN,
+        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+        guard=a_guard(clock),
+    )
+    for _ in range(100):
+        actor.on_receive(Tick())
+        clock.advance(0.1)
+    assert len(bus.open) <= 10 * len(SEEDS)
