--- a/src/chicoryhold/membership/registry.py
+++ b/src/chicoryhold/membership/registry.py
@@ -18,6 +18,10 @@
 ENTRY_HOST_TIMEOUT_SECONDS = 2.0
 CONTROL_HOST_TIMEOUT_SECONDS = 2.5
 EXPIRY_SECONDS = 30.0
+# Control hosts that are silent for so long, while entry hosts of their domain reported
+# so recently, are down by themselves, and not with their whole domain.
+LOST_CONTROL_HOST_SECONDS = 2.0
+RECENT_REPORT_SECONDS = 1.2
 # Entry hosts report to some control host, and that one to the others, twice a second.
 LEARNING_SECONDS = 0.8
 MAX_RELAY_HOSTS = 16
@@ -115,6 +119,24 @@
             return tuple(reaching)
         return tuple(listed)
 
+    def has_only_lost_control_hosts(self, domain: str) -> bool:
+        """Return whether all control hosts of ``domain`` are down, but not the rest."""
+        if domain == self._own.domain:
+            return False
+        now = self._clock.now()
+        reported = [
+            reported_at
+            for host, reported_at in tuple(self._control_records.values())
+            if host.domain == domain
+        ]
+        if not reported or now - max(reported) < LOST_CONTROL_HOST_SECONDS:
+            return False
+        return any(
+            record.host.domain == domain
+            and now - record.reported_at <= RECENT_REPORT_SECONDS
+            for record in tuple(self._entry_records.values())
+        )
+
     def relay_hosts(self, host: EntryHost) -> tuple[EntryHost, ...]:
         """Return ready hosts that can reach targets in place of ``host``.
 
