Send a new leader's first entry to followers without a rejected request

Cause: the leader assumes that the logs of others match its own, but looked that up when its first entry was already in its log. So its first request had no entries, claimed that followers had that entry, and was rejected; the entry came a round trip later, with it the first commit, and with it the moment at which the copies of entry hosts are confirmed.

Change: the lookup is made before the entry is appended.

Measured: test_a_new_leader_sends_followers_their_first_entry_at_once fails on the code before (no entries in the first request).

--- a/src/chicoryhold/consensus/leadership.py
+++ b/src/chicoryhold/consensus/leadership.py
@@ -60,10 +60,15 @@
         return self._clock.now() - max(self.quorum_acknowledged_at(), self._since)
 
     def start(self, term: int) -> None:
-        """Begin to lead in ``term``."""
+        """Begin to lead in ``term``, before the first entry of that term is appended.
+
+        The logs of the others are assumed to match up to here.
+        """
         self._term = term
         self._since = self._clock.now()
         self._progress.reset()
+        for member in self._log.members.identities:
+            self._progress.of(member, last_index=self._log.last_index)
 
     def quorum_acknowledged_at(self) -> float:
         """Return the latest time as of which a majority acknowledged this leader."""
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -4,9 +4,11 @@
 
 from hypothesis import given, settings, strategies as st
 
+from chicoryhold.consensus.effects import Send
 from chicoryhold.consensus.election_timer import Timing
 from chicoryhold.consensus.messages import (
     AppendReply,
+    AppendRequest,
     Entry,
     Members,
     Vote,
@@ -380,3 +382,28 @@
     durations.sort()
     assert durations[270] <= 1.5
     assert durations[-1] <= 2.5
+
+
+def test_a_new_leader_sends_followers_their_first_entry_at_once():
+    # Each election took a round trip longer: the first request assumed that followers
+    # had the entry which it was to bring, and they rejected it.
+    group = Group(seed=4, voters=VOTERS)
+    group.run(2)
+    first = group.leader()
+    group.propose(first, b"x")
+    group.run(1)
+    group.crash(first)
+    sent: list[AppendRequest] = []
+    deliver_one = group._deliver_one
+
+    def record(message: Send) -> None:
+        if isinstance(message.message, AppendRequest):
+            sent.append(message.message)
+        deliver_one(message)
+
+    group._deliver_one = record
+    while group.leader() in (None, first):
+        group.run(0.05)
+    opening = [request for request in sent if request.leader == group.leader()]
+    assert opening[0].entries
+    assert len(opening[0].entries) == 1
