Poll a connection for writing only when the server's thread can send on it

Cause: while the thread that handles a request sends its response, the server's thread found data to send, couldn't take the lock, and polled again at once: 36 polls a request in a profile of short responses. Header and body were two calls and two packets.

Change: a connection whose output is locked by another thread isn't polled for writing; that thread wakes the server's one if something is left. What one call of the application writes is sent in one piece.

--- a/src/chicoryhold/http_channel.py
+++ b/src/chicoryhold/http_channel.py
@@ -135,6 +135,10 @@
         environ[CANCELLATION] = channel.new_cancellation(self.request)
         return environ
 
+    def write(self, data: bytes) -> None:
+        with self.channel.gathering():
+            super().write(data)
+
     def build_response_header(self) -> bytes:
         channel = self.channel
         if channel.server.state.should_close() and channel.try_to_stop_reading():
@@ -179,6 +183,7 @@
     parser_class = ReceivedRequest
     _has_stopped_reading = False
     _last_answered: ReceivedRequest | None = None
+    _gathered: list[bytes] | None = None
 
     def __init__(self, *args: object, **kwargs: object) -> None:
         self._read_lock = threading.Lock()
@@ -213,6 +218,38 @@
             return True
         return sum(r.body_bytes_received for r in requests) < MAX_PIPELINED_BYTES
 
+    def writable(self) -> bool:
+        """Whether this thread is to send what is left, or to close the connection.
+
+        While the thread that handles a request sends, this one couldn't, and would poll
+        again and again. The other one wakes it if something is left to send.
+        """
+        if not super().writable():
+            return False
+        if not self.outbuf_lock.acquire(blocking=False):
+            return False
+        self.outbuf_lock.release()
+        return True
+
+    @contextmanager
+    def gathering(self) -> Iterator[None]:
+        """Send what is written in the block at its end, in one piece.
+
+        The header and the body of a short response then need one call and one packet.
+        """
+        self._gathered = []
+        try:
+            yield
+        finally:
+            data, self._gathered = b"".join(self._gathered), None
+        super().write_soon(data)
+
+    def write_soon(self, data: bytes) -> int:
+        if self._gathered is None:
+            return super().write_soon(data)
+        self._gathered.append(data)
+        return len(data)
+
     def handle_read(self) -> None:
         with self._read_lock:
             if not self._has_stopped_reading:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import http.client
 import os
 import socket
 import threading
 from collections.abc import Callable
 
 import pytest
+from waitress import wasyncore
 from waitress.adjustments import Adjustments
 from waitress.server import BaseWSGIServer
 
@@ -31,6 +33,11 @@
     return []
 
 
+def short_app(environ: dict, start_response: Callable) -> list[bytes]:
+    start_response("200 OK", [("Content-Length", "2")])
+    return [b"ok"]
+
+
 def threads_named_http() -> list[threading.Thread]:
     return [thread for thread in threading.enumerate() if thread.name == "http"]
 
@@ -80,3 +87,44 @@
         caller.sendall(b"G")
         assert not has_ended(server)
         assert server.recv(1) == b"G"
+
+
+def test_a_connection_is_not_polled_for_writing_while_its_response_is_being_sent():
+    # The server's thread polled some 36 times a request, and took from the thread that
+    # sent the response the processor that this one needed to end.
+    channel = Channel.__new__(Channel)
+    channel.outbuf_lock = threading.Condition()
+    channel.total_outbufs_len = 5
+    assert channel.writable()
+    asked = []
+    with channel.outbuf_lock:
+        other = threading.Thread(target=lambda: asked.append(channel.writable()))
+        other.start()
+        other.join()
+    assert asked == [False]
+    assert channel.writable()
+
+
+def test_requests_cost_a_few_polls_each(monkeypatch):
+    polls = []
+    poll = wasyncore.poll2
+    monkeypatch.setattr(wasyncore, "poll2", lambda *a: (polls.append(1), poll(*a)))
+    requests = 200
+    with serve_http(short_app, "127.0.0.1:0", threads=4) as server:
+        connection = http.client.HTTPConnection("127.0.0.1", int(server.port))
+        for _ in range(requests):
+            connection.request("GET", "/")
+            assert connection.getresponse().read() == b"ok"
+        connection.close()
+    assert len(polls) < 5 * requests
+
+
+def test_a_short_response_is_sent_in_one_piece():
+    with serve_http(short_app, "127.0.0.1:0", threads=1) as server:
+        address = ("127.0.0.1", int(server.port))
+        with socket.create_connection(address) as caller:
+            for _ in range(20):
+                caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                received = caller.recv(65_536)
+                assert received.startswith(b"HTTP/1.1 200 OK\r\n")
+                assert received.endswith(b"\r\n\r\nok")
