Open no connections in advance to targets that a host may never use

Cause: when its copy of the targets changed, each host opened a connection to every ready target of other regions.

Change: none is opened before a host's first request to a target of another region. That request still has a spare one opened, as before.

--- a/src/chicoryhold/programs/gateway_host.py
+++ b/src/chicoryhold/programs/gateway_host.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -20,7 +20,6 @@
 from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
-from chicoryhold.state.targets import TargetRecord, TargetState
 
 
 class Gateway:
@@ -37,7 +36,6 @@
         self._limits = limits
         self._crashes = crashes
         self._links = links
-        self._preconnected: frozenset[str] = frozenset()
         self._clock = clock
         self._route_index = RouteIndex(follower.state.configuration)
         self._failed_version: int | None = None
@@ -113,7 +111,6 @@
             {instance: view.record for instance, view in self._chooser.views.items()}
         )
         self._crashes.record_targets(state.targets)
-        self._preconnect_remote_targets(state.targets)
         if self.ready != was_ready:
             self._announce()
 
@@ -139,25 +136,10 @@
             return
         log.info("gateway: configuration applied.")
 
-    def _preconnect_remote_targets(self, targets: Iterable[TargetRecord]) -> None:
-        """Connect to the ready targets of other regions before a request needs them."""
-        regions, own = self._settings.regions, self._settings.region
-        addresses = frozenset(
-            record.address
-            for record in targets
-            if record.state is TargetState.READY and regions.get(record.domain) != own
-        )
-        for address in addresses - self._preconnected:
-            self._links.connections.preconnect(address)
-        self._preconnected = addresses
-
     def apply_reachability(self) -> None:
         """Apply that this host has been cut off from all targets, or reaches them."""
         self._links.reset()
         self._announce()
-        if not self._links.reachability.is_cut_off:
-            self._preconnected = frozenset()
-            self._preconnect_remote_targets(self._follower.state.targets)
 
     def on_change(self, announce: Callable[[], None]) -> None:
         """Call ``announce`` whenever the result of :meth:`describe` has changed."""
