Keep room in the log for warnings beside a flood of refusals

Change: warnings and errors have a limit of their own, of the same size.

Measured: test_a_flood_of_refusals_does_not_hide_a_warning; on the code before, no warning is written in it.

--- a/src/chicoryhold/logs.py
+++ b/src/chicoryhold/logs.py
@@ -38,7 +38,7 @@
     """Write logs to standard output as JSON, one object per line, from ``level`` up."""
     logger.remove()
     logger.configure(extra={"process": process})
-    sink = JsonLogSink(output=sys.stdout, limiter=LogRateLimiter(now=time.monotonic))
+    sink = JsonLogSink(output=sys.stdout, now=time.monotonic)
     logger.add(sink.write, format="{message}", level=level, backtrace=False)
     forward_library_errors()
 
@@ -91,20 +91,24 @@
     """Writes records as JSON lines.
 
     Lines above the rate limit are dropped; the next line that is written holds their
-    number as ``lines_left_out``.
+    number as ``lines_left_out``. Warnings and errors have a limit of their own: a flood
+    of refusals must not hide why they are refused.
     """
 
-    def __init__(self, *, output: TextIO, limiter: LogRateLimiter) -> None:
+    def __init__(self, *, output: TextIO, now: Callable[[], float]) -> None:
         self._output = output
-        self._limiter = limiter
+        self._usual = LogRateLimiter(now=now)
+        self._warnings = LogRateLimiter(now=now)
         self._lock = threading.Lock()
 
     def write(self, message) -> None:
         """Write one loguru message, or drop it if the rate limit is exceeded."""
+        is_warning = message.record["level"].no >= logging.WARNING
+        limiter = self._warnings if is_warning else self._usual
         with self._lock:
-            if not self._limiter.try_acquire():
+            if not limiter.try_acquire():
                 return
-            dropped = self._limiter.take_dropped_count()
+            dropped = limiter.take_dropped_count()
             self._output.write(_json_line(message.record, dropped))
             self._output.flush()
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from chicoryhold.errors import OperatorRequestFailed, SettingsError
-from chicoryhold.logs import BURST_LINES, JsonLogSink, LogRateLimiter
+from chicoryhold.logs import BURST_LINES, JsonLogSink
 from chicoryhold.operators.commands import find_command
 from chicoryhold.operators.explain import explain
 from tests.conftest import FakeClock
@@ -50,7 +50,7 @@
 def test_lines_above_the_rate_limit_are_dropped_and_counted():
     clock = FakeClock()
     output = io.StringIO()
-    sink = JsonLogSink(output=output, limiter=LogRateLimiter(now=clock.now))
+    sink = JsonLogSink(output=output, now=clock.now)
     handler = logger.add(sink.write, format="{message}", level="INFO")
     for _ in range(BURST_LINES + 50):
         logger.bind(request="r1").info("gateway: refused.")
@@ -61,3 +61,22 @@
     assert len(lines) == BURST_LINES + 1
     assert lines[-1]["lines_left_out"] == 50
     assert lines[0]["request"] == "r1"
+
+
+def test_a_flood_of_refusals_does_not_hide_a_warning():
+    # On a day with a burst, each host wrote as many refusals as the limit allows, and
+    # nothing of what caused them.
+    clock = FakeClock()
+    output = io.StringIO()
+    sink = JsonLogSink(output=output, now=clock.now)
+    handler = logger.add(sink.write, format="{message}", level="INFO")
+    for _ in range(2 * BURST_LINES):
+        logger.info("gateway: refused.")
+    for _ in range(2 * BURST_LINES):
+        logger.warning("permits: a control host did not reply.")
+    logger.remove(handler)
+    events = [
+        msgspec.json.decode(line)["event"] for line in output.getvalue().splitlines()
+    ]
+    assert events.count("gateway: refused.") == BURST_LINES
+    assert events.count("permits: a control host did not reply.") == BURST_LINES
