Wake the server's thread for unsent output once that is unlocked

Cause: since connections whose output is locked aren't polled for writing, a wake-up that came while it was still locked could be lost: what didn't fit into the socket then waited for the next event, up to five seconds, while an application went on with its response.

Change: the thread that wrote wakes the other one after the lock was released, if something is left; with more than 1 MiB left, the connection is always polled, since the thread that sends may wait for that itself.

--- a/src/chicoryhold/http_channel.py
+++ b/src/chicoryhold/http_channel.py
@@ -35,6 +35,8 @@
 QUEUED_REQUESTS = "chicoryhold.queued_requests"
 ARRIVED_AT = "chicoryhold.arrived_at"
 CANCELLATION = "chicoryhold.cancellation"
+# With more left to send, the thread that sends may itself wait until it is sent.
+MAX_UNPOLLED_BYTES = 1_048_576
 UNUSED_SECONDS = 2.0  # a new connection without a request counts as idle then
 DEPARTURES_LOG_SECONDS = 1.0  # at least, between two lines
 LINGER_SECONDS = 2.0
@@ -249,6 +251,8 @@
         """
         if not super().writable():
             return False
+        if self.total_outbufs_len > MAX_UNPOLLED_BYTES:
+            return True
         if not self.outbuf_lock.acquire(blocking=False):
             return False
         self.outbuf_lock.release()
@@ -265,13 +269,17 @@
             yield
         finally:
             data, self._gathered = b"".join(self._gathered), None
-        super().write_soon(data)
+        self.write_soon(data)
 
     def write_soon(self, data: bytes) -> int:
-        if self._gathered is None:
-            return super().write_soon(data)
-        self._gathered.append(data)
-        return len(data)
+        if self._gathered is not None:
+            self._gathered.append(data)
+            return len(data)
+        written = super().write_soon(data)
+        if self.total_outbufs_len:
+            # The server's thread may have found the output still locked.
+            self.server.pull_trigger()
+        return written
 
     def handle_read(self) -> None:
         with self._read_lock:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,7 +6,8 @@
 import os
 import socket
 import threading
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Iterator
 
 import pytest
 from waitress import wasyncore
@@ -158,3 +159,28 @@
         waiting.close()
         assert server.departure_count == 20
     assert handled == ["/waits"]
+
+
+def test_what_did_not_fit_into_the_socket_is_sent_while_the_application_goes_on():
+    # The server's thread is woken while the output is still locked.
+    rest = threading.Event()
+    first = b"x" * 8_000_000
+
+    def slow_app(environ: dict, start_response: Callable) -> Iterator[bytes]:
+        start_response("200 OK", [("Content-Length", str(len(first) + 1))])
+        yield first
+        rest.wait(EXIT_TIMEOUT_SECONDS)
+        yield b"y"
+
+    with serve_http(slow_app, "127.0.0.1:0", threads=1) as server:
+        connection = http.client.HTTPConnection("127.0.0.1", int(server.port))
+        for _ in range(5):
+            rest.clear()
+            connection.request("GET", "/")
+            response = connection.getresponse()
+            started = time.monotonic()
+            assert response.read(len(first)) == first
+            assert time.monotonic() - started < EXIT_TIMEOUT_SECONDS / 2
+            rest.set()
+            assert response.read() == b"y"
+        connection.close()
