Search for idle connections at most 20 times a second while too few are idle

Cause: beyond the limit of callers' connections, a search that found some idle ones, but too few, was repeated before each poll of the server: all connections looked at, one system call each, again and again, on a host that is short of processor time already.

Change: the pause between searches also holds when fewer were found than wanted.

Measured: test_while_too_few_connections_are_idle_a_search_is_not_repeated_at_once; two of its three cases fail on the code before. Found by reading the change.

--- a/src/chicoryhold/connection_room.py
+++ b/src/chicoryhold/connection_room.py
@@ -16,7 +16,7 @@
 from chicoryhold.clock import Clock
 
 ROOM_FRACTION = 0.05  # of the limit, made at once, so that the search is rare
-FUTILE_INTERVAL_SECONDS = 0.05  # between searches while no connection is idle
+FUTILE_INTERVAL_SECONDS = 0.05  # between searches while too few connections are idle
 LOG_INTERVAL_SECONDS = 1.0
 
 
@@ -56,12 +56,11 @@
         if now < self._next_check:
             return []
         idle = [each for each in connections if each.may_be_closed]
-        if not idle:
+        wanted = excess + int(ROOM_FRACTION * self.limit)
+        if len(idle) < wanted:
             self._next_check = now + FUTILE_INTERVAL_SECONDS
         chosen = heapq.nsmallest(
-            excess + int(ROOM_FRACTION * self.limit),
-            idle,
-            key=lambda connection: connection.last_activity,
+            wanted, idle, key=lambda connection: connection.last_activity
         )
         self._log(now, open=len(connections), idle=len(idle), closed=len(chosen))
         return chosen
--- a/tests/test_connection_room.py
+++ b/tests/test_connection_room.py
@@ -7,6 +7,7 @@
 from contextlib import ExitStack
 
 import attrs
+import pytest
 from hypothesis import given, strategies as st
 
 from chicoryhold.clock import BootClock
@@ -102,10 +103,12 @@
         )
 
 
-def test_while_all_connections_are_in_use_a_search_is_not_repeated_at_once():
+@pytest.mark.parametrize("idle", [0, 1, LIMIT - 1])
+def test_while_too_few_connections_are_idle_a_search_is_not_repeated_at_once(idle):
     clock = FakeClock()
     room = ConnectionRoom(limit=LIMIT, clock=clock)
-    assert not room.surplus([FakeConnection(0.0, False)] * (2 * LIMIT))
+    busy = [FakeConnection(0.0, False)] * (2 * LIMIT - idle)
+    assert len(room.surplus(busy + [FakeConnection(0.0, True)] * idle)) == idle
     connections = [FakeConnection(0.0, True)] * (2 * LIMIT)
     assert not room.surplus(connections)
     clock.advance(0.1)
