--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -40,6 +40,24 @@
             future.set_result(message)
 
 
+def known_hosts(clock: FakeClock) -> ControlHostList:
+    return ControlHostList(seeds=lambda: SEEDS, domain="b", region="r", clock=clock)
+
+
+def an_actor(
+    control_hosts: ControlHostList, bus: FakeBus, clock: FakeClock, **fields: object
+) -> PresenceActor:
+    return PresenceActor(
+        control_hosts=control_hosts,
+        bus=bus,
+        clock=clock,
+        describe=lambda: OWN,
+        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+        guard=a_guard(clock),
+        **fields,
+    )
+
+
 def process_inbox(actor: PresenceActor) -> None:
     while True:
         try:
@@ -54,17 +72,12 @@
     # message was lost and sent again 1.2 s later.
     clock = FakeClock()
     bus = FakeBus()
-    control_hosts = ControlHostList(
-        seeds=lambda: SEEDS, domain="b", region="r", clock=clock
-    )
+    control_hosts = known_hosts(clock)
     reached = []
-    actor = PresenceActor(
-        control_hosts=control_hosts,
-        bus=bus,
-        clock=clock,
-        describe=lambda: OWN,
-        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
-        guard=a_guard(clock),
+    actor = an_actor(
+        control_hosts,
+        bus,
+        clock,
         on_reachable=lambda: reached.append(control_hosts.reachable),
     )
     actor.on_receive(Tick())
@@ -80,17 +93,8 @@
 def test_a_host_that_lost_all_control_hosts_asks_all_of_them_again():
     clock = FakeClock()
     bus = FakeBus()
-    control_hosts = ControlHostList(
-        seeds=lambda: SEEDS, domain="b", region="r", clock=clock
-    )
-    actor = PresenceActor(
-        control_hosts=control_hosts,
-        bus=bus,
-        clock=clock,
-        describe=lambda: OWN,
-        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
-        guard=a_guard(clock),
-    )
+    control_hosts = known_hosts(clock)
+    actor = an_actor(control_hosts, bus, clock)
     actor.on_receive(Tick())
     bus.asked["10.1.0.1"].set_result(ControlHosts(hosts=(), entry_hosts=1))
     process_inbox(actor)
@@ -103,9 +107,7 @@
 def test_relay_hosts_of_all_recent_replies_are_known():
     # A control host that had just started replied with a list without entry hosts.
     clock = FakeClock()
-    control_hosts = ControlHostList(
-        seeds=lambda: SEEDS, domain="b", region="r", clock=clock
-    )
+    control_hosts = known_hosts(clock)
     peer = attrs.evolve(OWN, name="peer", ready=True)
     control_hosts.record_reply("10.1.0.1", ControlHosts(hosts=(), relay_hosts=(peer,)))
     control_hosts.record_reply("10.2.0.1", ControlHosts(hosts=()))
@@ -118,9 +120,7 @@
 
 def test_relay_hosts_stay_known_while_no_control_host_replies():
     clock = FakeClock()
-    control_hosts = ControlHostList(
-        seeds=lambda: SEEDS, domain="b", region="r", clock=clock
-    )
+    control_hosts = known_hosts(clock)
     peer = attrs.evolve(OWN, name="peer", ready=True)
     control_hosts.record_reply("10.1.0.1", ControlHosts(hosts=(), relay_hosts=(peer,)))
     clock.advance(5.0)
@@ -132,17 +132,8 @@
     # from another region takes 0.11 s, and a report was given up after 0.1 s.
     clock = FakeClock()
     bus = FakeBus()
-    control_hosts = ControlHostList(
-        seeds=lambda: SEEDS, domain="b", region="r", clock=clock
-    )
-    actor = PresenceActor(
-        control_hosts=control_hosts,
-        bus=bus,
-        clock=clock,
-        describe=lambda: OWN,
-        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
-        guard=a_guard(clock),
-    )
+    control_hosts = known_hosts(clock)
+    actor = an_actor(control_hosts, bus, clock)
     actor.on_receive(Tick())
     first = bus.asked["10.1.0.1"]
     for _ in range(3):
@@ -156,16 +147,7 @@
 def test_requests_that_get_no_reply_are_given_up_after_a_time():
     clock = FakeClock()
     bus = FakeBus()
-    actor = PresenceActor(
-        control_hosts=ControlHostList(
-            seeds=lambda: SEEDS, domain="b", region="r", clock=clock
-        ),
-        bus=bus,
-        clock=clock,
-        describe=lambda: OWN,
-        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
-        guard=a_guard(clock),
-    )
+    actor = an_actor(known_hosts(clock), bus, clock)
     for _ in range(100):
         actor.on_receive(Tick())
         clock.advance(0.1)
