--- a/src/chicoryhold/http_channel.py
+++ b/src/chicoryhold/http_channel.py
@@ -2,22 +2,23 @@
 
 from __future__ import annotations
 
-import enum
-import fcntl
 import socket
-import struct
-import termios
 import threading
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import attrs
-from loguru import logger
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
-from chicoryhold.clock import BootClock, Clock
+from chicoryhold.caller_sockets import (
+    close_when_delivered,
+    has_ended,
+    has_unread,
+    unacknowledged_bytes,
+)
+from chicoryhold.clock import BootClock
 from chicoryhold.connection_room import ConnectionRoom
 from chicoryhold.http_pipeline import (
     EARLY_RESPONSE,
@@ -30,6 +31,7 @@
     capture,
     overlaps_none,
 )
+from chicoryhold.open_requests import Departures, OpenRequest, RequestState
 from chicoryhold.targets.cancellation import Cancellation
 
 QUEUED_REQUESTS = "chicoryhold.queued_requests"
@@ -38,83 +40,11 @@
 # With more left to send, the thread that sends may itself wait until it is sent.
 MAX_UNPOLLED_BYTES = 1_048_576
 UNUSED_SECONDS = 2.0  # a new connection without a request counts as idle then
-DEPARTURES_LOG_SECONDS = 1.0  # at least, between two lines
-LINGER_SECONDS = 2.0
 MAX_LINGERING = 32  # threads
-LINGER_CHECK_SECONDS = 0.02
 
 _CLOCK = BootClock()
 
 
-class RequestState(enum.Enum):
-    """How far a request is that was read and isn't answered in full."""
-
-    RECEIVING = "receiving"
-    QUEUED = "queued"
-    RUNNING = "running"
-    RESPONDING = "responding"
-
-
-@attrs.frozen(kw_only=True)
-class OpenRequest:
-    """A request that was read, at least in part, and isn't answered in full.
-
-    ``request_id`` is empty if the caller sent none. ``seconds`` have passed since the
-    last byte was read from its connection.
-    """
-
-    request_id: str
-    method: str
-    path: str
-    state: RequestState
-    seconds: float
-
-
-def has_ended(connection: socket.socket) -> bool:
-    """Return whether the peer has closed ``connection`` and nothing is left to read.
-
-    The thread that reads finds out too, but late if the process gets little processor
-    time: then the request and its end are read together.
-    """
-    try:
-        return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError as error:
-        logger.debug("http: a caller's connection is broken: {}.", error)
-        return True
-
-
-def has_unread(connection: socket.socket) -> bool:
-    """Return whether the peer has sent something that wasn't read."""
-    try:
-        return bool(connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-    except OSError:
-        # Nothing was sent, or the connection is broken: nothing can be read.
-        return False
-
-
-def unacknowledged_bytes(connection: socket.socket) -> int:
-    """Return how much was written that the peer's kernel hasn't received yet."""
-    try:
-        answer = fcntl.ioctl(connection, termios.TIOCOUTQ, struct.pack("i", 0))
-    except OSError as error:
-        logger.debug("http: unacknowledged bytes aren't known: {}.", error)
-        return 0
-    return struct.unpack("i", answer)[0]
-
-
-def _close_when_delivered(
-    connection: socket.socket, lingering: set[socket.socket]
-) -> None:
-    """Close ``connection`` once its peer has received all, or in ``LINGER_SECONDS``."""
-    until = _CLOCK.now() + LINGER_SECONDS
-    while unacknowledged_bytes(connection) and _CLOCK.now() < until:
-        time.sleep(LINGER_CHECK_SECONDS)
-    connection.close()
-    lingering.discard(connection)
-
-
 class Task(WSGITask):
     """Runs the application for one request and writes its response.
 
@@ -149,27 +79,6 @@
         return super().build_response_header()
 
 
-@attrs.define(kw_only=True)
-class Departures:
-    """Counts the requests whose callers had left before they were read."""
-
-    clock: Clock
-    count: int = 0
-    _logged: int = 0
-    _next_log: float = float("-inf")
-
-    def record(self) -> None:
-        self.count += 1
-        now = self.clock.now()
-        if now < self._next_log:
-            return
-        self._next_log = now + DEPARTURES_LOG_SECONDS
-        logger.bind(requests=self.count - self._logged).warning(
-            "http: callers had left before their requests were read."
-        )
-        self._logged = self.count
-
-
 @attrs.define(kw_only=True)
 class ServerState:
     """What the channels of one server share: what they are to do, and what is open.
@@ -183,7 +92,8 @@
 
     ``running`` has the requests that are being handled and their channels, also if
     their caller has left. ``lingering`` are sockets that are closed once their peer has
-    got all. ``departures`` are counted and logged.
+    got all. With ``drops_departed``, requests whose callers left before they were read
+    are dropped, and counted in ``departures``.
     """
 
     should_close: Callable[[], bool]
@@ -192,6 +102,7 @@
     closes_idle: bool = False
     refuses: bool = False
     may_overlap: OverlapRule = overlaps_none
+    drops_departed: bool = False
     running: dict[ReceivedRequest, Channel] = attrs.field(factory=dict)
     lingering: set[socket.socket] = attrs.field(factory=set)
     departures: Departures = attrs.field(factory=lambda: Departures(clock=_CLOCK))
@@ -287,13 +198,14 @@
                 super().handle_read()
 
     def received(self, data: bytes) -> bool:
-        """Take what was read, unless its caller has left before all of it was read.
+        """Take what was read, or drop it if its caller has left meanwhile.
 
         A host that is short of processor time finds many such requests. To handle them
         would keep it from reaching those whose callers still wait.
         """
-        if not self.requests and has_ended(self.socket):
-            self.server.state.departures.record()
+        state = self.server.state
+        if state.drops_departed and not self.requests and has_ended(self.socket):
+            state.departures.record()
             self.handle_close()
             return False
         result = super().received(data)
@@ -435,7 +347,7 @@
         copy = self.socket.dup()
         lingering.add(copy)
         threading.Thread(
-            target=_close_when_delivered, args=(copy, lingering), daemon=True
+            target=close_when_delivered, args=(copy, lingering), daemon=True
         ).start()
 
     def open_requests(self) -> list[OpenRequest]:
--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -16,13 +16,14 @@
 from chicoryhold.connection_room import ConnectionRoom
 from chicoryhold.crash import create_critical_thread
 from chicoryhold.errors import AddressInUse
-from chicoryhold.http_channel import Channel, OpenRequest, ServerState
+from chicoryhold.http_channel import Channel, ServerState
 from chicoryhold.http_pipeline import (
     MAX_PIPELINED_REQUESTS,
     OverlapRule,
     overlaps_none,
     with_early_responses,
 )
+from chicoryhold.open_requests import OpenRequest
 from chicoryhold.request_threads import RequestThreads
 
 DEFAULT_MAX_CONNECTIONS = 1_000
@@ -154,6 +155,7 @@
     request_id_header: str = "",
     may_overlap: OverlapRule = overlaps_none,
     max_connections: int = DEFAULT_MAX_CONNECTIONS,
+    drops_departed: bool = False,
 ) -> Iterator[HttpServer]:  # fmt: skip
     """Serve a WSGI application in a background thread and yield the server.
 
@@ -162,7 +164,9 @@
     connection may stay idle. While ``should_close()`` is true, connections are closed
     after their next response. ``request_id_header`` names requests in logs. Requests
     of one connection for which ``may_overlap`` is true are handled side by side. With
-    more than ``max_connections``, the longest idle ones are closed.
+    more than ``max_connections``, the longest idle ones are closed. With
+    ``drops_departed``, requests whose callers left before they were read aren't handled:
+    for callers that have no use for one without its response.
     """
     host, _, port = address.rpartition(":")
     request_threads = RequestThreads(limit=threads, clock=BootClock())
@@ -198,6 +202,7 @@
         room=ConnectionRoom(limit=max_connections, clock=BootClock()),
         request_id_header=request_id_header.upper().replace("-", "_"),
         may_overlap=may_overlap,
+        drops_departed=drops_departed,
     )
     server.state = state
     server.adj.socket_options = _CALLER_SOCKET_OPTIONS
