--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -165,8 +165,8 @@
     after their next response. ``request_id_header`` names requests in logs. Requests
     of one connection for which ``may_overlap`` is true are handled side by side. With
     more than ``max_connections``, the longest idle ones are closed. With
-    ``drops_departed``, requests whose callers left before they were read aren't handled:
-    for callers that have no use for one without its response.
+    ``drops_departed``, requests whose callers left before they were read aren't
+    handled: for callers that have no use for one without its response.
     """
     host, _, port = address.rpartition(":")
     request_threads = RequestThreads(limit=threads, clock=BootClock())
