Log for each second in which a copy is old why it is

Cause: no log line or metric tells late replies from a missing source, a slow thread, a paused process or a source that is behind itself. Change: the follower logs, once a second while its copy is older than a second, how long replies were held, on the way and in its own queues, how long it took to apply them, how long its timer was late, how many replies came too late, what the source knew, and the last failure.

--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -9,6 +9,7 @@
 
 from chicoryhold.clock import Clock
 from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
+from chicoryhold.control.fetch_log import FetchLog
 from chicoryhold.control.follower import BatchResult, Follower
 from chicoryhold.control.messages import (
     ChangeBatch,
@@ -38,6 +39,7 @@
 class _FetchReplied:
     number: int
     reply: FetchReply
+    arrived_at: float
 
 
 @attrs.frozen(kw_only=True)
@@ -102,6 +104,7 @@
         self._needs_image = False
         self._is_confirmed = False
         self._unconfirmed_since = float("inf")
+        self._fetch_log = FetchLog(clock=clock)
 
     def on_receive(self, message: object) -> None:
         match message:
@@ -115,10 +118,19 @@
         revision = self._follower.state.revision
         if self._on_applied is not None and revision != self._notified_revision:
             self._notified_revision = revision
+            since = self._clock.now()
             self._on_applied()
+            self._fetch_log.applied(since=since)
 
     def _tick(self) -> None:
         now = self._clock.now()
+        self._fetch_log.ticked()
+        self._fetch_log.write(
+            age=self._follower.age,
+            revision=self._follower.fetched_revision,
+            version=self._follower.fetched_version,
+            source=self._source,
+        )
         if self._fetch_in_flight and now - self._sent_at > self._timing.timeout:
             self._back_off("the fetch timed out")
         if not self._fetch_in_flight and now >= self._next_fetch_at:
@@ -127,7 +139,9 @@
     def _fetch(self) -> None:
         self._source = self._choose_source()
         if not self._source:
+            self._fetch_log.had_no_source()
             return
+        self._fetch_log.asked()
         self._fetch_number += 1
         self._sent_at = self._clock.now()
         self._fetch_in_flight = True
@@ -137,7 +151,9 @@
             future,
             self.actor_ref,
             kinds=FetchReply,
-            message=lambda reply: _FetchReplied(number=number, reply=reply),
+            message=lambda reply: _FetchReplied(
+                number=number, reply=reply, arrived_at=self._clock.now()
+            ),
         )
 
     def _choose_source(self) -> str:
@@ -165,8 +181,10 @@
 
     def _on_reply(self, message: _FetchReplied) -> None:
         if message.number != self._fetch_number or not self._fetch_in_flight:
+            self._fetch_log.was_late()
             return
         self._fetch_in_flight = False
+        self._log_reply(message)
         match message.reply:
             case ChangeBatch() as batch:
                 self._on_batch(batch)
@@ -179,6 +197,17 @@
         if not self._fetch_in_flight and self._clock.now() >= self._next_fetch_at:
             self._fetch()
 
+    def _log_reply(self, message: _FetchReplied) -> None:
+        reply = message.reply
+        is_batch = isinstance(reply, ChangeBatch)
+        self._fetch_log.replied(
+            sent_at=self._sent_at,
+            arrived_at=message.arrived_at,
+            held=reply.waited if is_batch else 0.0,
+            source_age=reply.confirmed_age if is_batch else 0.0,
+            source_revision=getattr(reply, "revision", 0),
+        )
+
     def _on_piece(self, piece: ImagePiece) -> None:
         if piece.revision < self._follower.fetched_revision:
             self._needs_image = False
@@ -273,6 +302,7 @@
             age=round(min(self._follower.age, UNCONFIRMED_AGE_SECONDS), 2),
             reason=reason,
         ).info("follower: backing off from the source.")
+        self._fetch_log.failed(reason)
         now = self._clock.now()
         self._unconfirmed_since = float("inf")
         self._fetch_in_flight = False
