Send copies what differs from theirs, not each change that they missed

What callers saw: requests handled by configurations that had been replaced seconds ago. Cause: a change holds the whole configuration and its text. What didn't fit 32 KB was sent as an image in pieces, a round trip each, again for each version; on a link of 1.8 Mbit/s shared with callers, copies fell behind during a storm of changes. Change: the state knows at which revision each of its objects last changed. A copy says its revision and the digest of its history; it gets the objects that changed since, as they are now, compressed. That can be applied to any copy between the two revisions; a checksum over all objects shows whether the result is the source's state. Images stay for copies from another history, and are compressed. Hosts of the build before get batches. Why it works: the cost follows the objects that differ.

--- a/src/chicoryhold/control/feed.py
+++ b/src/chicoryhold/control/feed.py
@@ -1,69 +1,93 @@
-"""Serves accepted changes and full images of the control state to its copies."""
+"""Serves what differs from the control state, and full images of it, to its copies."""
 
 from __future__ import annotations
 
 import collections
 import itertools
+import zlib
 from collections.abc import Iterator
 
+from chicoryhold.codec import encode
+from chicoryhold.control.images import COMPRESSION_LEVEL, Image, Images
 from chicoryhold.control.messages import (
     ChangeBatch,
     FetchChanges,
     FetchImage,
     ImagePiece,
     SnapshotNeeded,
+    StateUpdate,
 )
 from chicoryhold.state.changes import Change
 from chicoryhold.state.control_state import ControlState
 
 MAX_RECENT_CHANGES = 2_000
 MAX_CHANGES_PER_BATCH = 200
-# A larger reply could take longer than a follower waits on a slow link, and would be
-# sent again and again.
+MAX_KNOWN_DIGESTS = 10_000
+# A larger reply would hold up other messages on a slow link for too long.
 MAX_REPLY_BYTES = 32_768
 
 
 class ChangeFeed:
-    """The newest changes of a control state, and an image for copies further behind."""
+    """Answers copies of a control state with what they lack.
+
+    A copy gets one difference, however many changes lie between, unless it is larger
+    than a reply or its history isn't the one known here: then an image in pieces.
+    Hosts of older builds get each change of their batches by itself.
+    """
 
     def __init__(self, *, state: ControlState) -> None:
         self._state = state
         self._recent: collections.deque[Change] = collections.deque(
             maxlen=MAX_RECENT_CHANGES
         )
-        self._images: dict[int, bytes] = {}
+        self._digests: dict[int, bytes] = {}
+        self._updates: dict[int, bytes] = {}
+        self._images = Images(is_recent=self._is_recent)
+        self._note_digest()
 
     def record(self, change: Change) -> None:
         """Add ``change``, which has just created a new revision of the state."""
-        self._recent.append(change)
+        if len(change.body) > MAX_REPLY_BYTES:
+            # No batch can hold it.
+            self._recent.clear()
+        else:
+            self._recent.append(change)
+        self._note_digest()
+
+    def record_update(self) -> None:
+        """Note that a difference has just created a new revision of the state."""
+        self._recent.clear()
+        self._note_digest()
 
     def clear(self) -> None:
-        """Discard all changes, as needed when an image has replaced the state."""
+        """Forget earlier revisions, as needed when an image has replaced the state."""
         self._recent.clear()
         self._images.clear()
+        self._digests.clear()
+        self._note_digest()
 
     def has_update_for(self, request: FetchChanges) -> bool:
         return request.after != self._state.revision
 
     def answer(
         self, request: FetchChanges, *, confirmed_age: float, waited: float = 0.0
-    ) -> ChangeBatch | SnapshotNeeded:
-        """Return the changes after ``request.after``.
+    ) -> StateUpdate | ChangeBatch | SnapshotNeeded:
+        """Return what a copy at the revision ``request.after`` lacks.
 
         The request has been held for ``waited`` seconds. Returns ``SnapshotNeeded`` if
-        the changes are no longer stored, or if an image takes fewer bytes.
+        the copy needs an image.
         """
-        revision = self._state.revision
-        missing = revision - request.after
-        if missing < 0 or missing > len(self._recent) or self._prefers_image(missing):
-            return SnapshotNeeded(revision=revision)
-        return ChangeBatch(
+        if request.digest is None:
+            return self._batch(request, confirmed_age, waited)
+        data = self._update_data(request)
+        if data is None:
+            return SnapshotNeeded(revision=self._state.revision)
+        return StateUpdate(
             after=request.after,
-            revision=revision,
-            digest=self._state.digest,
+            revision=self._state.revision,
             confirmed_age=confirmed_age,
-            changes=self._first_of_newest(missing),
             waited=waited,
+            data=data,
         )
 
     def piece(self, request: FetchImage) -> ImagePiece:
@@ -72,15 +96,67 @@
         A request for the first piece, or for an image that is no longer stored, gets
         the first piece of the newest image.
         """
-        revision, offset = request.revision, request.offset
-        if offset == 0 or revision not in self._images:
-            revision, offset = self._renew_image(at_least=request.at_least), 0
-        image = self._images[revision]
+        image, offset = self._images.get(request.revision), request.offset
+        if offset == 0 or image is None:
+            image = self._images.newest(at_least=request.at_least, create=self._image)
+            offset = 0
+        data = image.compressed if request.compressed else image.plain
         return ImagePiece(
-            revision=revision,
+            revision=image.revision,
             offset=offset,
-            total=len(image),
-            data=image[offset : offset + MAX_REPLY_BYTES],
+            total=len(data),
+            data=data[offset : offset + MAX_REPLY_BYTES],
+            compressed=request.compressed,
+        )
+
+    def _note_digest(self) -> None:
+        self._updates.clear()
+        self._digests[self._state.revision] = self._state.digest
+        if len(self._digests) > MAX_KNOWN_DIGESTS:
+            del self._digests[next(iter(self._digests))]
+
+    def _update_data(self, request: FetchChanges) -> bytes | None:
+        """Return the difference, compressed, or ``None`` if an image is needed."""
+        after = request.after
+        if after == self._state.revision:
+            return b"" if request.digest == self._state.digest else None
+        has_same_history = self._digests.get(after) == request.digest
+        if not has_same_history or after < self._state.oldest_base:
+            return None
+        if after not in self._updates:
+            delta = encode(self._state.delta(after=after))
+            self._updates[after] = zlib.compress(delta, COMPRESSION_LEVEL)
+        data = self._updates[after]
+        return data if len(data) <= MAX_REPLY_BYTES else None
+
+    def _image(self) -> Image:
+        plain = self._state.image(for_replica=False)
+        return Image.of(plain, revision=self._state.revision)
+
+    def _is_recent(self, revision: int) -> bool:
+        """Return whether a copy at ``revision`` needs no other image."""
+        digest = self._digests.get(revision)
+        if digest is None:
+            return False
+        request = FetchChanges(after=revision, digest=digest)
+        return self._update_data(request) is not None
+
+    # Batches, for hosts of older builds
+
+    def _batch(
+        self, request: FetchChanges, confirmed_age: float, waited: float
+    ) -> ChangeBatch | SnapshotNeeded:
+        revision = self._state.revision
+        missing = revision - request.after
+        if missing < 0 or missing > len(self._recent) or self._prefers_image(missing):
+            return SnapshotNeeded(revision=revision)
+        return ChangeBatch(
+            after=request.after,
+            revision=revision,
+            digest=self._state.digest,
+            confirmed_age=confirmed_age,
+            changes=self._first_of_newest(missing),
+            waited=waited,
         )
 
     def _first_of_newest(self, count: int) -> tuple[Change, ...]:
@@ -107,32 +183,9 @@
         return sum(len(each.body) for each in self._newest(count)) <= MAX_REPLY_BYTES
 
     def _prefers_image(self, missing: int) -> bool:
-        """Return whether an image suits a copy better than the newest changes.
-
-        It does if they are larger, or if one of them is too large for a reply.
-        """
+        """Return whether an image is smaller than the newest changes."""
         if self._fits_one_reply(missing):
             return False
-        sizes = [len(change.body) for change in self._newest(missing)]
-        if max(sizes) > MAX_REPLY_BYTES:
-            # Only an image can be sent in several replies.
-            return True
-        revision = self._renew_image()
-        return sum(sizes) > len(self._images[revision])
-
-    def _renew_image(self, *, at_least: int = 0) -> int:
-        """Store a new image unless the changes after the newest one fit one reply.
-
-        An image older than of the revision ``at_least`` is renewed in any case.
-        Returns the revision of the newest image. It isn't renewed with each change,
-        since followers that are fetching it would have to start again.
-        """
-        newest = max(self._images, default=None)
-        if newest is not None and newest >= at_least:
-            later = self._state.revision - newest
-            if later <= len(self._recent) and self._fits_one_reply(later):
-                return newest
-        kept = {} if newest is None else {newest: self._images[newest]}
-        current = {self._state.revision: self._state.image(for_replica=False)}
-        self._images = kept | current
-        return self._state.revision
+        size = sum(len(change.body) for change in self._newest(missing))
+        image = self._images.newest(at_least=0, create=self._image)
+        return size > len(image.plain)
--- a/src/chicoryhold/control/follower.py
+++ b/src/chicoryhold/control/follower.py
@@ -3,11 +3,22 @@
 from __future__ import annotations
 
 import enum
+import zlib
+
+import attrs
+from loguru import logger
 
 from chicoryhold.clock import Clock
+from chicoryhold.codec import decode
 from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.control.feed import ChangeFeed
-from chicoryhold.control.messages import ChangeBatch, ImagePiece
+from chicoryhold.control.messages import (
+    ChangeBatch,
+    FetchImage,
+    ImagePiece,
+    StateUpdate,
+)
+from chicoryhold.errors import UnknownMessage
 from chicoryhold.state.control_state import ControlState
 
 
@@ -20,6 +31,14 @@
     MISMATCH = "the source has another history"
 
 
+@attrs.define(kw_only=True)
+class _PartialImage:
+    """The bytes of an image of the state at ``revision`` that have arrived."""
+
+    revision: int = 0
+    data: bytearray = attrs.field(factory=bytearray)
+
+
 class Follower:
     """Applies batches and images in order; the revision never decreases.
 
@@ -40,8 +59,7 @@
         self._state = ControlState(max_request_records=0)
         self._feed = ChangeFeed(state=self._copy)
         self._confirmed_at = float("-inf")
-        self._image = bytearray()
-        self._image_revision = 0
+        self._partial_images: dict[str, _PartialImage] = {}
 
     @property
     def state(self) -> ControlState:
@@ -53,6 +71,10 @@
         """The revision of the copy, which may still be catching up."""
         return self._copy.revision
 
+    @property
+    def fetched_digest(self) -> bytes:
+        return self._copy.digest
+
     @property
     def fetched_version(self) -> int:
         """The version of the configuration in the copy."""
@@ -71,14 +93,15 @@
         """Seconds since this copy was last confirmed to be the newest."""
         return self._clock.now() - self._confirmed_at
 
-    @property
-    def image_offset(self) -> int:
-        """The number of bytes of the current image that have arrived."""
-        return len(self._image)
-
-    @property
-    def image_revision(self) -> int:
-        return self._image_revision
+    def image_request(self, source: str) -> FetchImage:
+        """Return the request for the next piece of an image of ``source``."""
+        partial = self._partial_images.get(source, _PartialImage())
+        return FetchImage(
+            revision=partial.revision,
+            offset=len(partial.data),
+            at_least=self._copy.revision,
+            compressed=True,
+        )
 
     def on_batch(self, batch: ChangeBatch, *, sent_at: float) -> BatchResult:
         """Apply the reply to the fetch that was sent at ``sent_at``."""
@@ -93,35 +116,62 @@
             return BatchResult.APPLIED
         if self._copy.digest != batch.digest:
             return BatchResult.MISMATCH
-        if batch.confirmed_age < UNCONFIRMED_AGE_SECONDS:
-            answered_at = min(self._clock.now(), sent_at + max(0.0, batch.waited))
-            self._confirm(answered_at - batch.confirmed_age)
+        self._confirm(batch, sent_at)
         return BatchResult.APPLIED
 
-    def on_piece(self, piece: ImagePiece) -> bool:
-        """Add a piece of an image; return whether the image is now loaded.
+    def on_update(self, update: StateUpdate, *, sent_at: float) -> BatchResult:
+        """Apply the reply to the fetch that was sent at ``sent_at``.
+
+        The copy may have changed meanwhile, by the reply to another fetch.
+        """
+        if update.revision < self._copy.revision:
+            return BatchResult.BEHIND
+        if update.after > self._copy.revision:
+            return BatchResult.OUT_OF_ORDER
+        if update.revision > self._copy.revision and not self._apply(update):
+            return BatchResult.MISMATCH
+        self._confirm(update, sent_at)
+        return BatchResult.APPLIED
+
+    def _apply(self, update: StateUpdate) -> bool:
+        try:
+            delta = decode(zlib.decompress(update.data))
+        except (zlib.error, UnknownMessage) as error:
+            logger.error("follower: dropped a difference: {}.", error)
+            return False
+        is_equal = self._copy.apply_delta(delta)
+        self._feed.record_update()
+        return is_equal
+
+    def on_piece(self, piece: ImagePiece, *, source: str) -> bool:
+        """Add a piece of an image; return whether an image is now loaded.
 
         A piece with offset 0 starts a new image; a piece out of order is ignored.
+        Images of two sources differ even if they are of the same revision.
         """
         if piece.offset == 0:
-            self._image = bytearray()
-            self._image_revision = piece.revision
-        if piece.offset != len(self._image) or piece.revision != self._image_revision:
+            self._partial_images[source] = _PartialImage(revision=piece.revision)
+        partial = self._partial_images.get(source, _PartialImage())
+        if piece.offset != len(partial.data) or piece.revision != partial.revision:
             return False
-        self._image += piece.data
-        if len(self._image) < piece.total:
+        partial.data += piece.data
+        if len(partial.data) < piece.total:
             return False
-        return self._load_image()
+        self._partial_images.clear()
+        return self._load_image(partial, is_compressed=piece.compressed)
 
-    def _load_image(self) -> bool:
-        data = bytes(self._image)
-        self._image = bytearray()
-        if self._image_revision < self._copy.revision:
+    def _load_image(self, image: _PartialImage, *, is_compressed: bool) -> bool:
+        if image.revision < self._copy.revision:
             return False
-        self._copy.load(data)
+        data = bytes(image.data)
+        self._copy.load(zlib.decompress(data) if is_compressed else data)
         self._feed.clear()
         return True
 
-    def _confirm(self, confirmed_at: float) -> None:
+    def _confirm(self, reply: ChangeBatch | StateUpdate, sent_at: float) -> None:
+        """Note that the copy has all that the source of ``reply`` had."""
+        if reply.confirmed_age >= UNCONFIRMED_AGE_SECONDS:
+            return
+        answered_at = min(self._clock.now(), sent_at + max(0.0, reply.waited))
         self._state = self._copy
-        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        self._confirmed_at = max(self._confirmed_at, answered_at - reply.confirmed_age)
--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -19,6 +19,7 @@
     ImagePiece,
     SnapshotNeeded,
     SourceUnavailable,
+    StateUpdate,
 )
 from chicoryhold.control.pending_fetches import PendingFetches
 from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick, tell_reply
@@ -32,7 +33,7 @@
 # Longer than an election. After all hosts have started, no source is confirmed before.
 UNCONFIRMED_PATIENCE_SECONDS = 1.5
 
-FetchReply = ChangeBatch | SnapshotNeeded | ImagePiece | SourceUnavailable
+FetchReply = StateUpdate | ChangeBatch | SnapshotNeeded | ImagePiece | SourceUnavailable
 
 
 @attrs.frozen(kw_only=True)
@@ -171,13 +172,12 @@
 
     def _request(self) -> FetchChanges | FetchImage:
         if self._needs_image:
-            return FetchImage(
-                revision=self._follower.image_revision,
-                offset=self._follower.image_offset,
-                at_least=self._follower.fetched_revision,
-            )
-        revision = self._follower.fetched_revision
-        return FetchChanges(after=revision, reports=self._current_reports())
+            return self._follower.image_request(self._source)
+        return FetchChanges(
+            after=self._follower.fetched_revision,
+            reports=self._current_reports(),
+            digest=self._follower.fetched_digest,
+        )
 
     def _on_reply(self, message: _FetchReplied) -> None:
         if message.number != self._fetch_number or not self._fetch_in_flight:
@@ -186,8 +186,12 @@
         self._fetch_in_flight = False
         self._log_reply(message)
         match message.reply:
+            case StateUpdate() as update:
+                result = self._follower.on_update(update, sent_at=self._sent_at)
+                self._on_applied_reply(update, result)
             case ChangeBatch() as batch:
-                self._on_batch(batch)
+                result = self._follower.on_batch(batch, sent_at=self._sent_at)
+                self._on_applied_reply(batch, result)
             case SnapshotNeeded(revision=revision):
                 self._on_snapshot_needed(revision)
             case ImagePiece() as piece:
@@ -199,12 +203,12 @@
 
     def _log_reply(self, message: _FetchReplied) -> None:
         reply = message.reply
-        is_batch = isinstance(reply, ChangeBatch)
+        has_state = isinstance(reply, StateUpdate | ChangeBatch)
         self._fetch_log.replied(
             sent_at=self._sent_at,
             arrived_at=message.arrived_at,
-            held=reply.waited if is_batch else 0.0,
-            source_age=reply.confirmed_age if is_batch else 0.0,
+            held=reply.waited if has_state else 0.0,
+            source_age=reply.confirmed_age if has_state else 0.0,
             source_revision=getattr(reply, "revision", 0),
         )
 
@@ -213,10 +217,11 @@
             self._needs_image = False
             self._back_off(BatchResult.BEHIND.value)
         else:
-            self._needs_image = not self._follower.on_piece(piece)
+            self._needs_image = not self._follower.on_piece(piece, source=self._source)
 
-    def _on_batch(self, batch: ChangeBatch) -> None:
-        result = self._follower.on_batch(batch, sent_at=self._sent_at)
+    def _on_applied_reply(
+        self, batch: StateUpdate | ChangeBatch, result: BatchResult
+    ) -> None:
         self._log_catching_up(batch, result)
         if result is BatchResult.MISMATCH:
             logger.error(
@@ -234,7 +239,7 @@
         else:
             self._avoid_stale_sources(batch.confirmed_age)
 
-    def _awaits_confirmation(self, batch: ChangeBatch) -> bool:
+    def _awaits_confirmation(self, batch: StateUpdate | ChangeBatch) -> bool:
         """Whether to stay with a source that isn't confirmed yet, as nobody may be."""
         is_confirmed = batch.confirmed_age < UNCONFIRMED_AGE_SECONDS
         if is_confirmed or self._follower.state.revision > 0:
@@ -243,7 +248,9 @@
         self._unconfirmed_since = min(self._unconfirmed_since, now)
         return now - self._unconfirmed_since < UNCONFIRMED_PATIENCE_SECONDS
 
-    def _log_catching_up(self, batch: ChangeBatch, result: BatchResult) -> None:
+    def _log_catching_up(
+        self, batch: StateUpdate | ChangeBatch, result: BatchResult
+    ) -> None:
         """Log each batch until the copy was first confirmed."""
         if self._is_confirmed:
             return
@@ -251,7 +258,6 @@
         logger.bind(
             source=self._source,
             result=result.value,
-            changes=len(batch.changes),
             revision=self._follower.fetched_revision,
             source_revision=batch.revision,
             source_age=round(batch.confirmed_age, 2),
@@ -259,7 +265,7 @@
             seconds=round(self._clock.now() - self._sent_at, 3),
         ).info("follower: received a batch while catching up.")
 
-    def _has_caught_up_with(self, batch: ChangeBatch) -> bool:
+    def _has_caught_up_with(self, batch: StateUpdate | ChangeBatch) -> bool:
         """Return whether the copy has every change that the source of ``batch`` has.
 
         Until then even a stale source is useful.
--- a/src/chicoryhold/control/messages.py
+++ b/src/chicoryhold/control/messages.py
@@ -36,10 +36,13 @@
     """Asks for accepted changes after a revision; answered when there are any.
 
     ``reports`` are those of the requesting host and of the hosts that fetch from it.
+    ``digest`` is that of the revision ``after``. With it, the answer is a
+    :class:`StateUpdate`; hosts of older builds don't send it.
     """
 
     after: int
     reports: tuple[HostReport, ...] = ()
+    digest: bytes | None = None
 
 
 @message
@@ -60,6 +63,21 @@
     waited: float = 0.0
 
 
+@message
+class StateUpdate:
+    """What differs between the revision ``after`` and the source's ``revision``.
+
+    ``data`` is a compressed :class:`chicoryhold.state.delta.StateDelta`, and empty if
+    the two are equal. The other fields are those of :class:`ChangeBatch`.
+    """
+
+    after: int
+    revision: int
+    confirmed_age: float
+    waited: float
+    data: bytes
+
+
 @message
 class SnapshotNeeded:
     """The source no longer stores the requested changes; an image is needed."""
@@ -79,12 +97,14 @@
     """Asks for a piece of an image of the source's state.
 
     ``offset`` is in bytes. ``revision`` is that of the image, or 0 for the first
-    piece. An older image than of the revision ``at_least`` is of no use.
+    piece. An older image than of the revision ``at_least`` is of no use. ``compressed``
+    asks for a compressed image; hosts of older builds send one that isn't.
     """
 
     revision: int
     offset: int
     at_least: int = 0
+    compressed: bool = False
 
 
 @message
@@ -95,6 +115,7 @@
     offset: int
     total: int
     data: bytes
+    compressed: bool = False
 
 
 @message
--- a/src/chicoryhold/state/control_state.py
+++ b/src/chicoryhold/state/control_state.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from chicoryhold.codec import decode, encode, message
+from chicoryhold.codec import decode, encode
 from chicoryhold.routing.configuration import Configuration
 from chicoryhold.state.changes import (
     Change,
@@ -29,52 +29,13 @@
     StartShift,
     WithdrawKey,
 )
-from chicoryhold.state.table import Table, check_table, parse_table
-from chicoryhold.state.targets import TargetRecord, TargetRecords
+from chicoryhold.state.delta import StateDelta
+from chicoryhold.state.objects import StateObjects
+from chicoryhold.state.records import KeyRecord, RequestRecord, StateImage
+from chicoryhold.state.table import Table, check_table
+from chicoryhold.state.targets import TargetRecords
 
 MAX_REQUEST_RECORDS = 100_000
-EMPTY_TABLE = "scope,name,field,value,unit\n"
-EMPTY_CONFIGURATION = Configuration(version=0)
-
-
-@message
-class KeyRecord:
-    """A key of an organisation; ``withdrawn`` never becomes false again."""
-
-    key_id: str
-    organisation: str
-    withdrawn: bool = False
-
-
-@message
-class RequestRecord:
-    """The outcome for a request id.
-
-    ``digest`` is the digest of the change's body. It distinguishes a resend from a
-    reuse of the id for another change.
-    """
-
-    digest: bytes
-    outcome: Outcome
-
-
-@message
-class StateImage:
-    """The complete control state, as stored in snapshots."""
-
-    revision: int
-    digest: bytes
-    table: str
-    table_revision: int
-    organisations: tuple[str, ...]
-    keys: dict[str, KeyRecord]
-    shifts: dict[str, StartShift]
-    stops: tuple[str, ...]
-    requests: dict[str, RequestRecord]
-    configuration: Configuration = EMPTY_CONFIGURATION
-    configuration_text: bytes = b""
-    targets: tuple[TargetRecord, ...] = ()
-    evacuated: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -93,18 +54,9 @@
         self._max_request_records = max_request_records
         self._revision = 0
         self._digest = b""
-        self._table_text = EMPTY_TABLE
-        self._table = Table()
-        self._table_revision = 0
-        self._organisations: set[str] = set()
-        self._keys: dict[str, KeyRecord] = {}
-        self._shifts: dict[str, StartShift] = {}
-        self._stops: set[str] = set()
+        self._objects = StateObjects()
         self._requests: dict[str, RequestRecord] = {}
-        self._configuration = EMPTY_CONFIGURATION
         self._configuration_text = b""
-        self._targets = TargetRecords()
-        self._evacuated: set[str] = set()
 
     @property
     def revision(self) -> int:
@@ -115,40 +67,50 @@
         """The hash chain over all accepted changes."""
         return self._digest
 
+    @property
+    def checksum(self) -> int:
+        """A checksum over all that entry hosts decide by."""
+        return self._objects.checksum
+
+    @property
+    def oldest_base(self) -> int:
+        """The oldest revision for which :meth:`delta` is known."""
+        return self._objects.oldest_base
+
     @property
     def table(self) -> Table:
-        return self._table
+        return self._objects.table
 
     @property
     def table_text(self) -> str:
-        return self._table_text
+        return self._objects.table_text
 
     @property
     def table_revision(self) -> int:
         """The revision that last changed the table."""
-        return self._table_revision
+        return self._objects.table_revision
 
     @property
     def organisations(self) -> frozenset[str]:
-        return frozenset(self._organisations)
+        return frozenset(self._objects.organisations)
 
     @property
     def keys(self) -> tuple[KeyRecord, ...]:
-        return tuple(self._keys.values())
+        return tuple(self._objects.keys.values())
 
     @property
     def shifts(self) -> tuple[StartShift, ...]:
-        return tuple(self._shifts.values())
+        return tuple(self._objects.shifts.values())
 
     @property
     def stops(self) -> frozenset[str]:
         """Entry hosts with a planned stop."""
-        return frozenset(self._stops)
+        return frozenset(self._objects.stops)
 
     @property
     def configuration(self) -> Configuration:
         """The current configuration; version 0 if none has been accepted yet."""
-        return self._configuration
+        return self._objects.configuration
 
     @property
     def configuration_text(self) -> bytes:
@@ -157,16 +119,16 @@
 
     @property
     def targets(self) -> TargetRecords:
-        return self._targets
+        return self._objects.targets
 
     @property
     def evacuated(self) -> frozenset[str]:
         """Failure domains whose targets get no requests."""
-        return frozenset(self._evacuated)
+        return frozenset(self._objects.evacuated)
 
     def key_by_digest(self, digest: str) -> KeyRecord | None:
         """Return the key whose hexadecimal SHA-256 is ``digest``, even if withdrawn."""
-        return self._keys.get(digest)
+        return self._objects.keys.get(digest)
 
     def apply(self, change: Change) -> Outcome:
         """Apply ``change``; a resend returns the outcome of the first application."""
@@ -196,21 +158,22 @@
         the configuration back from them, so images for them omit the request records
         and the configuration's text.
         """
+        objects = self._objects
         return encode(
             StateImage(
                 revision=self._revision,
                 digest=self._digest,
-                table=self._table_text,
-                table_revision=self._table_revision,
-                organisations=tuple(sorted(self._organisations)),
-                keys=self._keys,
-                shifts=self._shifts,
-                stops=tuple(sorted(self._stops)),
+                table=objects.table_text,
+                table_revision=objects.table_revision,
+                organisations=tuple(sorted(objects.organisations)),
+                keys=objects.keys,
+                shifts=objects.shifts,
+                stops=tuple(sorted(objects.stops)),
                 requests=self._requests if for_replica else {},
-                configuration=self._configuration,
+                configuration=objects.configuration,
                 configuration_text=self._configuration_text if for_replica else b"",
-                targets=tuple(self._targets),
-                evacuated=tuple(sorted(self._evacuated)),
+                targets=tuple(objects.targets),
+                evacuated=tuple(sorted(objects.evacuated)),
             )
         )
 
@@ -220,22 +183,33 @@
             self.__init__(max_request_records=self._max_request_records)
             return
         image: StateImage = decode(data)
-        self._table_text = image.table
-        self._table = parse_table(image.table)
-        self._table_revision = image.table_revision
-        self._organisations = set(image.organisations)
-        self._keys = dict(image.keys)
-        self._shifts = dict(image.shifts)
-        self._stops = set(image.stops)
+        self._objects = StateObjects.of(image)
         self._requests = dict(image.requests)
-        self._configuration = image.configuration
         self._configuration_text = image.configuration_text
-        self._targets = TargetRecords(image.targets)
-        self._evacuated = set(image.evacuated)
         # Last: other threads take a revision above 0 to mean that the rest is there.
         self._digest = image.digest
         self._revision = image.revision
 
+    def delta(self, *, after: int) -> StateDelta:
+        """Return what differs from the revision ``after`` of this state.
+
+        ``after`` must be at least :attr:`oldest_base`.
+        """
+        return self._objects.delta(
+            after=after, revision=self._revision, digest=self._digest
+        )
+
+    def apply_delta(self, delta: StateDelta) -> bool:
+        """Apply ``delta``; return whether the result is the state it was made from.
+
+        The revision of this state must be between the two of ``delta``.
+        """
+        is_equal = self._objects.apply_delta(delta)
+        # Last: other threads take a new revision to mean that the rest is there.
+        self._digest = delta.digest
+        self._revision = delta.revision
+        return is_equal
+
     def _outcome_of_resend(
         self, previous: RequestRecord, body_digest: bytes
     ) -> Outcome:
@@ -257,91 +231,92 @@
             del self._requests[next(iter(self._requests))]
 
     def _apply_body(self, body: object, based_on: int | None) -> None:
+        objects, revision = self._objects, self._revision + 1
         match body:
             case CreateOrganisation():
-                self._create_organisation(body)
+                self._create_organisation(body, revision)
             case GiveKey():
-                self._give_key(body)
+                self._give_key(body, revision)
             case WithdrawKey():
-                self._withdraw_key(body)
+                self._withdraw_key(body, revision)
             case PutTable():
-                self._put_table(body, based_on)
+                self._put_table(body, based_on, revision)
             case StartShift():
-                self._start_shift(body)
+                self._start_shift(body, revision)
             case EndShift():
-                self._end_shift(body)
+                self._end_shift(body, revision)
             case PlanStop():
-                self._stops.add(body.host)
+                objects.put_stops(self.stops | {body.host}, revision)
             case EndStop():
-                self._stops.discard(body.host)
+                objects.put_stops(self.stops - {body.host}, revision)
             case PutConfiguration():
-                self._put_configuration(body)
+                self._put_configuration(body, revision)
             case RecordTargets():
-                for record in body.records:
-                    self._targets.put(record)
+                objects.record_targets(body.records, revision)
             case EvacuateDomain():
-                self._evacuated.add(body.domain)
+                objects.put_evacuated(self.evacuated | {body.domain}, revision)
             case EndEvacuation():
-                self._evacuated.discard(body.domain)
+                objects.put_evacuated(self.evacuated - {body.domain}, revision)
             case _:
                 raise _Refusal(reason=f"{type(body).__name__} is not a change")
 
-    def _create_organisation(self, body: CreateOrganisation) -> None:
-        if body.name in self._organisations:
+    def _create_organisation(self, body: CreateOrganisation, revision: int) -> None:
+        if body.name in self._objects.organisations:
             raise _Refusal(reason=f"organisation {body.name!r} exists already")
-        self._organisations.add(body.name)
+        self._objects.add_organisation(body.name, revision)
 
-    def _give_key(self, body: GiveKey) -> None:
-        if body.organisation not in self._organisations:
+    def _give_key(self, body: GiveKey, revision: int) -> None:
+        if body.organisation not in self._objects.organisations:
             raise _Refusal(
                 reason=f"organisation {body.organisation!r} doesn't exist: create it"
             )
-        if body.digest in self._keys:
+        if body.digest in self._objects.keys:
             raise _Refusal(reason="this key was given before: give a new one")
-        self._keys[body.digest] = KeyRecord(
-            key_id=body.key_id, organisation=body.organisation
-        )
+        record = KeyRecord(key_id=body.key_id, organisation=body.organisation)
+        self._objects.put_key(body.digest, record, revision)
 
-    def _withdraw_key(self, body: WithdrawKey) -> None:
-        for digest, record in self._keys.items():
+    def _withdraw_key(self, body: WithdrawKey, revision: int) -> None:
+        for digest, record in self._objects.keys.items():
             if record.key_id == body.key_id:
-                self._keys[digest] = attrs.evolve(record, withdrawn=True)
+                withdrawn = attrs.evolve(record, withdrawn=True)
+                self._objects.put_key(digest, withdrawn, revision)
                 return
         raise _Refusal(reason=f"key {body.key_id!r} doesn't exist: list the keys")
 
-    def _put_configuration(self, body: PutConfiguration) -> None:
+    def _put_configuration(self, body: PutConfiguration, revision: int) -> None:
         # An older or equal version is acknowledged without effect. It was accepted
         # before or is superseded by a higher version, so the sender must not retry.
-        if body.configuration.version > self._configuration.version:
-            self._configuration = body.configuration
+        if body.configuration.version > self.configuration.version:
+            self._objects.put_configuration(body.configuration, revision)
             self._configuration_text = body.text
 
-    def _put_table(self, body: PutTable, based_on: int | None) -> None:
-        if based_on is None or not self._table_revision <= based_on <= self._revision:
+    def _put_table(self, body: PutTable, based_on: int | None, revision: int) -> None:
+        table_revision = self._objects.table_revision
+        if based_on is None or not table_revision <= based_on <= self._revision:
             raise _Refusal(
                 reason=(
-                    f"the table was changed in revision {self._table_revision}, after "
+                    f"the table was changed in revision {table_revision}, after "
                     f"revision {based_on}: get it again and repeat your edit"
                 ),
-                difference=text_difference(self._table_text, body.text),
+                difference=text_difference(self.table_text, body.text),
             )
         faults = check_table(body.text)
         if faults:
             raise _Refusal(reason="; ".join(str(fault) for fault in faults))
-        self._table_text = body.text
-        self._table = parse_table(body.text)
-        self._table_revision = self._revision + 1
+        self._objects.put_table(body.text, revision)
 
-    def _start_shift(self, body: StartShift) -> None:
+    def _start_shift(self, body: StartShift, revision: int) -> None:
         if not 0 <= body.share <= 1 or body.cap <= 0:
             raise _Refusal(
                 reason="a shift needs a share from 0 to 1 and a cap above 0 requests/s"
             )
-        self._shifts[body.name] = body
+        self._objects.put_shifts(self._objects.shifts | {body.name: body}, revision)
 
-    def _end_shift(self, body: EndShift) -> None:
-        if self._shifts.pop(body.name, None) is None:
+    def _end_shift(self, body: EndShift, revision: int) -> None:
+        shifts = dict(self._objects.shifts)
+        if shifts.pop(body.name, None) is None:
             raise _Refusal(reason=f"shift {body.name!r} doesn't exist: list the shifts")
+        self._objects.put_shifts(shifts, revision)
 
 
 def text_difference(old: str, new: str) -> str:
--- a/src/chicoryhold/state/table.py
+++ b/src/chicoryhold/state/table.py
@@ -12,6 +12,7 @@
 
 CsvReader = type(csv.reader([]))  # the csv module has no name for it
 COLUMNS = ("scope", "name", "field", "value", "unit")
+EMPTY_TABLE = "scope,name,field,value,unit\n"
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chicoryhold/state/targets.py
+++ b/src/chicoryhold/state/targets.py
@@ -92,6 +92,22 @@
     def get(self, instance: str) -> TargetRecord | None:
         return self._index.records.get(instance)
 
+    def copy(self) -> TargetRecords:
+        """Return the same records, which later calls of :meth:`put` don't change."""
+        other = TargetRecords()
+        other._index = self._index
+        return other
+
+    def replaced(
+        self, records: Iterable[TargetRecord], removed: Iterable[str]
+    ) -> TargetRecords:
+        """Return these with ``records`` as given, and without those ``removed``."""
+        by_instance = dict(self._index.records)
+        for instance in removed:
+            by_instance.pop(instance, None)
+        by_instance.update({record.instance: record for record in records})
+        return TargetRecords(tuple(by_instance.values()))
+
     def is_newer(self, record: TargetRecord) -> bool:
         """Return whether ``record`` is newer than the stored records it concerns.
 
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -65,6 +65,9 @@
     requests: list[FetchChanges] = attrs.field(factory=list)
     peers: list[str] = attrs.field(factory=list)
 
+    def forget(self, future: Future) -> None:
+        """Do nothing: replies to fetches that were given up are ignored."""
+
     def ask(self, peer: str, request: FetchChanges) -> Future:
         self.requests.append(request)
         self.peers.append(peer)
@@ -335,7 +338,7 @@
     image = feed.piece(FetchImage(revision=0, offset=0))
     accept(state, feed, count=10, prefix="o")
     follower = Follower(clock=clock)
-    assert follower.on_piece(image)
+    assert follower.on_piece(image, source="control")
     assert follower.fetched_revision == 50
     assert follower.state.revision == 0
     batch = feed.answer(FetchChanges(after=50), confirmed_age=0.0)
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -10,7 +10,12 @@
 from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.control.feed import ChangeFeed
 from chicoryhold.control.follower import BatchResult, Follower
-from chicoryhold.control.messages import FetchChanges, FetchImage, SnapshotNeeded
+from chicoryhold.control.messages import (
+    FetchChanges,
+    FetchImage,
+    SnapshotNeeded,
+    StateUpdate,
+)
 from chicoryhold.state.changes import (
     Change,
     CreateOrganisation,
@@ -113,6 +118,7 @@
     source = ControlState()
     feed = ChangeFeed(state=source)
     digests = {0: source.digest}
+    checksums = {0: source.checksum}
     follower = Follower(clock=clock)
     pending: list = []
     for number in range(60):
@@ -127,9 +133,13 @@
             source.apply(accepted)
             feed.record(accepted)
             digests[source.revision] = source.digest
+            checksums[source.revision] = source.checksum
         if random.random() < 0.1:
             feed.clear()
-        request = FetchChanges(after=follower.fetched_revision)
+        request = FetchChanges(
+            after=follower.fetched_revision,
+            digest=follower.fetched_digest if random.random() < 0.5 else None,
+        )
         pending.append((clock.now(), feed.answer(request, confirmed_age=0.0)))
         random.shuffle(pending)
         previous_revision = follower.state.revision
@@ -137,12 +147,16 @@
         if random.random() < 0.7:
             sent_at, reply = pending.pop()
             if isinstance(reply, SnapshotNeeded):
-                follower.on_piece(feed.piece(FetchImage(revision=0, offset=0)))
+                piece = feed.piece(FetchImage(revision=0, offset=0))
+                follower.on_piece(piece, source="source")
+            elif isinstance(reply, StateUpdate):
+                follower.on_update(reply, sent_at=sent_at)
             else:
                 follower.on_batch(reply, sent_at=sent_at)
         assert follower.state.revision >= previous_revision
         assert follower.fetched_revision >= previous_fetched
         assert follower.state.digest == digests[follower.state.revision]
+        assert follower.state.checksum == checksums[follower.state.revision]
 
 
 def test_copy_whose_state_has_diverged_is_detected():
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -4,10 +4,20 @@
 
 from random import Random
 
+import attrs
+import pytest
+
 from chicoryhold.codec import encode
 from chicoryhold.control.feed import ChangeFeed
 from chicoryhold.control.follower import Follower
-from chicoryhold.control.messages import FetchChanges, FetchImage, SnapshotNeeded
+from chicoryhold.control.messages import (
+    ChangeBatch,
+    FetchChanges,
+    FetchImage,
+    ImagePiece,
+    SnapshotNeeded,
+    StateUpdate,
+)
 from chicoryhold.routing.configuration import Configuration, OrganisationRule
 from chicoryhold.state.changes import CreateOrganisation, PutConfiguration
 from chicoryhold.state.control_state import ControlState
@@ -54,13 +64,48 @@
         self.accept(CreateOrganisation(name=f"o{self.state.revision}"))
 
 
+class Copy:
+    """A copy that fetches as a host of this build does, or of an older one."""
+
+    def __init__(self, *, is_older_build: bool) -> None:
+        self.follower = Follower(clock=FakeClock())
+        self._is_older_build = is_older_build
+
+    def fetch(self) -> FetchChanges:
+        digest = None if self._is_older_build else self.follower.fetched_digest
+        return FetchChanges(after=self.follower.fetched_revision, digest=digest)
+
+    def image(self) -> FetchImage:
+        request = self.follower.image_request("source")
+        return attrs.evolve(request, compressed=not self._is_older_build)
+
+    def next_request(self, reply) -> FetchChanges | FetchImage:
+        """Take ``reply`` and return what to ask next."""
+        match reply:
+            case SnapshotNeeded():
+                return self.image()
+            case ChangeBatch():
+                self.follower.on_batch(reply, sent_at=0.0)
+            case StateUpdate():
+                self.follower.on_update(reply, sent_at=0.0)
+            case ImagePiece():
+                if not self.follower.on_piece(reply, source="source"):
+                    return self.image()
+        return self.fetch()
+
+
+@pytest.fixture(params=[False, True], ids=["this build", "older build"])
+def copy(request) -> Copy:
+    return Copy(is_older_build=request.param)
+
+
 def replies_until_confirmed(
-    source: Source, follower: Follower, *, max_replies: int, between=lambda: None
+    source: Source, copy: Copy, *, max_replies: int, between=lambda: None
 ) -> list[int]:
-    """Return the bytes of each reply until the follower has caught up."""
+    """Return the bytes of each reply until the copy has caught up."""
     sizes: list[int] = []
-    request = FetchChanges(after=0)
-    while follower.confirmed_at == float("-inf"):
+    request = copy.fetch()
+    while copy.follower.confirmed_at == float("-inf"):
         assert len(sizes) < max_replies, "the copy does not catch up"
         if isinstance(request, FetchChanges):
             reply = source.feed.answer(request, confirmed_age=0.0)
@@ -68,45 +113,31 @@
             reply = source.feed.piece(request)
         sizes.append(len(encode(reply)))
         between()
-        request = _next_request(follower, reply)
+        request = copy.next_request(reply)
     return sizes
 
 
-def _next_request(follower: Follower, reply) -> FetchChanges | FetchImage:
-    if isinstance(reply, SnapshotNeeded):
-        return FetchImage(revision=0, offset=0)
-    if hasattr(reply, "changes"):
-        follower.on_batch(reply, sent_at=0.0)
-    elif not follower.on_piece(reply):
-        return FetchImage(
-            revision=follower.image_revision, offset=follower.image_offset
-        )
-    return FetchChanges(after=follower.fetched_revision)
-
-
-def test_no_reply_is_too_large_for_a_slow_link_to_carry_before_the_fetch_times_out():
+def test_no_reply_is_too_large_for_a_slow_link_to_carry_before_the_fetch_times_out(
+    copy,
+):
     source = Source()
     for _ in range(CONFIGURATIONS):
         source.put_configuration()
-    sizes = replies_until_confirmed(
-        source, Follower(clock=FakeClock()), max_replies=200
-    )
+    sizes = replies_until_confirmed(source, copy, max_replies=200)
     # Four fetches of other hosts may share the link.
     assert max(sizes) <= LINK_BYTES_PER_FETCH / 4
 
 
-def test_restarted_host_does_not_fetch_configurations_that_were_superseded():
+def test_restarted_host_does_not_fetch_configurations_that_were_superseded(copy):
     source = Source()
     for _ in range(CONFIGURATIONS):
         source.put_configuration()
     image_bytes = len(source.state.image())
-    sizes = replies_until_confirmed(
-        source, Follower(clock=FakeClock()), max_replies=200
-    )
+    sizes = replies_until_confirmed(source, copy, max_replies=200)
     assert sum(sizes) <= image_bytes + OVERHEAD_BYTES
 
 
-def test_copy_catches_up_while_other_copies_start_and_the_state_changes():
+def test_copy_catches_up_while_other_copies_start_and_the_state_changes(copy):
     source = Source()
     for _ in range(15_000):
         source.create_organisation()
@@ -119,22 +150,23 @@
 
     replies_until_confirmed(
         source,
-        Follower(clock=FakeClock()),
+        copy,
         max_replies=60,
         between=another_host_starts,
     )
 
 
-def test_single_change_that_is_too_large_for_a_reply_is_sent_as_an_image_in_pieces():
+def test_single_change_that_is_too_large_for_a_reply_is_sent_as_an_image_in_pieces(
+    copy,
+):
     source = Source()
     for _ in range(30_000):
         source.create_organisation()
-    source.put_configuration(organisations=1_200)
-    follower = Follower(clock=FakeClock())
-    sizes = replies_until_confirmed(source, follower, max_replies=60)
+    source.put_configuration(organisations=4_000)
+    sizes = replies_until_confirmed(source, copy, max_replies=200)
     assert max(sizes) <= LINK_BYTES_PER_FETCH / 4
-    source.put_configuration(organisations=1_200)
-    reply = source.feed.answer(FetchChanges(after=30_001), confirmed_age=0.0)
+    source.put_configuration(organisations=4_000)
+    reply = source.feed.answer(copy.fetch(), confirmed_age=0.0)
     assert isinstance(reply, SnapshotNeeded)
 
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -127,6 +127,9 @@
     asked: list[str] = attrs.field(factory=list)
     far_replies_to: Callable[[FetchChanges], object] | None = None
 
+    def forget(self, future: Future) -> None:
+        """Do nothing: replies to fetches that were given up are ignored."""
+
     def ask(self, peer: str, request: FetchChanges) -> Future:
         self.asked.append(peer)
         future: Future = Future()
--- /dev/null
+++ b/tests/test_late_replies.py
@@ -0,0 +1,33 @@
+"""A host whose replies are late, large or held up still puts changes in force."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.follower_trial import Link, Trial
+
+APPLY_SECONDS = 2.5  # the users' bound from an acknowledgement to its use everywhere
+SLOW_LINK_BYTES_PER_SECOND = 225_000  # 1.8 Mbit/s, shared with callers
+SETTLE_SECONDS = 8.0
+
+
+@pytest.mark.parametrize("routes", [600, 1_400])
+def test_a_storm_of_large_configurations_does_not_outpace_a_slow_link(routes):
+    link = Link(delay=0.12, bytes_per_second=SLOW_LINK_BYTES_PER_SECOND / 2)
+    trial = Trial(link=link, routes=routes)
+    trial.accept()
+    trial.run(SETTLE_SECONDS)
+    assert trial.storm(40, gap=0.12) <= APPLY_SECONDS
+
+
+def test_a_host_that_missed_a_storm_while_it_was_paused_catches_up_in_one_reply():
+    link = Link(delay=0.12, bytes_per_second=SLOW_LINK_BYTES_PER_SECOND / 2)
+    trial = Trial(link=link, routes=1_400, pause=(8.0, 17.0))
+    trial.accept()
+    trial.run(8.0)
+    received = trial.received_bytes
+    trial.storm(70, gap=0.12)
+    trial.run(17.0 - trial.elapsed)
+    trial.run(1.0)
+    assert trial.lag == 0.0
+    assert trial.received_bytes - received < 100_000
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -21,11 +21,12 @@
 
 PRODUCTION = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["production"]
 OLD_MESSAGES = ROOT / "tests" / "data" / f"messages_{PRODUCTION}.json"
-# Hosts of the build in production drop these kinds, and each is sent without waiting
-# for a reply.
-NEW_KINDS: set[str] = set()
-# These are only sent inside messages of other kinds, in fields that are ignored.
-NEW_NESTED_KINDS: set[str] = set()
+# Hosts of the build in production drop these kinds. Each is sent without waiting for a
+# reply, or only to a host whose request shows that it is of this build.
+NEW_KINDS: set[str] = {"StateUpdate"}
+# These are only sent inside messages of other kinds, in fields that are ignored, or
+# inside those of new kinds.
+NEW_NESTED_KINDS: set[str] = {"RuleChanges", "StateDelta"}
 START_TIMEOUT_SECONDS = 20.0
 CONTROL_IP, OLD_IP, NEW_IP = "127.0.9.1", "127.0.9.2", "127.0.9.3"
 PORTS = {"front": 0, "ready": 1, "control": 2, "directory": 3}
