Use the replies of sources that come late; ask another source meanwhile

What callers saw: requests handled by configurations that had been replaced seconds ago, on hosts that answered other requests within milliseconds. Cause: a reply that came after its fetch timed out was dropped, and its source avoided for 10 s. A source, link or host that is slow for long so gave copies of any age, and a pause of the process looked like sources that had died. A source that didn't reply in time is avoided only until it replies. A reply is judged by the copy that it finds, so one that another reply has overtaken isn't held against its source. Why it works: an update fits any copy at or after the revision that was asked for, so each reply that arrives brings the copy to what its source had when it answered.

--- a/src/chicoryhold/control/fetch_log.py
+++ b/src/chicoryhold/control/fetch_log.py
@@ -18,8 +18,9 @@
 
     age: float = 0.0
     asked: int = 0
-    used: int = 0
+    replies: int = 0
     late: int = 0
+    too_late: int = 0
     without_source: int = 0
     held: float = 0.0
     on_the_way: float = 0.0
@@ -61,19 +62,21 @@
         self._second.without_source += 1
         self._reason = "no source is known that replies"
 
-    def was_late(self) -> None:
-        self._second.late += 1
+    def was_too_late(self) -> None:
+        """Record a reply to a fetch that was given up."""
+        self._second.too_late += 1
 
     def failed(self, reason: str) -> None:
         self._reason = reason
 
     def replied(
         self, *, sent_at: float, arrived_at: float, held: float, source_age: float,
-        source_revision: int,
+        source_revision: int, is_late: bool,
     ) -> None:  # fmt: skip
-        """Record a reply that was used."""
+        """Record a reply; a late one came after another source was asked."""
         second = self._second
-        second.used += 1
+        second.replies += 1
+        second.late += is_late
         second.held = max(second.held, held)
         second.on_the_way = max(second.on_the_way, arrived_at - sent_at - held)
         second.queued = max(second.queued, self._clock.now() - arrived_at)
--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -21,14 +21,15 @@
     SourceUnavailable,
     StateUpdate,
 )
+from chicoryhold.control.open_fetches import OpenFetch, OpenFetches
 from chicoryhold.control.pending_fetches import PendingFetches
+from chicoryhold.control.sources import SourceChoice
 from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick, tell_reply
 from chicoryhold.hosts.bus import Bus
 
 FETCH_TIMEOUT_SECONDS = 1.5
 RETRY_DELAY_SECONDS = 0.1
 STALE_SOURCE_AGE_SECONDS = 3.0
-SOURCE_BACKOFF_SECONDS = 10.0
 REPORT_EXPIRY_SECONDS = 10.0
 # Longer than an election. After all hosts have started, no source is confirmed before.
 UNCONFIRMED_PATIENCE_SECONDS = 1.5
@@ -53,8 +54,10 @@
 class FetchTiming:
     """Intervals in seconds.
 
-    A fetch fails after ``timeout``. A source whose state was confirmed more than
-    ``stale_age`` ago is stale. After a failure the next fetch waits ``retry_delay``.
+    If a fetch isn't answered within ``timeout``, another source is asked as well; half
+    of it while the copy is older than ``stale_age``. A source whose state was confirmed
+    more than ``stale_age`` ago is stale. After a failure the next fetch waits
+    ``retry_delay``.
     """
 
     timeout: float = FETCH_TIMEOUT_SECONDS
@@ -71,11 +74,12 @@
 
 
 class FollowerActor(CriticalActor):
-    """Fetches from one source at a time and serves its copy to other hosts.
+    """Keeps a copy up to date from its sources, and serves it to other hosts.
 
-    ``sources`` returns process names in order of preference. If a source doesn't
-    reply, is behind the copy or is stale, the next one is used. ``on_applied`` is
-    called after the revision of the follower's state has changed.
+    ``sources`` returns process names in order of preference. If a source is slow to
+    reply, is behind the copy or is stale, the next one is asked. Replies are used
+    whenever they arrive, since a host that is slow itself gets none in time.
+    ``on_applied`` is called after the revision of the follower's state has changed.
     """
 
     def __init__(
@@ -87,20 +91,21 @@
         self._timing = timing or FetchTiming()
         self._on_applied = on_applied
         self._notified_revision = -1
-        self._backoff_until: dict[str, float] = {}
-        self._found_stale_at: dict[str, float] = {}
         self._follower = follower
-        self._sources = sources
         self._bus = bus
         self._clock = clock
         self._domain = domain
+        self._choice = SourceChoice(
+            sources=sources,
+            clock=clock,
+            unconfirmed_back_off=self._timing.live_back_off,
+        )
+        self._fetches = OpenFetches(
+            clock=clock, forget=lambda future: bus.forget(future)
+        )
         self._incoming_fetches = PendingFetches(feed=follower.feed, clock=clock)
         self._reports: dict[str, _TimedReport] = {}
         self._source = ""
-        self._suggested_source = ""
-        self._fetch_number = 0
-        self._sent_at = 0.0
-        self._fetch_in_flight = False
         self._next_fetch_at = 0.0
         self._needs_image = False
         self._is_confirmed = False
@@ -124,7 +129,6 @@
             self._fetch_log.applied(since=since)
 
     def _tick(self) -> None:
-        now = self._clock.now()
         self._fetch_log.ticked()
         self._fetch_log.write(
             age=self._follower.age,
@@ -132,22 +136,35 @@
             version=self._follower.fetched_version,
             source=self._source,
         )
-        if self._fetch_in_flight and now - self._sent_at > self._timing.timeout:
-            self._back_off("the fetch timed out")
-        if not self._fetch_in_flight and now >= self._next_fetch_at:
+        for fetch in self._fetches.take_overdue(timeout=self._patience):
+            self._fetch_log.failed("a source is slow to reply")
+            self._log_avoided(fetch.source, "it is slow to reply")
+            self._choice.avoid_late(fetch.source)
+        if not self._expects_reply and self._clock.now() >= self._next_fetch_at:
             self._fetch()
 
+    @property
+    def _patience(self) -> float:
+        """How long a fetch may take before another source is asked as well."""
+        is_old = self._timing.stale_age < self._follower.age < UNCONFIRMED_AGE_SECONDS
+        return self._timing.timeout / 2 if is_old else self._timing.timeout
+
+    @property
+    def _expects_reply(self) -> bool:
+        """Whether a fetch is open that isn't late yet."""
+        newest = self._fetches.newest
+        return newest is not None and not newest.is_late
+
     def _fetch(self) -> None:
-        self._source = self._choose_source()
-        if not self._source:
+        source = self._choice.choose(waiting=self._fetches.sources)
+        if not source:
             self._fetch_log.had_no_source()
             return
+        self._source = source
         self._fetch_log.asked()
-        self._fetch_number += 1
-        self._sent_at = self._clock.now()
-        self._fetch_in_flight = True
-        future = self._bus.ask(self._source, self._request())
-        number = self._fetch_number
+        number = self._fetches.next_number()
+        future = self._bus.ask(source, self._request(source))
+        self._fetches.add(number, source=source, future=future)
         tell_reply(
             future,
             self.actor_ref,
@@ -157,91 +174,92 @@
             ),
         )
 
-    def _choose_source(self) -> str:
-        """Return the first source that has no back-off, preferring a suggested one."""
-        sources = self._sources()
-        if not sources:
-            return ""
-        now = self._clock.now()
-        if self._suggested_source in sources and now >= self._backoff_until.get(
-            self._suggested_source, 0.0
-        ):
-            return self._suggested_source
-        # If every source has a back-off, use the one whose back-off ends first.
-        return min(sources, key=lambda s: max(now, self._backoff_until.get(s, 0.0)))
-
-    def _request(self) -> FetchChanges | FetchImage:
+    def _request(self, source: str) -> FetchChanges | FetchImage:
+        follower = self._follower
         if self._needs_image:
-            return self._follower.image_request(self._source)
+            return follower.image_request(source)
         return FetchChanges(
-            after=self._follower.fetched_revision,
+            after=follower.fetched_revision,
             reports=self._current_reports(),
-            digest=self._follower.fetched_digest,
+            digest=follower.fetched_digest,
         )
 
     def _on_reply(self, message: _FetchReplied) -> None:
-        if message.number != self._fetch_number or not self._fetch_in_flight:
-            self._fetch_log.was_late()
+        fetch = self._fetches.take(message.number)
+        if fetch is None:
+            self._fetch_log.was_too_late()
             return
-        self._fetch_in_flight = False
-        self._log_reply(message)
+        self._choice.record_reply(fetch.source)
+        self._log_reply(message, fetch)
         match message.reply:
             case StateUpdate() as update:
-                result = self._follower.on_update(update, sent_at=self._sent_at)
-                self._on_applied_reply(update, result)
+                result = self._follower.on_update(update, sent_at=fetch.sent_at)
+                self._on_applied_reply(fetch, update, result)
             case ChangeBatch() as batch:
-                result = self._follower.on_batch(batch, sent_at=self._sent_at)
-                self._on_applied_reply(batch, result)
+                result = self._follower.on_batch(batch, sent_at=fetch.sent_at)
+                self._on_applied_reply(fetch, batch, result)
             case SnapshotNeeded(revision=revision):
-                self._on_snapshot_needed(revision)
+                self._on_snapshot_needed(fetch, revision)
             case ImagePiece() as piece:
-                self._on_piece(piece)
+                self._on_piece(fetch, piece)
             case SourceUnavailable(leader=leader):
-                self._avoid_unconfirmed_source("the source is unavailable", leader)
-        if not self._fetch_in_flight and self._clock.now() >= self._next_fetch_at:
+                self._log_avoided(fetch.source, "it is unavailable")
+                self._choice.avoid_unconfirmed(fetch.source, suggested=leader)
+                self._delay_next_fetch()
+        if not self._expects_reply and self._clock.now() >= self._next_fetch_at:
             self._fetch()
 
-    def _log_reply(self, message: _FetchReplied) -> None:
+    def _log_reply(self, message: _FetchReplied, fetch: OpenFetch) -> None:
         reply = message.reply
         has_state = isinstance(reply, StateUpdate | ChangeBatch)
         self._fetch_log.replied(
-            sent_at=self._sent_at,
+            sent_at=fetch.sent_at,
             arrived_at=message.arrived_at,
             held=reply.waited if has_state else 0.0,
             source_age=reply.confirmed_age if has_state else 0.0,
             source_revision=getattr(reply, "revision", 0),
+            is_late=fetch.is_late,
         )
 
-    def _on_piece(self, piece: ImagePiece) -> None:
+    def _on_piece(self, fetch: OpenFetch, piece: ImagePiece) -> None:
         if piece.revision < self._follower.fetched_revision:
             self._needs_image = False
-            self._back_off(BatchResult.BEHIND.value)
-        else:
-            self._needs_image = not self._follower.on_piece(piece, source=self._source)
+            self._avoid(fetch, BatchResult.BEHIND.value)
+        elif self._follower.on_piece(piece, source=fetch.source):
+            self._needs_image = False
 
     def _on_applied_reply(
-        self, batch: StateUpdate | ChangeBatch, result: BatchResult
+        self, fetch: OpenFetch, reply: StateUpdate | ChangeBatch, result: BatchResult
     ) -> None:
-        self._log_catching_up(batch, result)
+        self._log_catching_up(fetch, reply, result)
         if result is BatchResult.MISMATCH:
             logger.error(
                 "follower: state diverged from the source; loading a full image."
             )
             self._needs_image = True
-        elif result in (BatchResult.BEHIND, BatchResult.OUT_OF_ORDER):
-            self._back_off(result.value)
+        elif result is BatchResult.BEHIND and reply.revision >= reply.after:
+            # Another source has told more while this reply was on its way.
+            return
+        elif result is BatchResult.BEHIND:
+            self._avoid(fetch, result.value)
+        elif result is BatchResult.OUT_OF_ORDER:
+            return
         elif (
-            self._has_caught_up_with(batch)
-            and batch.confirmed_age > self._timing.stale_age
-            and not self._awaits_confirmation(batch)
+            self._has_caught_up_with(reply)
+            and reply.confirmed_age > self._timing.stale_age
+            and not self._awaits_confirmation(reply)
         ):
-            self._avoid_unconfirmed_source("the source is stale")
+            self._log_avoided(fetch.source, "it is stale")
+            self._choice.avoid_unconfirmed(fetch.source)
+            self._delay_next_fetch()
         else:
-            self._avoid_stale_sources(batch.confirmed_age)
+            self._choice.record_confirmed(
+                fetch.source, confirmed_age=reply.confirmed_age
+            )
 
-    def _awaits_confirmation(self, batch: StateUpdate | ChangeBatch) -> bool:
+    def _awaits_confirmation(self, reply: StateUpdate | ChangeBatch) -> bool:
         """Whether to stay with a source that isn't confirmed yet, as nobody may be."""
-        is_confirmed = batch.confirmed_age < UNCONFIRMED_AGE_SECONDS
+        is_confirmed = reply.confirmed_age < UNCONFIRMED_AGE_SECONDS
         if is_confirmed or self._follower.state.revision > 0:
             return False
         now = self._clock.now()
@@ -249,73 +267,52 @@
         return now - self._unconfirmed_since < UNCONFIRMED_PATIENCE_SECONDS
 
     def _log_catching_up(
-        self, batch: StateUpdate | ChangeBatch, result: BatchResult
+        self, fetch: OpenFetch, reply: StateUpdate | ChangeBatch, result: BatchResult
     ) -> None:
-        """Log each batch until the copy was first confirmed."""
+        """Log each reply until the copy was first confirmed."""
         if self._is_confirmed:
             return
         self._is_confirmed = self._follower.state.revision > 0
         logger.bind(
-            source=self._source,
+            source=fetch.source,
             result=result.value,
             revision=self._follower.fetched_revision,
-            source_revision=batch.revision,
-            source_age=round(batch.confirmed_age, 2),
+            source_revision=reply.revision,
+            source_age=round(reply.confirmed_age, 2),
             version=self._follower.fetched_version,
-            seconds=round(self._clock.now() - self._sent_at, 3),
-        ).info("follower: received a batch while catching up.")
+            seconds=round(self._clock.now() - fetch.sent_at, 3),
+        ).info("follower: received a reply while catching up.")
 
-    def _has_caught_up_with(self, batch: StateUpdate | ChangeBatch) -> bool:
-        """Return whether the copy has every change that the source of ``batch`` has.
+    def _has_caught_up_with(self, reply: StateUpdate | ChangeBatch) -> bool:
+        """Return whether the copy has every change that the source of ``reply`` has.
 
         Until then even a stale source is useful.
         """
-        return self._follower.fetched_revision >= batch.revision
+        return self._follower.fetched_revision >= reply.revision
 
-    def _on_snapshot_needed(self, revision: int) -> None:
+    def _on_snapshot_needed(self, fetch: OpenFetch, revision: int) -> None:
         if revision < self._follower.fetched_revision:
-            self._back_off(BatchResult.BEHIND.value)
+            self._avoid(fetch, BatchResult.BEHIND.value)
         else:
             self._needs_image = True
 
-    def _avoid_unconfirmed_source(self, reason: str, suggested: str = "") -> None:
-        """Avoid a source that replies, but isn't confirmed, for a short time.
-
-        Until a leader is elected that is so of all sources, and then of none.
-        """
-        self._found_stale_at[self._source] = self._clock.now()
-        self._back_off(reason, suggested, self._timing.live_back_off)
+    def _avoid(self, fetch: OpenFetch, reason: str) -> None:
+        self._log_avoided(fetch.source, reason)
+        self._choice.avoid(fetch.source)
+        self._delay_next_fetch()
 
-    def _avoid_stale_sources(self, confirmed_age: float) -> None:
-        """Avoid sources for longer that weren't confirmed when the current one was."""
-        now = self._clock.now()
-        for source, found_at in list(self._found_stale_at.items()):
-            if found_at < now - confirmed_age:
-                del self._found_stale_at[source]
-                if source != self._source:
-                    self._backoff_until[source] = now + SOURCE_BACKOFF_SECONDS
-
-    def _back_off(
-        self, reason: str, suggested: str = "", seconds: float = SOURCE_BACKOFF_SECONDS
-    ) -> None:
-        """Avoid the source for ``seconds``.
+    def _delay_next_fetch(self) -> None:
+        self._unconfirmed_since = float("inf")
+        self._next_fetch_at = self._clock.now() + self._timing.retry_delay
 
-        ``suggested`` is used next if it is one of the sources; its own back-off ends.
-        """
+    def _log_avoided(self, source: str, reason: str) -> None:
+        self._fetch_log.failed(reason)
         logger.bind(
-            source=self._source,
+            source=source,
             revision=self._follower.fetched_revision,
             age=round(min(self._follower.age, UNCONFIRMED_AGE_SECONDS), 2),
             reason=reason,
-        ).info("follower: backing off from the source.")
-        self._fetch_log.failed(reason)
-        now = self._clock.now()
-        self._unconfirmed_since = float("inf")
-        self._fetch_in_flight = False
-        self._backoff_until[self._source] = now + seconds
-        self._suggested_source = suggested
-        self._backoff_until.pop(suggested, None)
-        self._next_fetch_at = now + self._timing.retry_delay
+        ).info("follower: another source is asked.")
 
     def _on_request(self, received: PeerRequest) -> None:
         match received.message:
--- a/tests/test_late_replies.py
+++ b/tests/test_late_replies.py
@@ -11,6 +11,15 @@
 SETTLE_SECONDS = 8.0
 
 
+@pytest.mark.parametrize("delay", [0.1, 0.4, 0.7, 0.88, 0.95, 1.2, 2.0])
+def test_changes_are_not_in_force_for_seconds_because_replies_come_late(delay):
+    trial = Trial(link=Link(delay=delay))
+    trial.run(SETTLE_SECONDS)
+    assert trial.storm(67, gap=0.3) <= APPLY_SECONDS
+    trial.run(APPLY_SECONDS)
+    assert trial.follower.state.configuration.version == trial.version
+
+
 @pytest.mark.parametrize("routes", [600, 1_400])
 def test_a_storm_of_large_configurations_does_not_outpace_a_slow_link(routes):
     link = Link(delay=0.12, bytes_per_second=SLOW_LINK_BYTES_PER_SECOND / 2)
@@ -20,6 +29,13 @@
     assert trial.storm(40, gap=0.12) <= APPLY_SECONDS
 
 
+def test_a_paused_host_does_not_avoid_the_sources_that_replied_meanwhile():
+    trial = Trial(link=Link(delay=0.05), pause=(5.0, 8.0))
+    trial.run(8.0)
+    trial.accept()
+    assert trial.run(2.0) <= 0.5
+
+
 def test_a_host_that_missed_a_storm_while_it_was_paused_catches_up_in_one_reply():
     link = Link(delay=0.12, bytes_per_second=SLOW_LINK_BYTES_PER_SECOND / 2)
     trial = Trial(link=link, routes=1_400, pause=(8.0, 17.0))
