Refuse as not run what a copy that is known to be old can't decide

What callers saw: requests run where an older configuration says, and routes that exist denied with 404, by hosts that log that their copy is old and serve on. Cause: an entry host asked nothing of its copy's age. Change: control hosts say in each reply how old their own copy is. A host whose copy wasn't confirmed within the operators' bound, less 0.3 s, though control hosts have been current and replied for that long, sends nothing to targets: it refuses at once with 503 and Retry-After, says that it isn't ready, and is left out of look-ups while a third of its region's hosts remain. After a pause longer than that it does so for up to a second, until it knows what it missed. A host that is cut off, or whose control hosts have no leader, serves on. No host denies a route or a key by an old copy: it answers 503. Why it works: whatever keeps a copy old, callers go to other hosts within the bound; the host gives its link and processor to catching up.

--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -16,6 +16,7 @@
     stopping_refusal,
 )
 from chicoryhold.clock import Clock
+from chicoryhold.gateway.currency import CopyCurrency
 from chicoryhold.gateway.delivery import Delivery, RoutedRequest
 from chicoryhold.gateway.outcomes import MIN_REMAINING_SECONDS, deadline_passed
 from chicoryhold.gateway.relay import Relay, RelayedRequest
@@ -33,6 +34,13 @@
 
 RATE_RETRY_AFTER_SECONDS = 0.5
 NOT_READY_RETRY_AFTER_SECONDS = 0.3
+OLD_COPY = "the configuration here may be out of date"
+NO_SUCH_ROUTE = Refusal(
+    kind=RefusalKind.NO_ROUTE, ran=RunStatus.NOT_RUN, message="no such route"
+)
+INVALID_KEY = Refusal(
+    kind=RefusalKind.KEY_MISSING, ran=RunStatus.NOT_RUN, message="the key is not valid"
+)
 LOGGED_DIGEST_CHARACTERS = 8  # enough to tell keys apart, not to find one
 
 
@@ -50,17 +58,19 @@
 
     ``index`` returns the index of the current configuration; version 0 means that no
     configuration has been received yet. ``copy_age`` returns how many seconds ago the
-    copy that it comes from was confirmed to be the newest. ``may_take`` returns whether
-    a request with a given deadline may still be sent to a target.
+    copy that it comes from was confirmed to be the newest, and ``currency`` tells what
+    it is good for. ``may_take`` returns whether a request with a given deadline may
+    still be sent to a target.
     """
 
     def __init__(
         self, *, index: Callable[[], RouteIndex], copy_age: Callable[[], float],
         permits: PermitClient, delivery: Delivery, relay: Relay, guard: RequestGuard,
-        clock: Clock, random: Random, metrics: Metrics,
+        clock: Clock, random: Random, metrics: Metrics, currency: CopyCurrency,
         may_take: Callable[[float], bool] = lambda deadline: True,
     ) -> None:  # fmt: skip
         self._copy_age = copy_age
+        self._currency = currency
         self._may_take = may_take
         self._metrics = metrics
         self._relay = relay
@@ -105,17 +115,28 @@
             return ServeResult(outcome=_refused(RefusalKind.NOT_READY, message))
         route = index.route(host=request.host, path=request.path)
         if route is None:
-            return ServeResult(outcome=_refused(RefusalKind.NO_ROUTE, "no such route"))
+            return ServeResult(outcome=self._denied(NO_SUCH_ROUTE))
         organisation = None
         if index.has_organisations and not route.open:
             organisation = index.organisation_by_key(request.key)
             if organisation is None:
-                refused = _refused(RefusalKind.KEY_MISSING, "the key is not valid")
-                return ServeResult(outcome=refused, route=route)
+                return ServeResult(outcome=self._denied(INVALID_KEY), route=route)
         name = organisation.name if organisation else ""
+        if not self._currency.may_send:
+            refused = _refused(RefusalKind.NOT_READY, OLD_COPY)
+            return ServeResult(outcome=refused, route=route, organisation=name)
         outcome = self._deliver(request, route, organisation, index.version)
         return ServeResult(outcome=outcome, route=route, organisation=name)
 
+    def _denied(self, refusal: Refusal) -> Outcome:
+        """Return ``refusal``, unless what it misses may only be missing in this copy.
+
+        Callers don't repeat a request that was denied, so an old copy denies none.
+        """
+        if self._currency.may_deny:
+            return Err(refusal)
+        return _refused(RefusalKind.NOT_READY, OLD_COPY)
+
     def _deliver(
         self, request: GatewayRequest, route: RouteRule,
         organisation: OrganisationRule | None, version: int,
--- a/src/chicoryhold/membership/messages.py
+++ b/src/chicoryhold/membership/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chicoryhold.codec import message
+from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.quarantine.messages import CrashReport, QuarantinedRequest
 from chicoryhold.state.changes import Change, Outcome
 
@@ -21,7 +22,8 @@
     """A host that accepts callers' requests at ``address``.
 
     ``ready`` is false before it has a configuration and while it is leaving.
-    ``reaches_targets`` is false while it is cut off from all targets.
+    ``reaches_targets`` is false while it is cut off from all targets, ``current`` while
+    its copy of the control state is too old to decide by.
     """
 
     name: str
@@ -30,6 +32,7 @@
     address: str
     ready: bool
     reaches_targets: bool = True
+    current: bool = True
 
 
 @message
@@ -66,7 +69,8 @@
     ``entry_hosts`` is the number of entry hosts in its registry, silent ones included.
     If the receiver is cut off from all targets, ``relay_hosts`` are entry hosts that
     aren't. ``limits`` are those of all targets that the sender knows, ``quarantined``
-    the requests that no host may send.
+    the requests that no host may send. ``confirmed_age`` is how many seconds ago the
+    sender's copy of the control state was confirmed to be the newest.
     """
 
     hosts: tuple[ControlHost, ...]
@@ -74,6 +78,7 @@
     relay_hosts: tuple[EntryHost, ...] = ()
     limits: tuple[SeenLimit, ...] = ()
     quarantined: tuple[QuarantinedRequest, ...] = ()
+    confirmed_age: float = UNCONFIRMED_AGE_SECONDS
 
 
 @message
--- a/src/chicoryhold/membership/presence_actor.py
+++ b/src/chicoryhold/membership/presence_actor.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from chicoryhold.clock import Clock
+from chicoryhold.gateway.currency import CopyCurrency
 from chicoryhold.hosts.actors import CriticalActor, Tick
 from chicoryhold.hosts.bus import Bus
 from chicoryhold.hosts.request_rounds import RequestRounds
@@ -133,13 +134,14 @@
     While none replies it reports to all of them, more often. ``describe`` returns the
     state to report. ``on_reachable`` is called when one replies after a time in which
     none did. ``limits`` are passed on to control hosts, and taken from them, as are the
-    crashes that ``guard`` has noticed and the requests that it keeps back.
+    crashes that ``guard`` has noticed and the requests that it keeps back. ``currency``
+    is told how old the copies of control hosts are.
     """
 
     def __init__(
         self, *, control_hosts: ControlHostList, bus: Bus, clock: Clock,
         describe: Callable[[], EntryHost], limits: StatedLimits, guard: RequestGuard,
-        on_reachable: Callable[[], None] = lambda: None,
+        currency: CopyCurrency, on_reachable: Callable[[], None] = lambda: None,
     ) -> None:  # fmt: skip
         super().__init__()
         self._on_reachable = on_reachable
@@ -150,6 +152,7 @@
         self._describe = describe
         self._limits = limits
         self._guard = guard
+        self._currency = currency
         self._next_watch_at = 0.0
         self._next_due = 0.0
         self._report_count = 0
@@ -157,6 +160,7 @@
     def on_receive(self, message: object) -> None:
         match message:
             case Tick():
+                self._currency.check()
                 if self._clock.now() >= self._next_due:
                     self._report()
                 if self._clock.now() >= self._next_watch_at:
@@ -168,6 +172,7 @@
                 self._report()
             case _ReplyReceived():
                 was_unreachable = not self._control_hosts.reachable
+                self._currency.record_told(message.reply.confirmed_age)
                 self._limits.merge_reply(message.reply.limits)
                 self._guard.merge(message.reply.quarantined)
                 if self._control_hosts.record_reply(message.name, message.reply):
--- a/src/chicoryhold/membership/registry.py
+++ b/src/chicoryhold/membership/registry.py
@@ -25,9 +25,9 @@
 # Entry hosts report to some control host, and that one to the others, twice a second.
 LEARNING_SECONDS = 0.8
 MAX_RELAY_HOSTS = 16
-# Hosts that are cut off from all targets are still listed for callers if fewer of the
-# region's hosts reach targets: those few would be overloaded.
-MIN_REACHING_FRACTION = 1 / 3
+# Hosts that can't serve now are still listed for callers if fewer of the region's hosts
+# can: those few would be overloaded.
+MIN_SERVING_FRACTION = 1 / 3
 
 
 @attrs.frozen(kw_only=True)
@@ -110,13 +110,14 @@
     def entry_hosts(self, *, region: str) -> tuple[EntryHost, ...]:
         """Return the ready hosts of ``region``, or all ready hosts if it has none.
 
-        Those that reach no target are left out if enough others remain.
+        Those that reach no target, or have an old copy, are left out if enough others
+        remain.
         """
         ready = self._ready()
         listed = [host for host in ready if host.region == region] or ready
-        reaching = [host for host in listed if host.reaches_targets]
-        if len(reaching) >= MIN_REACHING_FRACTION * len(listed):
-            return tuple(reaching)
+        serving = [host for host in listed if host.reaches_targets and host.current]
+        if len(serving) >= MIN_SERVING_FRACTION * len(listed):
+            return tuple(serving)
         return tuple(listed)
 
     def has_only_lost_control_hosts(self, domain: str) -> bool:
@@ -148,7 +149,7 @@
         others = [
             other
             for other in self._ready()
-            if other.reaches_targets and other.name != host.name
+            if other.reaches_targets and other.current and other.name != host.name
         ]
         others.sort(key=lambda o: (o.domain != host.domain, o.name < host.name, o.name))
         positions: Counter[str] = Counter()
--- a/src/chicoryhold/membership/registry_actor.py
+++ b/src/chicoryhold/membership/registry_actor.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from chicoryhold.clock import Clock
+from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.hosts.actors import (
     CriticalActor,
     PeerRequest,
@@ -45,6 +46,7 @@
     this host leads the replicated log; only the leader marks targets as silent, through
     ``record_silent``. ``targets`` returns all targets that exist, by instance.
     ``crashes`` are the reports of all entry hosts about requests that crash targets.
+    ``confirmed_age`` returns how many seconds ago the control state here was confirmed.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         peers: Callable[[], tuple[str, ...]], leads: Callable[[], bool],
         record_silent: Callable[[tuple[TargetRecord, ...]], None], limits: StatedLimits,
         targets: Callable[[], Mapping[str, TargetRecord]], crashes: CrashRecords,
+        confirmed_age: Callable[[], float],
     ) -> None:  # fmt: skip
         super().__init__()
         self._registry = registry
@@ -64,6 +67,7 @@
         self._limits = limits
         self._targets = targets
         self._crashes = crashes
+        self._confirmed_age = confirmed_age
         self._watchers: dict[str, Future] = {}
         self._tick_count = 0
         self._was_leader = False
@@ -123,6 +127,7 @@
                 ),
                 limits=self._limits.all(),
                 quarantined=self._crashes.quarantine.all(),
+                confirmed_age=min(self._confirmed_age(), UNCONFIRMED_AGE_SECONDS),
             )
         )
         if changed:
@@ -131,6 +136,7 @@
                 domain=host.domain,
                 ready=host.ready,
                 reaches_targets=host.reaches_targets,
+                current=host.current,
             ).info("registry: an entry host is new or changed.")
             self._broadcast_presence()
 
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -139,6 +139,7 @@
                 evidence=CrashEvidence(clock=clock),
                 quarantine=Quarantine(clock=clock, metrics=metrics),
             ),
+            confirmed_age=lambda: clock.now() - replica.copy_confirmed_at,
         )
         stack.enter_context(
             running_actor(registry_actor, interval=REGISTRY_TICK_SECONDS)
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -145,7 +145,7 @@
         stack.enter_context(
             serve_metrics(
                 settings.metrics_address,
-                lambda: "" if gateway.ready else "no configuration, or leaving",
+                lambda: _unready_reason(gateway),
                 gateway.metrics,
             )
         )
@@ -156,6 +156,12 @@
         logger.info("gateway: stopping.")
 
 
+def _unready_reason(gateway: Gateway) -> str:
+    if not gateway.ready:
+        return "no configuration, or leaving"
+    return "" if gateway.takes_callers else "the configuration may be out of date"
+
+
 def _tell_control_hosts(
     bus: Bus, control_hosts: ControlHostList, message: object
 ) -> None:
@@ -195,6 +201,7 @@
     return GatewayService(
         index=lambda: gateway.route_index,
         copy_age=lambda: gateway.copy_age,
+        currency=gateway.currency,
         permits=permits,
         delivery=delivery,
         relay=relay,
@@ -229,6 +236,7 @@
         describe=gateway.describe,
         limits=limits,
         guard=guard,
+        currency=gateway.currency,
         on_reachable=lambda: follower_actor.tell(Tick()),
     )
     gateway.on_change(lambda: presence.tell(ReportNow()))
--- a/src/chicoryhold/programs/gateway_host.py
+++ b/src/chicoryhold/programs/gateway_host.py
@@ -9,6 +9,7 @@
 from chicoryhold.clock import BootClock
 from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.control.follower import Follower
+from chicoryhold.gateway.currency import CopyCurrency
 from chicoryhold.gateway.service import GatewayService
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
@@ -48,8 +49,20 @@
             "chicoryhold_reaches_targets",
             lambda: int(not links.reachability.is_cut_off),
         )
+        self._currency = CopyCurrency(
+            clock=clock,
+            copy_age=lambda: self.copy_age,
+            metrics=metrics,
+            apply_seconds=settings.apply_seconds,
+            on_change=lambda: self._announce(),
+        )
         self.service: GatewayService | None = None
 
+    @property
+    def currency(self) -> CopyCurrency:
+        """Whether the copy of the control state is recent enough to decide by."""
+        return self._currency
+
     @property
     def clock(self) -> BootClock:
         return self._clock
@@ -79,6 +92,11 @@
     def ready(self) -> bool:
         return self._route_index.version > 0 and not self._drain.is_started
 
+    @property
+    def takes_callers(self) -> bool:
+        """Whether this host is ready, and its copy is recent enough to decide by."""
+        return self.ready and self._currency.may_send
+
     def announce_stop(self) -> None:
         """Tell control hosts that this host is stopping, so that look-ups omit it."""
         self._announce()
@@ -91,6 +109,7 @@
             address=self._settings.callers_address,
             ready=self.ready,
             reaches_targets=not self._links.reachability.is_cut_off,
+            current=self._currency.may_send,
         )
 
     def apply(self) -> None:
--- a/src/chicoryhold/programs/host_settings.py
+++ b/src/chicoryhold/programs/host_settings.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from chicoryhold.gateway.currency import DEFAULT_APPLY_SECONDS
 from chicoryhold.membership.messages import ControlHost
 
 MAX_VOTERS = 5  # tolerates two losses; odd, so a two-way split leaves a majority
@@ -74,7 +75,9 @@
 class GatewaySettings(HostSettings):
     """Settings of an entry host.
 
-    ``callers_address`` is the listening address for callers, as ``ip:port``.
+    ``callers_address`` is the listening address for callers, as ``ip:port``. An
+    accepted change has to be in force within ``apply_seconds``.
     """
 
     callers_address: str
+    apply_seconds: float = DEFAULT_APPLY_SECONDS
--- a/tests/test_cut_off_host.py
+++ b/tests/test_cut_off_host.py
@@ -44,6 +44,7 @@
 from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.trial.fleet import wait_until
 from tests.crash_fakes import CrashedTargets, a_guard
+from tests.currency_fakes import a_current_copy
 from tests.links import IP, Cut, Link, StandInTarget
 from tests.test_target_choice import FakePermits
 from tests.test_targets_state import a_record
@@ -153,6 +154,7 @@
     permits = Permits()
     service = GatewayService(
         copy_age=lambda: 0.0,
+        currency=a_current_copy(clock),
         index=lambda: index,
         permits=permits,
         delivery=Delivery(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -24,7 +24,7 @@
 
 def entry_host(
     name: str, *, ready: bool = True, region: str = "north",
-    reaches_targets: bool = True,
+    reaches_targets: bool = True, current: bool = True,
 ) -> EntryHost:  # fmt: skip
     return EntryHost(
         name=name,
@@ -33,6 +33,7 @@
         address=f"{name}:80",
         ready=ready,
         reaches_targets=reaches_targets,
+        current=current,
     )
 
 
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -14,6 +14,7 @@
 from chicoryhold.routing.stated_limits import StatedLimits
 from tests.conftest import FakeClock
 from tests.crash_fakes import a_guard
+from tests.currency_fakes import a_current_copy
 
 SEEDS = ("10.1.0.1", "10.2.0.1", "10.3.0.1")
 OWN = EntryHost(name="own", domain="b", region="r", address="10.2.0.9:80", ready=False)
@@ -54,6 +55,7 @@
         describe=lambda: OWN,
         limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
         guard=a_guard(clock),
+        currency=a_current_copy(clock),
         **fields,
     )
 
--- a/tests/test_quarantine_messages.py
+++ b/tests/test_quarantine_messages.py
@@ -29,6 +29,7 @@
 from chicoryhold.routing.stated_limits import StatedLimits
 from tests.conftest import FakeClock
 from tests.crash_fakes import a_guard
+from tests.currency_fakes import a_current_copy
 from tests.test_presence import process_inbox
 
 DEADLY = b"deadly"
@@ -75,6 +76,7 @@
             evidence=CrashEvidence(clock=clock),
             quarantine=Quarantine(clock=clock, metrics=metrics),
         ),
+        confirmed_age=lambda: 0.1,
     )
 
 
@@ -132,6 +134,7 @@
         describe=lambda: ENTRY,
         limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
         guard=guard,
+        currency=a_current_copy(clock),
     )
     actor.on_receive(Tick())
     own = ControlHost(name=bus.name, domain="a", region="r")
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -9,6 +9,7 @@
 from result import Ok
 
 from chicoryhold.callers.refusals import RefusalKind, RunStatus
+from chicoryhold.gateway.currency import CopyCurrency
 from chicoryhold.gateway.request import GatewayRequest, RelayTerms
 from chicoryhold.gateway.service import GatewayService
 from chicoryhold.metrics import Metrics
@@ -25,6 +26,7 @@
 from chicoryhold.targets.exchange import TargetResponse
 from tests.conftest import FakeClock
 from tests.crash_fakes import a_guard
+from tests.currency_fakes import a_current_copy
 from tests.test_relay import a_request
 
 VERSION = 4
@@ -54,6 +56,7 @@
 def serve(
     path: str, relayed: RelayTerms | None, *, crashes: int = 0, has_left: bool = False,
     is_ending: bool = False, seconds_left: float = 9.0,
+    currency: CopyCurrency | None = None,
 ):  # fmt: skip
     """Serve a request on a host with the configuration ``VERSION``."""
     clock = FakeClock()
@@ -86,6 +89,7 @@
     service = GatewayService(
         index=lambda: index,
         copy_age=lambda: 0.0,
+        currency=currency or a_current_copy(clock),
         permits=None,
         delivery=delivery,
         relay=SimpleNamespace(is_needed=False),
