Keep permits that arrive late, and ask their control host again

What callers saw: nothing yet; found by looking for the cause of old copies elsewhere. Cause: a grant that took longer than 0.15 s (0.4 s between regions) was dropped, the permits in it lost, and its control host left out for a second. Change: the bus passes on a reply that comes after its call timed out, for up to 5 s. A late grant serves the next requests while its permits are valid (0.5 s from the request); its control host is asked again at once. Result: three tests of tests/test_permit_client.py and one of tests/test_bus.py; before, the grant was dropped.

--- a/src/chicoryhold/hosts/bus.py
+++ b/src/chicoryhold/hosts/bus.py
@@ -11,6 +11,7 @@
 import os
 import struct
 import threading
+import time
 import weakref
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future, TimeoutError as FutureTimeout
@@ -34,6 +35,7 @@
 RECONNECT_INTERVAL_MS = 50
 RECONNECT_INTERVAL_MAX_MS = 1_000
 POLL_TIMEOUT_MS = 1_000
+LATE_REPLY_SECONDS = 5.0  # a reply that comes later than that is of no use to anybody
 _REQUEST_ID = struct.Struct("<Q")
 _NO_REPLY = 0  # the request id of messages that ask for no reply
 
@@ -73,6 +75,7 @@
             _OutgoingMessage | _OutgoingReply | _Connect
         ] = collections.deque()
         self._pending: dict[int, Future] = {}
+        self._late: collections.deque[tuple[float, Future]] = collections.deque()
         self._next_request_id = 1
         self._lock = threading.Lock()
         self._wake_read, self._wake_write = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
@@ -129,18 +132,28 @@
         with self._lock:
             self._pending.pop(future.request_id, None)
 
-    def call(self, peer: str, message: object, *, timeout: float) -> object:
-        """Return the reply of ``peer``, or raise ``PeerTimeout``."""
+    def call(
+        self, peer: str, message: object, *, timeout: float,
+        on_late: Callable[[object], None] | None = None,
+    ) -> object:  # fmt: skip
+        """Return the reply of ``peer``, or raise ``PeerTimeout``.
+
+        ``on_late`` is called, on any thread, with a reply that arrives after that. It
+        must not block.
+        """
         future = self.ask(peer, message)
         try:
             return future.result(timeout)
         except FutureTimeout:
+            if on_late is not None:
+                self._expect_late(future, on_late)
             raise PeerTimeout(
                 f"{peer} didn't reply within {timeout:.2f} s: check its process and "
                 "the network"
             ) from None
         finally:
-            self.forget(future)
+            if on_late is None:
+                self.forget(future)
 
     def start(self) -> None:
         """Bind the listening socket and start the socket thread."""
@@ -165,6 +178,14 @@
         self._transport.stop()
         self._context.destroy(linger=0)
 
+    def _expect_late(self, future: Future, on_late: Callable[[object], None]) -> None:
+        self._late.append((time.monotonic() + LATE_REPLY_SECONDS, future))
+        future.add_done_callback(lambda done: on_late(done.result()))
+
+    def _forget_very_late(self) -> None:
+        while self._late and self._late[0][0] < time.monotonic():
+            self.forget(self._late.popleft()[1])
+
     def _enqueue(self, item: _OutgoingMessage | _OutgoingReply | _Connect) -> None:
         self._outbox.append(item)
         self._wake()
@@ -202,6 +223,7 @@
             for ready, _ in self._poller.poll(POLL_TIMEOUT_MS):
                 self._read(ready)
             self._flush()
+            self._forget_very_late()
 
     def _read(self, ready: object) -> None:
         if ready == self._wake_read:
--- a/src/chicoryhold/limits/control_host_calls.py
+++ b/src/chicoryhold/limits/control_host_calls.py
@@ -35,20 +35,27 @@
     is_same_region: Callable[[str], bool]
 
 
+LateGrantHandler = Callable[[PermitRequest, PermitGrant, float], None]
+
+
 class PermitCalls:
     """Asks control hosts in turn. Thread-safe.
 
     Those whose reply isn't a usable grant, by ``is_usable``, are asked again later.
+    ``on_late`` is called with a grant that arrives after the next host was asked, with
+    its request and the time at which that was sent.
     """
 
     def __init__(
         self, *, bus: Bus, clock: Clock, control_hosts: PermitSources,
         is_usable: Callable[[PermitGrant], bool] = lambda grant: True,
+        on_late: LateGrantHandler = lambda request, grant, asked_at: None,
     ) -> None:  # fmt: skip
         self._bus = bus
         self._clock = clock
         self._control_hosts = control_hosts
         self._is_usable = is_usable
+        self._on_late = on_late
         self._avoided_until: dict[str, float] = {}
 
     def ask(self, request: PermitRequest, *, deadline: float) -> PermitGrant | None:
@@ -75,11 +82,25 @@
         timeout = (
             SAME_REGION_TIMEOUT_SECONDS if is_near else CROSS_REGION_TIMEOUT_SECONDS
         )
+        asked_at = self._clock.now()
         try:
-            return self._bus.call(host, request, timeout=timeout)
+            return self._bus.call(
+                host,
+                request,
+                timeout=timeout,
+                on_late=lambda reply: self._take_late(host, request, reply, asked_at),
+            )
         except (PeerTimeout, UnknownPeer):
             self._avoided_until[host] = self._clock.now() + AVOID_HOST_SECONDS
             logger.bind(host=host, seconds=timeout).warning(
                 "permits: a control host did not reply."
             )
             return None
+
+    def _take_late(
+        self, host: str, request: PermitRequest, reply: object, asked_at: float
+    ) -> None:
+        """Use a reply that came too late for the caller: its sender is only slow."""
+        self._avoided_until.pop(host, None)
+        if isinstance(reply, PermitGrant) and self._is_usable(reply):
+            self._on_late(request, reply, asked_at)
--- a/src/chicoryhold/limits/permit_client.py
+++ b/src/chicoryhold/limits/permit_client.py
@@ -63,7 +63,12 @@
     """
 
     def __init__(self, *, bus: Bus, clock: Clock, control_hosts: PermitSources) -> None:
-        self._calls = PermitCalls(bus=bus, clock=clock, control_hosts=control_hosts)
+        self._calls = PermitCalls(
+            bus=bus,
+            clock=clock,
+            control_hosts=control_hosts,
+            on_late=self._keep_late_grant,
+        )
         self._clock = clock
         self._cache = PermitCache(clock=clock, lifetime=PERMIT_LIFETIME_SECONDS)
         self._demand: dict[str, _Rate] = {}
@@ -119,9 +124,7 @@
     ) -> Permission:
         name = request.wants[0].name
         with self._lock:
-            for want, count in zip(request.wants, grant.counts, strict=True):
-                granted = want.wanted if count == UNLIMITED else count
-                self._cache.put(want.name, granted, asked_at=asked_at)
+            self._store(request, grant, asked_at)
             now = self._clock.now()
             if self._cache.take(name):
                 self._count(name, now)
@@ -132,6 +135,25 @@
         # The permits had expired when they arrived; the caller may retry.
         return Permission.UNREACHABLE
 
+    def _keep_late_grant(
+        self, request: PermitRequest, grant: PermitGrant, asked_at: float
+    ) -> None:
+        """Keep permits whose request has gone on without them, for the next ones.
+
+        Those that have expired aren't given back: they were granted too long ago.
+        """
+        if self._clock.now() - asked_at >= PERMIT_LIFETIME_SECONDS:
+            return
+        with self._lock:
+            self._store(request, grant, asked_at)
+
+    def _store(
+        self, request: PermitRequest, grant: PermitGrant, asked_at: float
+    ) -> None:
+        for want, count in zip(request.wants, grant.counts, strict=True):
+            granted = want.wanted if count == UNLIMITED else count
+            self._cache.put(want.name, granted, asked_at=asked_at)
+
     def _permit_isolated(self, name: str) -> Permission:
         """Decide without a control host, by a token bucket at a reduced rate."""
         now = self._clock.now()
--- a/src/chicoryhold/limits/permits.py
+++ b/src/chicoryhold/limits/permits.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import math
+from bisect import insort
 from collections.abc import Callable
 
 import attrs
@@ -188,7 +189,9 @@
         """
         if count > 0:
             batch = _Batch(count=count, expires_at=asked_at + self._lifetime)
-            self._batches.setdefault(name, []).append(batch)
+            batches = self._batches.setdefault(name, [])
+            # A grant may arrive after one that was asked for later.
+            insort(batches, batch, key=lambda each: each.expires_at)
 
     def take(self, name: str) -> bool:
         """Use one permit, the oldest first; returns false if none is left."""
--- a/tests/fleet_permits.py
+++ b/tests/fleet_permits.py
@@ -92,5 +92,7 @@
     def tell(self, peer: str, message: object) -> None:
         self.fleet.deliver(self.sender, peer, message)
 
-    def call(self, peer: str, message: object, *, timeout: float) -> object:
+    def call(
+        self, peer: str, message: object, *, timeout: float, on_late=None
+    ) -> object:
         return self.fleet.deliver(self.sender, peer, message).result(timeout=0)
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import os
+import queue
 import socket
 import struct
 import time
 from collections.abc import Callable, Iterator
+from concurrent.futures import Future
 from contextlib import contextmanager
 
 import pytest
@@ -276,3 +278,20 @@
     failed = [line for line in log if "thread: bus failed; the process exits." in line]
     assert len(failed) == 1
     assert failed[0].startswith("CRITICAL") and "a programming error" in failed[0]
+
+
+def test_a_reply_that_comes_after_its_call_timed_out_is_passed_on():
+    own, peer = "127.0.0.1", "127.0.7.9"
+    port = free_port(peer)
+    reply: Future = Future()
+    late: queue.SimpleQueue = queue.SimpleQueue()
+    other = make_bus(peer, port)
+    slow = FetchChanges(after=2)
+    other.handle(FetchChanges, lambda _, sent: reply if sent == slow else sent)
+    with running_bus(make_bus(own, port)) as bus, running_bus(other):
+        while not gets_reply(bus, peer):
+            pass
+        with pytest.raises(PeerTimeout):
+            bus.call(peer, slow, timeout=0.2, on_late=late.put)
+        reply.set_result(slow)
+        assert late.get(timeout=RECOVERY_SECONDS) == slow
--- a/tests/test_permit_client.py
+++ b/tests/test_permit_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from chicoryhold.errors import PeerTimeout
 from chicoryhold.limits.control_host_calls import MAX_HOSTS_ASKED, PermitSources
 from chicoryhold.limits.messages import (
@@ -10,7 +12,11 @@
     PermitRequest,
     PermitsUnavailable,
 )
-from chicoryhold.limits.permit_client import Permission, PermitClient
+from chicoryhold.limits.permit_client import (
+    PERMIT_LIFETIME_SECONDS,
+    Permission,
+    PermitClient,
+)
 from tests.conftest import FakeClock
 
 
@@ -26,13 +32,15 @@
         self.silent = False
         self.unready: set[str] = set()
         self.requests: list[PermitRequest] = []
+        self.late: list[tuple[PermitRequest, Callable[[object], None]]] = []
 
     def call(
-        self, peer: str, message: PermitRequest, *, timeout: float
+        self, peer: str, message: PermitRequest, *, timeout: float, on_late=None
     ) -> PermitGrant | PermitsUnavailable:
         self.requests.append(message)
         if self.silent:
             self.clock.advance(timeout)
+            self.late.append((message, on_late))
             raise PeerTimeout("silent")
         if peer in self.unready:
             return PermitsUnavailable()
@@ -111,7 +119,7 @@
 
 def test_a_request_without_a_limit_is_granted():
     client, bus, clock = create_client()
-    bus.call = lambda peer, message, timeout: PermitGrant(
+    bus.call = lambda peer, message, timeout, on_late=None: PermitGrant(
         counts=(UNLIMITED,) * len(message.wants)
     )
     assert ask(client, clock) is Permission.GRANTED
@@ -133,3 +141,35 @@
     for _ in range(3):
         assert ask(client, clock) is Permission.GRANTED
     assert len(bus.requests) == MAX_HOSTS_ASKED + 3
+
+
+def test_a_grant_that_arrives_late_serves_the_next_request():
+    client, bus, clock = create_client()
+    bus.silent = True
+    ask(client, clock)
+    asked = len(bus.requests)
+    request, on_late = bus.late[-1]
+    on_late(PermitGrant(counts=tuple(1 for _ in request.wants)))
+    assert ask(client, clock) is Permission.GRANTED
+    assert len(bus.requests) == asked
+
+
+def test_a_control_host_whose_reply_was_late_is_asked_again():
+    client, bus, clock = create_client(hosts=("c1",))
+    bus.silent = True
+    ask(client, clock)
+    bus.silent = False
+    bus.remaining = 1
+    bus.late[-1][1](PermitGrant(counts=(0,)))
+    assert ask(client, clock) is Permission.GRANTED
+
+
+def test_a_grant_that_arrives_after_its_lifetime_is_not_used():
+    client, bus, clock = create_client(hosts=("c1",))
+    bus.silent = True
+    ask(client, clock)
+    clock.advance(PERMIT_LIFETIME_SECONDS)
+    bus.late[-1][1](PermitGrant(counts=(1,)))
+    bus.silent = False
+    assert ask(client, clock) is Permission.DENIED
+    assert bus.requests[-1].wants[0].unused == 0
