Let hosts with old copies serve on if their whole region has old copies

Cause: a host refuses callers while its copy is older than the operators' bound though control hosts reply. If that is so at most hosts of its region, for example as replies take longer than the bound, callers find nobody else, and all are refused. Result: tests/test_copy_currency.py (the new test fails before: the host may not send).

--- a/src/chicoryhold/gateway/currency.py
+++ b/src/chicoryhold/gateway/currency.py
@@ -54,6 +54,7 @@
         self._on_change = on_change
         self._in_touch_since = float("inf")
         self._told_confirmed_at = float("-inf")
+        self._others_serve = False
         self._checked_at: float | None = None
         self._woke_at = float("-inf")
         self._logged = Currency.CURRENT
@@ -78,7 +79,21 @@
 
     @property
     def may_send(self) -> bool:
-        """Whether requests may be sent to targets as the copy says."""
+        """Whether requests may be sent to targets as the copy says.
+
+        If most hosts of the region are behind, callers have no better one to go to.
+        """
+        match self.now:
+            case Currency.WAKING:
+                return False
+            case Currency.BEHIND:
+                return not self._others_serve
+            case _:
+                return True
+
+    @property
+    def is_reliable(self) -> bool:
+        """Whether callers should rather come here than to a host that is behind."""
         return self.now in (Currency.CURRENT, Currency.CUT_OFF)
 
     @property
@@ -86,11 +101,13 @@
         """Whether what isn't in the copy doesn't exist."""
         return self.now is Currency.CURRENT
 
-    def record_told(self, confirmed_age: float) -> None:
+    def record_told(self, confirmed_age: float, *, others_serve: bool) -> None:
         """Record how old the copy of a control host is, as it has just said.
 
         In an election all are old; what they were told before it stays all there is.
+        ``others_serve`` is whether callers find enough hosts with current copies.
         """
+        self._others_serve = others_serve
         now = self._clock.now()
         confirmed_at = now - confirmed_age
         if confirmed_at - self._told_confirmed_at > TOLD_SECONDS:
--- a/src/chicoryhold/membership/messages.py
+++ b/src/chicoryhold/membership/messages.py
@@ -70,7 +70,8 @@
     If the receiver is cut off from all targets, ``relay_hosts`` are entry hosts that
     aren't. ``limits`` are those of all targets that the sender knows, ``quarantined``
     the requests that no host may send. ``confirmed_age`` is how many seconds ago the
-    sender's copy of the control state was confirmed to be the newest.
+    sender's copy of the control state was confirmed to be the newest. With
+    ``others_serve``, enough entry hosts of the receiver's region have current copies.
     """
 
     hosts: tuple[ControlHost, ...]
@@ -79,6 +80,7 @@
     limits: tuple[SeenLimit, ...] = ()
     quarantined: tuple[QuarantinedRequest, ...] = ()
     confirmed_age: float = UNCONFIRMED_AGE_SECONDS
+    others_serve: bool = False
 
 
 @message
--- a/src/chicoryhold/membership/presence_actor.py
+++ b/src/chicoryhold/membership/presence_actor.py
@@ -172,7 +172,10 @@
                 self._report()
             case _ReplyReceived():
                 was_unreachable = not self._control_hosts.reachable
-                self._currency.record_told(message.reply.confirmed_age)
+                self._currency.record_told(
+                    message.reply.confirmed_age,
+                    others_serve=message.reply.others_serve,
+                )
                 self._limits.merge_reply(message.reply.limits)
                 self._guard.merge(message.reply.quarantined)
                 if self._control_hosts.record_reply(message.name, message.reply):
--- a/src/chicoryhold/membership/registry.py
+++ b/src/chicoryhold/membership/registry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -115,10 +115,13 @@
         """
         ready = self._ready()
         listed = [host for host in ready if host.region == region] or ready
-        serving = [host for host in listed if host.reaches_targets and host.current]
-        if len(serving) >= MIN_SERVING_FRACTION * len(listed):
-            return tuple(serving)
-        return tuple(listed)
+        serving = _serving(listed)
+        return tuple(serving if _are_enough(serving, listed) else listed)
+
+    def has_enough_serving(self, region: str) -> bool:
+        """Return whether hosts of ``region`` that can't serve may be left out."""
+        listed = [host for host in self._ready() if host.region == region]
+        return _are_enough(_serving(listed), listed)
 
     def has_only_lost_control_hosts(self, domain: str) -> bool:
         """Return whether all control hosts of ``domain`` are down, but not the rest."""
@@ -190,6 +193,14 @@
         ]
 
 
+def _serving(hosts: Iterable[EntryHost]) -> list[EntryHost]:
+    return [host for host in hosts if host.reaches_targets and host.current]
+
+
+def _are_enough(serving: Sequence[EntryHost], listed: Sequence[EntryHost]) -> bool:
+    return len(serving) >= MIN_SERVING_FRACTION * len(listed)
+
+
 def sort_by_proximity(
     hosts: Iterable[ControlHost], *, domain: str, region: str
 ) -> tuple[ControlHost, ...]:
--- a/src/chicoryhold/membership/registry_actor.py
+++ b/src/chicoryhold/membership/registry_actor.py
@@ -128,6 +128,7 @@
                 limits=self._limits.all(),
                 quarantined=self._crashes.quarantine.all(),
                 confirmed_age=min(self._confirmed_age(), UNCONFIRMED_AGE_SECONDS),
+                others_serve=self._registry.has_enough_serving(host.region),
             )
         )
         if changed:
--- a/src/chicoryhold/programs/gateway_host.py
+++ b/src/chicoryhold/programs/gateway_host.py
@@ -109,7 +109,7 @@
             address=self._settings.callers_address,
             ready=self.ready,
             reaches_targets=not self._links.reachability.is_cut_off,
-            current=self._currency.may_send,
+            current=self._currency.is_reliable,
         )
 
     def apply(self) -> None:
--- a/tests/test_copy_currency.py
+++ b/tests/test_copy_currency.py
@@ -33,8 +33,9 @@
         )
 
     def run(
-        self, seconds: float, *, fetches: bool = True, told_age: float | None = 0.2
-    ) -> list[Currency]:
+        self, seconds: float, *, fetches: bool = True, told_age: float | None = 0.2,
+        others_serve: bool = True,
+    ) -> list[Currency]:  # fmt: skip
         """Return what the copy was good for after each step.
 
         ``told_age`` is ``None`` while no control host replies. In an election it is
@@ -46,7 +47,7 @@
             if fetches:
                 self._confirmed_at = self.clock.now() - 0.3
             if told_age is not None and step % TOLD_EVERY_STEPS == 0:
-                self.currency.record_told(told_age)
+                self.currency.record_told(told_age, others_serve=others_serve)
             self.currency.check()
             seen.append(self.currency.now)
         return seen
@@ -144,12 +145,24 @@
     assert len(delivery.delivered) == 1
 
 
+def test_hosts_serve_on_whose_whole_region_can_not_keep_up_with_changes():
+    host = Host()
+    host.run(5.0)
+    host.run(5.0, fetches=False, others_serve=False)
+    assert host.currency.now is Currency.BEHIND
+    assert host.currency.may_send
+    assert not host.currency.is_reliable
+    assert not host.currency.may_deny
+
+
 def test_look_ups_leave_out_hosts_with_old_copies_while_enough_others_remain():
     own = ControlHost(name="c", domain="d1", region="north")
     registry = HostRegistry(own=own, clock=FakeClock())
     registry.record_entry_report(entry_host("e1", current=False))
     registry.record_entry_report(entry_host("e2"))
     assert [host.name for host in registry.entry_hosts(region="north")] == ["e2"]
+    assert registry.has_enough_serving("north")
     for name in ("e3", "e4", "e5"):
         registry.record_entry_report(entry_host(name, current=False))
     assert len(registry.entry_hosts(region="north")) == 5
+    assert not registry.has_enough_serving("north")
