Look for the parsing of a table where it is now done

The test that a state being loaded has no revision before it is complete replaced parse_table in the module that no longer calls it, and failed. It replaces it where it is called, and with a table that isn't the empty one, which needs no parsing.

--- a/tests/test_concurrent_reads.py
+++ b/tests/test_concurrent_reads.py
@@ -16,7 +16,7 @@
 from chicoryhold.membership.messages import ControlHost, ControlPresence
 from chicoryhold.membership.registry import HostRegistry
 from chicoryhold.settings import DomainSettings
-from chicoryhold.state import control_state
+from chicoryhold.state import objects
 from chicoryhold.state.changes import Outcome, PutTable
 from chicoryhold.state.control_state import ControlState
 from chicoryhold.state.table import Table, parse_table
@@ -137,7 +137,8 @@
 ):
     # Guards against an entry host that accepts callers before it knows their keys.
     loaded = ControlState()
-    loaded.apply(change("a", PutTable(text=HEADING), based_on=0))
+    text = HEADING + "route,/a,service,one,\n"
+    loaded.apply(change("a", PutTable(text=text), based_on=0))
     state = ControlState()
     revisions = []
 
@@ -145,7 +146,7 @@
         revisions.append(state.revision)
         return parse_table(text)
 
-    monkeypatch.setattr(control_state, "parse_table", observed_parse)
+    monkeypatch.setattr(objects, "parse_table", observed_parse)
     state.load(loaded.image())
     assert revisions == [0]
     assert state.revision == 1
