Add a soak run with storms of changes beside overload, pauses and slow links

Nothing played storms of changes beside pauses, restarts and slow links of real processes. bench/storms runs three control hosts and some entry hosts on loopback, which reach each other over links of drawn delay and rate; clients send more than hosts can serve; versions come in storms, each adding a route and dropping one. Hosts and control hosts are paused, killed, stopped and slowed, in series and overlapping, all drawn from a seed. A route that is denied, or a dropped one that is served, 2.5 s after the acknowledgement is a fault; so is a host that doesn't serve the last version in time once nothing happens any more. A host whose links have just changed their speed isn't judged for 4 s.

--- a/bench/stops/hosts.py
+++ b/bench/stops/hosts.py
@@ -32,19 +32,27 @@
 
 @attrs.frozen(kw_only=True)
 class Place:
-    """What the settings of all processes have in common."""
+    """What the settings of all processes have in common.
+
+    ``seeds`` are the addresses of control hosts; ``program`` starts entry hosts.
+    """
 
     folder: Path
-    control: tuple[str, int]
+    seeds: Sequence[tuple[str, int]]
     internal_port: int
     grace_seconds: float
+    program: Path = PROGRAM
 
 
 class PlatformProcess:
     """A process of ``platform/run.py`` that can be started again after its exit."""
 
-    def __init__(self, *, kind: str, ip: str, place: Place, listen: str) -> None:
+    def __init__(
+        self, *, kind: str, ip: str, place: Place, listen: str,
+        program: Path = PROGRAM,
+    ) -> None:  # fmt: skip
         self._kind = kind
+        self._program = program
         self._ip = ip
         self._place = place
         self._settings = place.folder / f"{ip}.toml"
@@ -68,7 +76,7 @@
     def start(self) -> None:
         with (self._place.folder / f"{self._ip}.log").open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(PROGRAM), self._kind],
+                [sys.executable, str(self._program), self._kind],
                 env={**os.environ, SETTINGS_VARIABLE: str(self._settings)},
                 stdout=log,
                 stderr=log,
@@ -100,7 +108,11 @@
         self._ledger = ledger
         listen = f'front = "{ip}:{front}"\nready = "{ip}:{ready}"\n'
         self._process = PlatformProcess(
-            kind="gateway", ip=ip, place=place, listen=listen
+            kind="gateway",
+            ip=ip,
+            place=place,
+            listen=listen,
+            program=place.program,
         )
         self._life: HostLife | None = None
         self._lives = 0
@@ -189,7 +201,7 @@
         return [probe.getsockname()[1] for probe in probes]
 
 
-def _free_internal_port(ips: Sequence[str]) -> int:
+def free_internal_port(ips: Sequence[str]) -> int:
     """Return the first of some ports that are free on all of ``ips``."""
 
     def find() -> int:
@@ -213,7 +225,7 @@
 
 
 def _settings_text(ip: str, place: Place, listen: str) -> str:
-    control_ip, control_port = place.control
+    seeds = [f"{seed_ip}:{seed_port}" for seed_ip, seed_port in place.seeds]
     last_port = place.internal_port + INTERNAL_PORTS - 1
     return f"""
 [self]
@@ -224,7 +236,7 @@
 data_dir = "{place.folder}/data-{ip}"
 [network]
 internal_ports = [{place.internal_port}, {last_port}]
-seeds = ["{control_ip}:{control_port}"]
+seeds = {seeds}
 [network.zones]
 {DOMAIN} = "{REGION}"
 [network.listen]
@@ -252,8 +264,8 @@
     control_port, directory_port = free_ports(ips[0], 2)
     place = Place(
         folder=folder,
-        control=(ips[0], control_port),
-        internal_port=_free_internal_port(ips),
+        seeds=[(ips[0], control_port)],
+        internal_port=free_internal_port(ips),
         grace_seconds=grace_seconds,
     )
     listen = (
@@ -265,4 +277,4 @@
         for process in (control, *hosts):
             stack.callback(process.kill)
             process.start()
-        yield Installation(control=place.control, hosts=hosts)
+        yield Installation(control=place.seeds[0], hosts=hosts)
--- /dev/null
+++ b/bench/storms/__init__.py
@@ -0,0 +1,1 @@
+"""A soak run that changes the configuration in storms while hosts can't keep up."""
--- /dev/null
+++ b/bench/storms/probes.py
@@ -0,0 +1,136 @@
+"""Asks each host for routes that show which configuration is in force there."""
+
+from __future__ import annotations
+
+import http.client
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from uuid import uuid4
+
+import attrs
+
+from bench.storms.changes import (
+    HOST_NAME,
+    StormOperator,
+    added_path,
+    dropped_path,
+)
+from bench.storms.installation import LinkedHost
+
+PROBE_TIMEOUT_SECONDS = 3.0
+PROBE_PAUSE_SECONDS = 0.03
+# A host whose links changed their speed is judged again after that time.
+CONTACT_SECONDS = 4.0
+MILLISECONDS_PER_SECOND = 1000
+
+
+@attrs.frozen(kw_only=True)
+class Fault:
+    """A host decided by a configuration that a newer one had replaced for too long."""
+
+    host: str
+    path: str
+    status: int
+    version: int
+    seconds_since_start: float
+
+
+class Probe:
+    """Probes one host again and again."""
+
+    def __init__(
+        self, *, linked: LinkedHost, operator: StormOperator, apply_seconds: float,
+        started_at: float,
+    ) -> None:  # fmt: skip
+        self._linked = linked
+        self._operator = operator
+        self._apply_seconds = apply_seconds
+        self._started_at = started_at
+        self._closing = threading.Event()
+        self.faults: list[Fault] = []
+        self.statuses: Counter[str] = Counter()
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        thread = threading.Thread(target=self._run, daemon=True)
+        thread.start()
+        try:
+            yield
+        finally:
+            self._closing.set()
+            thread.join()
+
+    def serves_newest(self) -> bool:
+        """Return whether the host serves the route that was added last."""
+        newest = self._operator.acknowledged[-1].version
+        return self._ask(added_path(newest)) == 200
+
+    def _run(self) -> None:
+        while not self._closing.wait(PROBE_PAUSE_SECONDS):
+            now = time.monotonic()
+            version = self._operator.newest_before(now - self._apply_seconds)
+            if version == 0:
+                continue
+            self._judge(added_path(version), wrong=404, version=version, sent_at=now)
+            now = time.monotonic()
+            self._judge(dropped_path(version), wrong=200, version=version, sent_at=now)
+
+    def _judge(self, path: str, *, wrong: int, version: int, sent_at: float) -> None:
+        status = self._ask(path)
+        kind = path.split("-")[0].strip("/")
+        self.statuses[f"{kind} {status or 'none'}"] += 1
+        is_in_touch = sent_at - self._linked.links_changed_at > CONTACT_SECONDS
+        if status == wrong and is_in_touch:
+            fault = Fault(
+                host=self._linked.host.name,
+                path=path,
+                status=status,
+                version=version,
+                seconds_since_start=round(sent_at - self._started_at, 3),
+            )
+            self.faults.append(fault)
+
+    def _ask(self, path: str) -> int:
+        """Return the status, or 0 if there is no answer."""
+        connection = http.client.HTTPConnection(
+            *self._linked.host.address, timeout=PROBE_TIMEOUT_SECONDS
+        )
+        headers = {
+            "Host": HOST_NAME,
+            "Request-Id": uuid4().hex[:16],
+            "Deadline-Ms": str(int(PROBE_TIMEOUT_SECONDS * MILLISECONDS_PER_SECOND)),
+        }
+        try:
+            connection.request("GET", path, headers=headers)
+            return connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            return 0
+        finally:
+            connection.close()
+
+
+@contextmanager
+def running_probes(
+    *, hosts: Sequence[LinkedHost], operator: StormOperator, apply_seconds: float
+) -> Iterator[Sequence[Probe]]:
+    started_at = time.monotonic()
+    probes = [
+        Probe(
+            linked=linked,
+            operator=operator,
+            apply_seconds=apply_seconds,
+            started_at=started_at,
+        )
+        for linked in hosts
+    ]
+    closers = [probe.running() for probe in probes]
+    for closer in closers:
+        closer.__enter__()
+    try:
+        yield probes
+    finally:
+        for closer in closers:
+            closer.__exit__(None, None, None)
