Let connections between hosts come about on slow links

What callers saw: a host that was restarted while its link was slow answered 503 for 20 s. Cause: a connection was given up if its first packet wasn't acknowledged within 0.8 s, its handshake, which takes several one-way trips, didn't end within 1.5 s, or data wasn't acknowledged within 1.5 s; the next one then began anew. On a link of 0.6 s each way none ever came about. Class of fault: as for replies, a retry that gives up the attempt before it sooner than the peer can answer. Change: 2.0, 8.0 and 2.5 s.

--- a/src/chicoryhold/hosts/bus.py
+++ b/src/chicoryhold/hosts/bus.py
@@ -29,9 +29,11 @@
 HIGH_WATER_MARK_MESSAGES = 10_000
 HEARTBEAT_INTERVAL_MS = 2_000
 HEARTBEAT_TIMEOUT_MS = 2_500
-TCP_MAX_RETRANSMIT_MS = 1_500
-CONNECT_TIMEOUT_MS = 800
-HANDSHAKE_TIMEOUT_MS = 1_500
+# These three are longer than a round trip on a slow link, and a handshake is several of
+# them: on a link slower than that there would never be a connection.
+TCP_MAX_RETRANSMIT_MS = 2_500
+CONNECT_TIMEOUT_MS = 2_000
+HANDSHAKE_TIMEOUT_MS = 8_000
 RECONNECT_INTERVAL_MS = 50
 RECONNECT_INTERVAL_MAX_MS = 1_000
 POLL_TIMEOUT_MS = 1_000
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -15,6 +15,7 @@
 import zmq
 from loguru import logger
 
+from bench.storms.links import SlowLink, Speed
 from chicoryhold.codec import encode
 from chicoryhold.control.messages import FetchChanges, JoinRequest
 from chicoryhold.errors import PeerTimeout
@@ -28,6 +29,8 @@
 
 OUTAGE_SECONDS = 7.5  # by then the kernel retransmits SYN packets rarely
 RECOVERY_SECONDS = 2.5
+SLOW_LINK_DELAY_SECONDS = 0.7  # each way
+SLOW_CONNECTION_SECONDS = 10.0
 REPLY_TIMEOUT_MS = 5_000
 DEEP_MESSAGE = b"\x92\xabJoinRequest" + b"\x91" * 200_000
 MALFORMED_REQUESTS = (
@@ -76,9 +79,9 @@
                 filler.close()
 
 
-def gets_reply(bus: Bus, peer: str) -> bool:
+def gets_reply(bus: Bus, peer: str, *, timeout: float = 0.25) -> bool:
     try:
-        bus.call(peer, FetchChanges(after=1), timeout=0.25)
+        bus.call(peer, FetchChanges(after=1), timeout=timeout)
     except PeerTimeout:
         return False
     return True
@@ -295,3 +298,30 @@
             bus.call(peer, slow, timeout=0.2, on_late=late.put)
         reply.set_result(slow)
         assert late.get(timeout=RECOVERY_SECONDS) == slow
+
+
+class LinkedTransport(PlaintextTransport):
+    """Reaches its only peer through a link."""
+
+    def __init__(self, *, name: str, port: int, link: SlowLink) -> None:
+        super().__init__(name=name, port=port)
+        self._link = link
+
+    def address_of(self, peer: str) -> str | None:
+        return self._link.address
+
+
+def test_a_link_slower_than_a_timeout_of_the_connection_still_gets_a_connection():
+    own, peer = "127.0.0.1", "127.0.7.10"
+    port = free_port(peer)
+    link = SlowLink(ip=own, target=(peer, port))
+    link.set_speed(Speed(delay=SLOW_LINK_DELAY_SECONDS))
+    other = make_bus(peer, port)
+    other.handle(FetchChanges, echo)
+    transport = LinkedTransport(name=own, port=port, link=link)
+    bus = Bus(name=own, address=f"{own}:{free_port(own)}", transport=transport)
+    with link.running(), running_bus(other), running_bus(bus):
+        bus.connect(peer)
+        deadline = time.monotonic() + SLOW_CONNECTION_SECONDS
+        while not gets_reply(bus, peer, timeout=3 * SLOW_LINK_DELAY_SECONDS):
+            assert time.monotonic() < deadline, "no handshake ends in time"
