Refuse longer after a pause, and fetch before control hosts are known to reply

What callers saw: a host that had been paused for 4 s on a slow link sent requests by a configuration that was replaced 8 s before. Cause: after a second in which it refused, it held itself to be cut off. Its peers had closed the connections meanwhile, and new ones take several round trips; it also fetched nothing until a control host had replied to its report. Change: a paused host refuses for up to 5 s unless its copy is confirmed before. A host that has a copy fetches from all control hosts in turn, whether one is known to reply or not; a new one still waits, as a fetch without a connection is lost.

--- a/src/chicoryhold/gateway/currency.py
+++ b/src/chicoryhold/gateway/currency.py
@@ -18,8 +18,9 @@
 # A host is in touch while what control hosts say of their copies isn't older.
 TOLD_SECONDS = 1.2
 PAUSE_SECONDS = 1.0
-# After a pause of the process, it takes this long to find out what it has missed.
-WAKING_SECONDS = 1.0
+# After a pause of the process, it takes this long to find out what it has missed: peers
+# may have closed the connections, and new ones take several round trips.
+WAKING_SECONDS = 5.0
 
 
 class Currency(enum.Enum):
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -213,6 +213,21 @@
     )
 
 
+def fetch_sources(
+    control_hosts: ControlHostList, follower: Follower
+) -> tuple[str, ...]:
+    """Return the control hosts to fetch from, nearest first.
+
+    A host that has just started waits until one replies: a fetch that is sent before
+    there is a connection is lost. Later, a host may have a connection before it knows
+    which control hosts reply, so it asks all in turn.
+    """
+    has_copy = follower.state.revision > 0
+    if has_copy or control_hosts.reachable:
+        return control_hosts.names_live_first
+    return ()
+
+
 def _start_actors(
     stack: ExitStack, settings: GatewaySettings, gateway: Gateway, follower: Follower,
     control_hosts: ControlHostList, limits: StatedLimits, guard: RequestGuard,
@@ -220,9 +235,7 @@
 ) -> None:  # fmt: skip
     follower_actor = FollowerActor.start(
         follower=follower,
-        sources=lambda: (
-            control_hosts.names_live_first if control_hosts.reachable else ()
-        ),
+        sources=lambda: fetch_sources(control_hosts, follower),
         bus=bus,
         clock=gateway.clock,
         domain=settings.domain,
--- a/tests/test_copy_currency.py
+++ b/tests/test_copy_currency.py
@@ -6,7 +6,7 @@
 
 from chicoryhold.callers.refusals import RefusalKind, RunStatus
 from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
-from chicoryhold.gateway.currency import CopyCurrency, Currency
+from chicoryhold.gateway.currency import WAKING_SECONDS, CopyCurrency, Currency
 from chicoryhold.membership.messages import ControlHost
 from chicoryhold.membership.registry import HostRegistry
 from chicoryhold.metrics import Metrics
@@ -111,7 +111,7 @@
     host = Host()
     host.run(5.0)
     host.clock.advance(6.0)
-    seen = host.run(1.5, fetches=False, told_age=None)
+    seen = host.run(WAKING_SECONDS + 0.5, fetches=False, told_age=None)
     assert seen[0] is Currency.WAKING
     assert seen[-1] is Currency.CUT_OFF
 
