Take replies to reports and heartbeats that come after the next one was sent

What callers saw: nothing yet; found by looking for the cause of old copies elsewhere. Cause: requests that are sent in rounds were given up by number of rounds. Change: requests stay open for a time, 5 s for reports and 3 s for heartbeats, which is how long their replies count. A heartbeat's reply that a later one has overtaken changes nothing. Replies to rounds of leases are still dropped: a vote may not outlast its round.

--- a/src/chicoryhold/hosts/domain_view.py
+++ b/src/chicoryhold/hosts/domain_view.py
@@ -73,8 +73,13 @@
         return max(times, default=float("-inf"))
 
     def on_reply(self, replica: str, reply: HelloReply, *, sent_at: float) -> None:
-        """Store the reply to a hello that was sent at ``sent_at``."""
+        """Store the reply to a hello that was sent at ``sent_at``.
+
+        A reply that a later one has overtaken is of no use.
+        """
         previous = self._latest.get(replica)
+        if previous is not None and previous.sent_at > sent_at:
+            return
         hosts = reply.hosts
         if hosts is None:
             hosts = (
--- a/src/chicoryhold/hosts/heartbeat_actor.py
+++ b/src/chicoryhold/hosts/heartbeat_actor.py
@@ -9,7 +9,11 @@
 from chicoryhold.clock import Clock
 from chicoryhold.hosts.actors import CriticalActor, Tick
 from chicoryhold.hosts.bus import Bus
-from chicoryhold.hosts.domain_view import HELLO_INTERVAL_SECONDS, DomainView
+from chicoryhold.hosts.domain_view import (
+    HELLO_INTERVAL_SECONDS,
+    HELLO_TIMEOUT_SECONDS,
+    DomainView,
+)
 from chicoryhold.hosts.messages import HeldSlots, Hello, HelloReply, KnownLimit
 from chicoryhold.hosts.request_rounds import RequestRounds
 
@@ -35,7 +39,9 @@
         super().__init__()
         self._view = view
         self._name = bus.name
-        self._rounds = RequestRounds(bus=bus)
+        self._rounds = RequestRounds(
+            bus=bus, clock=clock, open_seconds=HELLO_TIMEOUT_SECONDS
+        )
         self._clock = clock
         self._leaving = leaving
         self._held = held
--- a/src/chicoryhold/hosts/request_rounds.py
+++ b/src/chicoryhold/hosts/request_rounds.py
@@ -8,31 +8,41 @@
 from types import UnionType
 from typing import Any
 
+import attrs
 import pykka
 
+from chicoryhold.clock import Clock
 from chicoryhold.hosts.actors import tell_reply
 from chicoryhold.hosts.bus import Bus
 
 
+@attrs.frozen(kw_only=True)
+class _Round:
+    began_at: float
+    futures: list[Future] = attrs.field(factory=list)
+
+
 class RequestRounds:
     """Sends an actor's requests; a new round gives up those of old rounds.
 
-    Replies are waited for in the last ``open_rounds`` rounds. These must last longer
-    than a reply takes, or none is ever received. Replies reach the actor as messages.
-    Only the actor calls this.
+    The requests of the last round stay open, and so do those of rounds that began less
+    than ``open_seconds`` ago: a reply that takes longer is never received. Replies
+    reach the actor as messages. Only the actor calls this.
     """
 
-    def __init__(self, *, bus: Bus, open_rounds: int = 1) -> None:
+    def __init__(self, *, bus: Bus, clock: Clock, open_seconds: float = 0.0) -> None:
         self._bus = bus
-        self._open_rounds = open_rounds
-        self._rounds: deque[list[Future]] = deque([[]])
+        self._clock = clock
+        self._open_seconds = open_seconds
+        self._rounds: deque[_Round] = deque()
 
     def start(self) -> None:
         """Begin a round. Replies to those of old rounds are no longer waited for."""
-        self._rounds.append([])
-        while len(self._rounds) > self._open_rounds:
-            for future in self._rounds.popleft():
+        now = self._clock.now()
+        while self._rounds and now - self._rounds[0].began_at >= self._open_seconds:
+            for future in self._rounds.popleft().futures:
                 self._bus.forget(future)
+        self._rounds.append(_Round(began_at=now))
 
     def ask(
         self, peer: str, request: object, *, actor: pykka.ActorRef,
@@ -44,4 +54,4 @@
         """
         future = self._bus.ask(peer, request)
         tell_reply(future, actor, kinds=kinds, message=message)
-        self._rounds[-1].append(future)
+        self._rounds[-1].futures.append(future)
--- a/src/chicoryhold/membership/presence_actor.py
+++ b/src/chicoryhold/membership/presence_actor.py
@@ -25,8 +25,8 @@
 
 REPORT_INTERVAL_SECONDS = 0.5
 DISCOVERY_INTERVAL_SECONDS = 0.05  # while no control host replies
-# Reports are repeated sooner than a reply from another region arrives.
-OPEN_REPORT_ROUNDS = 10
+# Reports are repeated sooner than replies arrive from other regions or on slow links.
+OPEN_REPORT_SECONDS = 5.0
 WATCH_INTERVAL_SECONDS = 2.0  # the request is repeated, as its reply may get lost
 REACHABLE_SECONDS = 1.2  # a host counts as reachable this long after its reply
 SECOND_HOST_INTERVAL_REPORTS = 2  # every second one also goes to a second host
@@ -146,8 +146,12 @@
         super().__init__()
         self._on_reachable = on_reachable
         self._control_hosts = control_hosts
-        self._reports = RequestRounds(bus=bus, open_rounds=OPEN_REPORT_ROUNDS)
-        self._watches = RequestRounds(bus=bus)
+        self._reports = RequestRounds(
+            bus=bus, clock=clock, open_seconds=OPEN_REPORT_SECONDS
+        )
+        self._watches = RequestRounds(
+            bus=bus, clock=clock, open_seconds=OPEN_REPORT_SECONDS
+        )
         self._clock = clock
         self._describe = describe
         self._limits = limits
--- a/src/chicoryhold/steering/coordinator_actor.py
+++ b/src/chicoryhold/steering/coordinator_actor.py
@@ -87,7 +87,7 @@
         self._serves_from = float("-inf")
         self._pending_replies: dict[int, Future] = {}
         self._next_ticket = 0
-        self._lease_rounds = RequestRounds(bus=bus)
+        self._lease_rounds = RequestRounds(bus=bus, clock=clock)
         self._known_coordinators: dict[str, str] = {}
 
     def on_receive(self, message: object) -> None:
