Split what others ask the replica's actor from the actor

replica_actor.py had 398 lines and two jobs. The requests to it, and the view that it answers with, are a module of their own; 370 lines remain. No behaviour changes; the tests of administration and control messages pass.

--- a/src/chicoryhold/control/plane.py
+++ b/src/chicoryhold/control/plane.py
@@ -14,7 +14,7 @@
 from chicoryhold.clock import Clock
 from chicoryhold.codec import decode, encode
 from chicoryhold.consensus.replica import Replica, Role
-from chicoryhold.control.replica_actor import Propose, Read, process_name
+from chicoryhold.control.replica_requests import Propose, Read, process_name
 from chicoryhold.errors import (
     NotLeader,
     PeerTimeout,
--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -35,11 +35,16 @@
     SourceUnavailable,
 )
 from chicoryhold.control.pending_fetches import MAX_FETCH_WAIT_SECONDS, PendingFetches
+from chicoryhold.control.replica_requests import (
+    ControlView,
+    Propose,
+    Read,
+    process_name,
+)
 from chicoryhold.control.storage import Storage
 from chicoryhold.errors import NotEncodable, NotLeader, ResultUnknown, UnknownMessage
 from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick
 from chicoryhold.hosts.bus import Bus
-from chicoryhold.state.changes import Change
 from chicoryhold.state.control_state import ControlState
 
 DISK_RETRY_DELAY_SECONDS = 0.2
@@ -48,25 +53,6 @@
 RESEND_ADVICE = "the outcome is unknown: resend with the same request id"
 
 
-@attrs.frozen(kw_only=True)
-class Propose:
-    """Replicate a change; ``reply`` gets its outcome."""
-
-    change: Change
-    reply: Future
-
-
-@attrs.frozen(kw_only=True)
-class Read:
-    """Answer ``reply`` with a :class:`ControlView` confirmed to be current.
-
-    ``since`` is when the actor received the request.
-    """
-
-    reply: Future
-    since: float = attrs.field(default=0.0)
-
-
 @attrs.frozen(kw_only=True)
 class _PendingProposal:
     term: int
@@ -382,17 +368,3 @@
         for peer in self._peers():
             if peer != self._bus.name:
                 self._bus.tell(peer, JoinRequest(identity=self._replica.identity))
-
-
-@attrs.frozen(kw_only=True)
-class ControlView:
-    """The leader's state, read-only, confirmed to be current when it was returned."""
-
-    state: ControlState
-    in_force: InForceReports
-    status: ReplicaStatus
-
-
-def process_name(identity: str) -> str:
-    """Return the process name in a replica identity."""
-    return identity.rpartition(".")[0]
--- a/src/chicoryhold/operators/api.py
+++ b/src/chicoryhold/operators/api.py
@@ -16,7 +16,7 @@
 from werkzeug.wrappers import Request, Response
 
 from chicoryhold.codec import encode
-from chicoryhold.control.replica_actor import ControlView, Propose, Read
+from chicoryhold.control.replica_requests import ControlView, Propose, Read
 from chicoryhold.errors import NotEncodable, NotLeader, ResultUnknown
 from chicoryhold.routing.configuration import Configuration
 from chicoryhold.settings import OperatorSettings
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -22,7 +22,8 @@
     ReplicaStatusRequest,
 )
 from chicoryhold.control.plane import ControlPlane
-from chicoryhold.control.replica_actor import ReplicaActor, ReplicaPolicy, process_name
+from chicoryhold.control.replica_actor import ReplicaActor, ReplicaPolicy
+from chicoryhold.control.replica_requests import process_name
 from chicoryhold.control.storage import Storage, open_storage, read_identity
 from chicoryhold.hosts.actors import forward_to, running_actor
 from chicoryhold.hosts.bus import Bus, running_bus
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -12,7 +12,7 @@
 from chicoryhold.codec import decode
 from chicoryhold.control.in_force import InForceReports
 from chicoryhold.control.messages import HostReport
-from chicoryhold.control.replica_actor import ControlView, Propose, Read
+from chicoryhold.control.replica_requests import ControlView, Propose, Read
 from chicoryhold.operators.api import AdministrationApi
 from chicoryhold.routing.configuration import Configuration, OrganisationRule
 from chicoryhold.settings import OperatorSettings
--- a/tests/test_control_messages.py
+++ b/tests/test_control_messages.py
@@ -14,7 +14,8 @@
 from chicoryhold.consensus.replica import Replica
 from chicoryhold.control.messages import ReplicaMessage
 from chicoryhold.control.plane import ControlPlane
-from chicoryhold.control.replica_actor import Propose, ReplicaActor
+from chicoryhold.control.replica_actor import ReplicaActor
+from chicoryhold.control.replica_requests import Propose
 from chicoryhold.errors import NotEncodable
 from chicoryhold.hosts.actors import PeerRequest, Tick
 from chicoryhold.membership.messages import ForwardedChange, ForwardedOutcome
