Say that a change is in force everywhere only once all hosts could report

Cause: what is in force where is kept in the leader's memory. A leader that was just elected has heard of few hosts, and said that a change was in force everywhere if these had it. Change: the answer says whether all hosts have had the time to report since this replica became the leader, 3 s; 'wait' goes on until they have.

--- a/src/chicoryhold/control/in_force.py
+++ b/src/chicoryhold/control/in_force.py
@@ -11,6 +11,9 @@
 
 REPORT_EXPIRY_SECONDS = 24 * 3600.0
 REPORT_STALE_SECONDS = 5.0
+# Hosts report with each fetch, through a relay, and after a change of the leader only
+# once they have found the new one.
+COLLECTION_SECONDS = 3.0
 
 
 @attrs.frozen(kw_only=True)
@@ -52,8 +55,18 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
+        self._began_at = clock.now()
         self._newest: dict[str, _TimedReport] = {}
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether all hosts that are up have had the time to report."""
+        return self._clock.now() - self._began_at >= COLLECTION_SECONDS
+
+    def restart(self) -> None:
+        """Begin to collect: this replica has just become the leader."""
+        self._began_at = self._clock.now()
+
     def record(self, reports: Iterable[HostReport]) -> None:
         now = self._clock.now()
         for report in reports:
--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -135,6 +135,8 @@
         if known == self._logged_role:
             return
         self._logged_role = known
+        if replica.role is Role.LEADER:
+            self._in_force.restart()
         logger.bind(
             role=replica.role.value,
             leader=process_name(replica.leader or ""),
--- a/src/chicoryhold/operators/api.py
+++ b/src/chicoryhold/operators/api.py
@@ -181,6 +181,7 @@
         return self._read(
             lambda view: {
                 "revision": view.state.revision,
+                "complete": view.in_force.is_complete,
                 "domains": [attrs.asdict(row) for row in view.in_force.domains()],
             }
         )
--- a/src/chicoryhold/operators/commands.py
+++ b/src/chicoryhold/operators/commands.py
@@ -174,10 +174,11 @@
         while True:
             fields = self._get("/v1/in-force")
             behind = [r for r in fields["domains"] if r["revision"] < wanted_revision]
-            if not behind and fields["domains"]:
+            # A leader that was just elected hasn't heard of all hosts yet.
+            if fields["complete"] and not behind and fields["domains"]:
                 return fields
             if time.monotonic() > deadline:
-                names = ", ".join(row["domain"] for row in behind) or "any domain"
+                names = ", ".join(row["domain"] for row in behind) or "all domains yet"
                 raise OperatorRequestFailed(
                     f"revision {wanted_revision} is not in force in {names}: "
                     "check its hosts"
