--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,10 @@
 
 stops: setup
 	$(BIN)/python -m bench.stops --seed=$(SEED) --seconds=$(STOPS_SECONDS)
+
+.PHONY: storms
+
+STORMS_SECONDS ?= 15
+
+storms: setup
+	$(BIN)/python -m bench.storms --seed=$(SEED) --seconds=$(STORMS_SECONDS)
