Make calls, folders and runs of the two soak programs one piece of code each

The soak with storms had copied from the one with stops: HTTP calls without retries, the folder of a run, and how tests start a program. They are bench/calls.py, bench/run_folder.py and tests/soak_runs.py now; the tests check the exit code as before, for storms also that a host which isn't in force in time makes the run fail.

--- a/bench/stops/__main__.py
+++ b/bench/stops/__main__.py
@@ -7,16 +7,11 @@
 
 from __future__ import annotations
 
-import tempfile
-from collections.abc import Iterator
-from contextlib import contextmanager
-from pathlib import Path
-
 from absl import flags
 
+from bench.run_folder import run_folder
 from bench.stops.run import Plan, StopRun
 from chicoryhold.programs.running import FAILURE_EXIT_CODE, run_program
-from chicoryhold.trial.fleet import FleetError
 
 USAGE = """Stops, reloads and reconfigures entry hosts and reports lost requests.
 
@@ -36,7 +31,7 @@
 
 
 def _main(arguments: list[str]) -> int:
-    with _run_folder() as folder:
+    with run_folder(_FOLDER.value, prefix="chicoryhold-stops-") as folder:
         plan = Plan(
             seed=_SEED.value,
             seconds=_SECONDS.value,
@@ -49,18 +44,5 @@
     return FAILURE_EXIT_CODE if outcome.faults else 0
 
 
-@contextmanager
-def _run_folder() -> Iterator[Path]:
-    if not _FOLDER.value:
-        with tempfile.TemporaryDirectory(prefix="chicoryhold-stops-") as folder:
-            yield Path(folder)
-        return
-    folder = Path(_FOLDER.value).resolve()
-    folder.mkdir(parents=True, exist_ok=True)
-    if any(folder.iterdir()):
-        raise FleetError(f"{folder} isn't empty: name a new folder")
-    yield folder
-
-
 if __name__ == "__main__":
     run_program(_main, usage=USAGE)
--- a/bench/stops/operator.py
+++ b/bench/stops/operator.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import threading
 from collections.abc import Iterator
@@ -11,6 +10,7 @@
 
 import attrs
 
+from bench.calls import call
 from chicoryhold.trial.fleet import wait_until
 
 HOST_NAME = "shop.example"
@@ -80,16 +80,14 @@
             self._put()
 
     def _put(self) -> bool:
-        connection = http.client.HTTPConnection(
-            *self._control, timeout=CALL_TIMEOUT_SECONDS
+        status = call(
+            self._control,
+            "PUT",
+            "/config",
+            body=self._configuration(),
+            timeout=CALL_TIMEOUT_SECONDS,
         )
-        try:
-            connection.request("PUT", "/config", body=self._configuration())
-            return connection.getresponse().status == 200
-        except (OSError, http.client.HTTPException):
-            return False
-        finally:
-            connection.close()
+        return status == 200
 
     def _configuration(self) -> bytes:
         extra_routes = [
--- a/bench/stops/targets.py
+++ b/bench/stops/targets.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import select
 import socket
@@ -16,6 +15,7 @@
 from contextlib import ExitStack, contextmanager
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+from bench.calls import call
 from bench.stops.records import Arrival, Ledger
 
 HEALTH_PATH = "/health"
@@ -174,17 +174,14 @@
             },
             "status": {"state": "ready", "sequence": self._sequence, "cold_left_s": 0},
         }
-        connection = http.client.HTTPConnection(
-            *self._control, timeout=REPORT_TIMEOUT_SECONDS
+        # A report without an answer isn't sent again: the next one follows soon.
+        call(
+            self._control,
+            "PUT",
+            f"/instances/{target.instance}",
+            body=json.dumps(report),
+            timeout=REPORT_TIMEOUT_SECONDS,
         )
-        try:
-            path = f"/instances/{target.instance}"
-            connection.request("PUT", path, body=json.dumps(report))
-            connection.getresponse().read()
-        except (OSError, http.client.HTTPException):
-            return  # the next report follows soon
-        finally:
-            connection.close()
 
 
 @contextmanager
--- a/bench/storms/__main__.py
+++ b/bench/storms/__main__.py
@@ -7,13 +7,9 @@
 
 from __future__ import annotations
 
-import tempfile
-from collections.abc import Iterator
-from contextlib import contextmanager
-from pathlib import Path
-
 from absl import flags
 
+from bench.run_folder import run_folder
 from bench.storms.run import Plan, StormRun
 from chicoryhold.programs.running import FAILURE_EXIT_CODE, run_program
 
@@ -27,12 +23,12 @@
     "hosts", 3, "Number of entry hosts.", lower_bound=1, upper_bound=9
 )
 _FOLDER = flags.DEFINE_string(
-    "folder", "", "Folder for settings and logs, by default a temporary one."
+    "folder", "", "New folder for settings and logs, by default a temporary one."
 )
 
 
 def _main(arguments: list[str]) -> int:
-    with _run_folder() as folder:
+    with run_folder(_FOLDER.value, prefix="chicoryhold-storms-") as folder:
         plan = Plan(
             seed=_SEED.value,
             seconds=_SECONDS.value,
@@ -44,16 +40,5 @@
     return 0 if outcome.is_good else FAILURE_EXIT_CODE
 
 
-@contextmanager
-def _run_folder() -> Iterator[Path]:
-    if not _FOLDER.value:
-        with tempfile.TemporaryDirectory(prefix="chicoryhold-storms-") as folder:
-            yield Path(folder)
-        return
-    folder = Path(_FOLDER.value).resolve()
-    folder.mkdir(parents=True, exist_ok=True)
-    yield folder
-
-
 if __name__ == "__main__":
     run_program(_main, usage=USAGE)
--- a/bench/storms/changes.py
+++ b/bench/storms/changes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import threading
 import time
@@ -12,6 +11,7 @@
 
 import attrs
 
+from bench.calls import call
 from chicoryhold.trial.fleet import wait_until
 
 HOST_NAME = "shop.example"
@@ -64,17 +64,15 @@
         """Send the next version once; return whether it was acknowledged."""
         self._sent += 1
         body = _configuration(self._sent, fillers=self._fillers)
-        connection = http.client.HTTPConnection(
-            *self._random.choice(self._controls), timeout=CALL_TIMEOUT_SECONDS
-        )
         version = self._sent
-        try:
-            connection.request("PUT", "/config", body=body)
-            is_acknowledged = connection.getresponse().status == 200
-        except (OSError, http.client.HTTPException):
-            return False
-        finally:
-            connection.close()
+        status = call(
+            self._random.choice(self._controls),
+            "PUT",
+            "/config",
+            body=body,
+            timeout=CALL_TIMEOUT_SECONDS,
+        )
+        is_acknowledged = status == 200
         if is_acknowledged:
             now = time.monotonic()
             self._acknowledged.append(Acknowledged(version=version, at=now))
--- a/bench/storms/probes.py
+++ b/bench/storms/probes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import threading
 import time
 from collections import Counter
@@ -12,6 +11,7 @@
 
 import attrs
 
+from bench.calls import call
 from bench.storms.changes import (
     HOST_NAME,
     StormOperator,
@@ -95,21 +95,18 @@
 
     def _ask(self, path: str) -> int:
         """Return the status, or 0 if there is no answer."""
-        connection = http.client.HTTPConnection(
-            *self._linked.host.address, timeout=PROBE_TIMEOUT_SECONDS
-        )
         headers = {
             "Host": HOST_NAME,
             "Request-Id": uuid4().hex[:16],
             "Deadline-Ms": str(int(PROBE_TIMEOUT_SECONDS * MILLISECONDS_PER_SECOND)),
         }
-        try:
-            connection.request("GET", path, headers=headers)
-            return connection.getresponse().status
-        except (OSError, http.client.HTTPException):
-            return 0
-        finally:
-            connection.close()
+        return call(
+            self._linked.host.address,
+            "GET",
+            path,
+            headers=headers,
+            timeout=PROBE_TIMEOUT_SECONDS,
+        )
 
 
 @contextmanager
--- /dev/null
+++ b/tests/soak_runs.py
@@ -0,0 +1,33 @@
+"""Runs of the soak programs, for the tests that start them."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def run_soak(module: str, *, seed: int, seconds: float, timeout: float) -> dict:
+    """Run a program and return its result; let it end its processes in any case."""
+    run = subprocess.Popen(
+        [sys.executable, "-m", module, f"--seed={seed}", f"--seconds={seconds}"],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        output, errors = run.communicate(timeout=timeout)
+    except subprocess.TimeoutExpired:
+        run.send_signal(signal.SIGINT)
+        run.communicate()
+        raise
+    assert output, errors
+    outcome = json.loads(output)
+    is_bad = bool(outcome["faults"]) or outcome.get("slowest_end", 0.0) is None
+    assert run.returncode == (1 if is_bad else 0)
+    return outcome
--- a/tests/test_stops_soak.py
+++ b/tests/test_stops_soak.py
@@ -5,12 +5,6 @@
 
 from __future__ import annotations
 
-import json
-import signal
-import subprocess
-import sys
-from pathlib import Path
-
 import attrs
 import pytest
 
@@ -22,8 +16,8 @@
     Ledger,
     SentRequest,
 )
+from tests.soak_runs import run_soak
 
-ROOT = Path(__file__).resolve().parent.parent
 SECONDS = 8.0
 RUN_TIMEOUT_SECONDS = 60.0
 MIN_ANSWERS = 10
@@ -32,33 +26,13 @@
 STOPPED_AT = 100.0
 
 
-def run_soak(seed: int) -> dict:
-    """Run the program and return its result; let it end its processes in any case."""
-    command = [sys.executable, "-m", "bench.stops"]
-    run = subprocess.Popen(
-        [*command, f"--seed={seed}", f"--seconds={SECONDS}"],
-        cwd=ROOT,
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
-        text=True,
-    )
-    try:
-        output, errors = run.communicate(timeout=RUN_TIMEOUT_SECONDS)
-    except subprocess.TimeoutExpired:
-        run.send_signal(signal.SIGINT)
-        run.communicate()
-        raise
-    assert output, errors
-    outcome = json.loads(output)
-    assert run.returncode == (1 if outcome["faults"] else 0)
-    return outcome
-
-
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_request_is_lost_or_broken_off_when_hosts_are_stopped_in_series(seed):
     # Regression test: requests that a draining host took on open connections were
     # passed on to a target, and its process ended without an answer to them.
-    outcome = run_soak(seed)
+    outcome = run_soak(
+        "bench.stops", seed=seed, seconds=SECONDS, timeout=RUN_TIMEOUT_SECONDS
+    )
     assert outcome["fault_counts"] == {}, outcome["faults"][:5]
     assert outcome["results"].get("200", 0) >= MIN_ANSWERS
     assert None not in outcome["exits_after_stop"]
