Ask the next source not to wait for a change while another one is late

What callers saw: nothing yet; found while checking how old copies get when the nearest control host dies, against the age from which a host refuses (2.2 s). Cause: the fetch after a late one was held by its source for up to 0.5 s, as any other, so the copy got up to 1.94 s old in the model (0.12 s of delay, sources 0.4 s old). Change: that fetch is answered at once.

--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -141,7 +141,8 @@
             self._log_avoided(fetch.source, "it is slow to reply")
             self._choice.avoid_late(fetch.source)
         if not self._expects_reply and self._clock.now() >= self._next_fetch_at:
-            self._fetch()
+            # While a source is late the copy gets old, so the next one may not wait.
+            self._fetch(at_once=len(self._fetches) > 0)
 
     @property
     def _patience(self) -> float:
@@ -155,7 +156,7 @@
         newest = self._fetches.newest
         return newest is not None and not newest.is_late
 
-    def _fetch(self) -> None:
+    def _fetch(self, *, at_once: bool = False) -> None:
         source = self._choice.choose(waiting=self._fetches.sources)
         if not source:
             self._fetch_log.had_no_source()
@@ -163,7 +164,7 @@
         self._source = source
         self._fetch_log.asked()
         number = self._fetches.next_number()
-        future = self._bus.ask(source, self._request(source))
+        future = self._bus.ask(source, self._request(source, at_once=at_once))
         self._fetches.add(number, source=source, future=future)
         tell_reply(
             future,
@@ -174,7 +175,7 @@
             ),
         )
 
-    def _request(self, source: str) -> FetchChanges | FetchImage:
+    def _request(self, source: str, *, at_once: bool) -> FetchChanges | FetchImage:
         follower = self._follower
         if self._needs_image:
             return follower.image_request(source)
@@ -182,6 +183,7 @@
             after=follower.fetched_revision,
             reports=self._current_reports(),
             digest=follower.fetched_digest,
+            at_once=at_once,
         )
 
     def _on_reply(self, message: _FetchReplied) -> None:
--- a/src/chicoryhold/control/messages.py
+++ b/src/chicoryhold/control/messages.py
@@ -37,12 +37,14 @@
 
     ``reports`` are those of the requesting host and of the hosts that fetch from it.
     ``digest`` is that of the revision ``after``. With it, the answer is a
-    :class:`StateUpdate`; hosts of older builds don't send it.
+    :class:`StateUpdate`; hosts of older builds don't send it. ``at_once`` asks not to
+    wait for a change.
     """
 
     after: int
     reports: tuple[HostReport, ...] = ()
     digest: bytes | None = None
+    at_once: bool = False
 
 
 @message
--- a/src/chicoryhold/control/pending_fetches.py
+++ b/src/chicoryhold/control/pending_fetches.py
@@ -60,13 +60,14 @@
         is_news = self._is_confirmed and not was_confirmed
         waiting = []
         for pending in self._pending:
-            has_update = is_news or self._feed.has_update_for(pending.request)
+            request = pending.request
+            has_update = is_news or self._feed.has_update_for(request)
             waited = now - pending.received_at
-            if has_update or waited >= self._max_wait:
-                batch = self._feed.answer(
-                    pending.request, confirmed_age=confirmed_age, waited=waited
+            if has_update or request.at_once or waited >= self._max_wait:
+                answer = self._feed.answer(
+                    request, confirmed_age=confirmed_age, waited=waited
                 )
-                pending.reply.set_result(batch)
+                pending.reply.set_result(answer)
             else:
                 waiting.append(pending)
         self._pending = waiting
--- a/tests/follower_trial.py
+++ b/tests/follower_trial.py
@@ -74,6 +74,7 @@
         self.name = "own"
         self.asked: list[str] = []
         self.received_bytes = 0
+        self.silent: set[str] = set()
         self._link = link
         self._link_is_free_at = 0.0
         self._routes = routes
@@ -123,6 +124,8 @@
         self.asked.append(peer)
         arrived: Future = Future()
         held: Future = Future()
+        if peer in self.silent:
+            return arrived
         held.add_done_callback(lambda done: self._send(done.result(), arrived))
         if isinstance(request, FetchImage):
             held.set_result(self._feed.piece(request))
@@ -144,6 +147,15 @@
         self._feed.record(accepted)
         self._accepted_at[version] = self.elapsed
 
+    def oldest_age(self, seconds: float) -> float:
+        """Run for ``seconds``, and return the largest age of the copy in that time."""
+        end = self.elapsed + seconds
+        oldest = 0.0
+        while self.elapsed < end:
+            self.step()
+            oldest = max(oldest, self.follower.age)
+        return oldest
+
     def step(self) -> None:
         self.clock.advance(STEP_SECONDS)
         for fetches in self._fetches.values():
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -381,3 +381,17 @@
     pending.add(FetchChanges(after=3), later)
     pending.answer_ready(confirmed_age=0.1)
     assert not later.done()
+
+
+def test_a_fetch_that_may_not_wait_is_answered_without_a_change():
+    clock = FakeClock()
+    state = ControlState()
+    feed = ChangeFeed(state=state)
+    accept(state, feed, count=3, prefix="o")
+    pending = PendingFetches(feed=feed, clock=clock)
+    pending.answer_ready(confirmed_age=0.1)
+    reply: Future = Future()
+    request = FetchChanges(after=3, digest=state.digest, at_once=True)
+    pending.add(request, reply)
+    pending.answer_ready(confirmed_age=0.1)
+    assert reply.result(timeout=0).revision == 3
--- a/tests/test_late_replies.py
+++ b/tests/test_late_replies.py
@@ -4,11 +4,13 @@
 
 import pytest
 
+from chicoryhold.gateway.currency import MARGIN_SECONDS
 from tests.follower_trial import Link, Trial
 
 APPLY_SECONDS = 2.5  # the users' bound from an acknowledgement to its use everywhere
 SLOW_LINK_BYTES_PER_SECOND = 225_000  # 1.8 Mbit/s, shared with callers
 SETTLE_SECONDS = 8.0
+SLACK_SECONDS = 0.3  # for threads that are late, and sources that are older
 
 
 @pytest.mark.parametrize("delay", [0.1, 0.4, 0.7, 0.88, 0.95, 1.2, 2.0])
@@ -29,6 +31,23 @@
     assert trial.storm(40, gap=0.12) <= APPLY_SECONDS
 
 
+@pytest.mark.parametrize("phase", [0.0, 0.1, 0.2, 0.3, 0.4, 0.5])
+def test_a_source_that_dies_does_not_make_a_copy_as_old_as_the_bound(phase):
+    trial = Trial(link=Link(delay=0.12))
+    trial.run(5.0 + phase)
+    trial.silent.add(trial.asked[-1])
+    assert trial.oldest_age(5.0) < APPLY_SECONDS - MARGIN_SECONDS - SLACK_SECONDS
+
+
+def test_a_source_that_died_is_not_asked_for_in_a_loop():
+    trial = Trial(link=Link(delay=0.001))
+    trial.run(5.0)
+    trial.silent.add(trial.asked[-1])
+    trial.asked.clear()
+    trial.run(5.0)
+    assert len(trial.asked) < 30
+
+
 def test_a_paused_host_does_not_avoid_the_sources_that_replied_meanwhile():
     trial = Trial(link=Link(delay=0.05), pause=(5.0, 8.0))
     trial.run(8.0)
