Apply late differences only where they fit; index an empty table like any other

What callers saw: nothing; found by a longer random history (the empty table among its changes) and by reading the code again. Causes: a copy whose table was put as the empty one had no table in its index once it came from an image, so its checksum differed from the source's for good, and each difference was followed by an image. A relay that skipped revisions doesn't know objects that were added and removed meanwhile; its difference, applied to a copy between the two revisions, left these in place. The checksum showed both, and an image mended the second. Change: the index has a table as soon as one was put. A source says whether its difference also fits copies between its two revisions; if not, only a copy at the first takes it. Also: the reason of a late source is logged once, not twice.

--- a/src/chicoryhold/control/feed.py
+++ b/src/chicoryhold/control/feed.py
@@ -42,6 +42,7 @@
         )
         self._digests: dict[int, bytes] = {}
         self._updates: dict[int, bytes] = {}
+        self._complete_since = state.revision
         self._images = Images(is_recent=self._is_recent)
         self._note_digest()
 
@@ -57,6 +58,7 @@
     def record_update(self) -> None:
         """Note that a difference has just created a new revision of the state."""
         self._recent.clear()
+        self._complete_since = self._state.revision
         self._note_digest()
 
     def clear(self) -> None:
@@ -64,6 +66,7 @@
         self._recent.clear()
         self._images.clear()
         self._digests.clear()
+        self._complete_since = self._state.revision
         self._note_digest()
 
     def has_update_for(self, request: FetchChanges) -> bool:
@@ -88,6 +91,7 @@
             confirmed_age=confirmed_age,
             waited=waited,
             data=data,
+            fits_later_copies=request.after >= self._complete_since,
         )
 
     def piece(self, request: FetchImage) -> ImagePiece:
--- a/src/chicoryhold/control/follower.py
+++ b/src/chicoryhold/control/follower.py
@@ -126,13 +126,20 @@
         """
         if update.revision < self._copy.revision:
             return BatchResult.BEHIND
-        if update.after > self._copy.revision:
-            return BatchResult.OUT_OF_ORDER
-        if update.revision > self._copy.revision and not self._apply(update):
-            return BatchResult.MISMATCH
+        if update.revision > self._copy.revision:
+            if not self._fits(update):
+                return BatchResult.OUT_OF_ORDER
+            if not self._apply(update):
+                return BatchResult.MISMATCH
         self._confirm(update, sent_at)
         return BatchResult.APPLIED
 
+    def _fits(self, update: StateUpdate) -> bool:
+        """Return whether the difference can be applied to the copy as it is now."""
+        if update.fits_later_copies:
+            return update.after <= self._copy.revision
+        return update.after == self._copy.revision
+
     def _apply(self, update: StateUpdate) -> bool:
         try:
             delta = decode(zlib.decompress(update.data))
--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -137,7 +137,6 @@
             source=self._source,
         )
         for fetch in self._fetches.take_overdue(timeout=self._patience):
-            self._fetch_log.failed("a source is slow to reply")
             self._log_avoided(fetch.source, "it is slow to reply")
             self._choice.avoid_late(fetch.source)
         if not self._expects_reply and self._clock.now() >= self._next_fetch_at:
--- a/src/chicoryhold/control/messages.py
+++ b/src/chicoryhold/control/messages.py
@@ -70,7 +70,9 @@
     """What differs between the revision ``after`` and the source's ``revision``.
 
     ``data`` is a compressed :class:`chicoryhold.state.delta.StateDelta`, and empty if
-    the two are equal. The other fields are those of :class:`ChangeBatch`.
+    the two are equal. ``fits_later_copies`` is whether it also fits copies between the
+    two: a source that skipped some revisions doesn't know what these had and it hasn't.
+    The other fields are those of :class:`ChangeBatch`.
     """
 
     after: int
@@ -78,6 +80,7 @@
     confirmed_age: float
     waited: float
     data: bytes
+    fits_later_copies: bool = False
 
 
 @message
--- a/src/chicoryhold/state/objects.py
+++ b/src/chicoryhold/state/objects.py
@@ -51,9 +51,9 @@
         objects = cls()
         revision = image.revision
         objects._index = ObjectIndex(oldest_base=revision)
-        if image.table != EMPTY_TABLE:
+        if image.table_revision > 0:
             objects.put_table(image.table, revision)
-        objects._table_revision = image.table_revision
+            objects._table_revision = image.table_revision
         for name in image.organisations:
             objects.add_organisation(name, revision)
         for digest, record in image.keys.items():
--- a/tests/test_state_delta.py
+++ b/tests/test_state_delta.py
@@ -91,6 +91,7 @@
             GiveKey(organisation=name, key_id=f"k{number}", digest=f"digest-{number}"),
             WithdrawKey(key_id=f"k{random.randrange(number + 1)}"),
             PutTable(text=HEADING + f"organisation,o,burst,{number + 1},requests\n"),
+            PutTable(text=HEADING),
             shift,
             EndShift(name=name),
             PlanStop(host=name),
