Log whom the leader finds silent when it proposes other members

The log of a control host named the proposed members as one text, and not why. Now the line has the voters, the learners and the silent members as fields. No logic is changed.

--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -346,17 +346,20 @@
             for identity, requested_at in self._join_requests.items()
             if now - requested_at < JOIN_REQUEST_EXPIRY_SECONDS
         ]
+        silent = self._replica.silent_members(longer_than=self._policy.silent_seconds)
         members = next_members(
             self._replica.members,
             joining=joining,
             caught_up=self._is_caught_up,
             voter_limit=self._policy.voter_limit,
-            silent=self._replica.silent_members(
-                longer_than=self._policy.silent_seconds
-            ),
+            silent=silent,
         )
         if members and self._replica.propose_members(members):
-            logger.info("control: proposed membership {}.", members)
+            logger.bind(
+                voters=list(members.voters),
+                learners=list(members.learners),
+                silent=list(silent),
+            ).info("control: proposed other members.")
 
     def _is_caught_up(self, identity: str) -> bool:
         return self._replica.match_index_of(identity) >= self._replica.commit_index
