Let only replicas that reply vote: replaced hosts no longer end the group (CONFIG)

Cause: a lost voter was removed only if there were more voters than the limit, or if the same process came back; with three hosts neither happens, so the lost one counts for ever. With more hosts it was replaced after 10 s of silence, though the settings allow the next loss catch_up_s after a successor's start. Nor were the regions of the voters looked at, nor whether a change of the members could itself need a reply of a host that is lost again.

Those vote that reply, as many as the settings need to bear their losses, no region with more than may be lost. A voter that is silent for a quarter of catch_up_s becomes a learner. A silent voter leaves before another is added, and to an odd number one is added only if a loss is borne. Silence counts replies, however late, and no time in which the leader's own process didn't run, so a slow host isn't thrown out, and a paused leader accuses nobody.

Two checks are replaced: they wanted the new voter added before the old one is removed. Four voters of whom one is lost need the reply of the newcomer; if it is lost again, nothing can be committed any more. The model shows it.

--- a/src/chicoryhold/consensus/leadership.py
+++ b/src/chicoryhold/consensus/leadership.py
@@ -15,6 +15,7 @@
     SnapshotRequest,
 )
 from chicoryhold.consensus.progress import Progress
+from chicoryhold.consensus.reply_watch import ReplyWatch
 
 MAX_ENTRIES_PER_REQUEST = 256
 # Replies to older broadcasts don't count; in minimum election timeouts.
@@ -41,6 +42,7 @@
         self._progress = Progress(
             identity=identity, round_lifetime=ROUND_LIFETIME_FACTOR * timing.election
         )
+        self._watch = ReplyWatch(clock=clock, longest_step=timing.heartbeat)
         self._term = 0
         self._since = float("-inf")
         self._heartbeat_due = float("-inf")
@@ -67,6 +69,7 @@
         self._term = term
         self._since = self._clock.now()
         self._progress.reset()
+        self._watch.restart()
         for member in self._log.members.identities:
             self._progress.of(member, last_index=self._log.last_index)
 
@@ -89,19 +92,17 @@
         """Return the highest index up to which a follower's log is known to match."""
         return self._progress.match_index_of(identity)
 
-    def silent_members(self, *, longer_than: float) -> tuple[str, ...]:
-        """Return members that haven't replied for ``longer_than`` seconds.
+    def watch_replies(self) -> None:
+        """Count the time for which members haven't replied; call this at each tick."""
+        self._watch.advance(self._log.members.identities)
 
-        Empty unless the replica has led for that long.
-        """
-        now = self._clock.now()
-        if now - self._since < longer_than:
-            return ()
+    def silent_members(self, *, longer_than: float) -> tuple[str, ...]:
+        """Return members that haven't replied for ``longer_than`` seconds."""
         return tuple(
             member
             for member in self._log.members.identities
             if member != self._identity
-            and now - self._progress.acknowledged_at(member) > longer_than
+            and self._watch.silent_seconds(member) > longer_than
         )
 
     def broadcast(self) -> None:
@@ -115,6 +116,7 @@
 
     def on_reply(self, reply: AppendReply) -> None:
         """Handle a member's reply in this term."""
+        self._watch.record_reply(reply.follower)
         progress = self._progress.record_reply(reply, last_index=self._log.last_index)
         behind = True
         if reply.accepted:
--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -134,7 +134,8 @@
     def silent_members(self, *, longer_than: float) -> tuple[str, ...]:
         """Return members that haven't replied for ``longer_than`` seconds.
 
-        Empty unless this replica has been the leader for that long.
+        Empty unless this replica has been the leader for that long. Time in which it
+        didn't run doesn't count.
         """
         if self._role is not Role.LEADER:
             return ()
@@ -271,6 +272,7 @@
     # Replication by the leader
 
     def _tick_leader(self) -> None:
+        self._leadership.watch_replies()
         if self._leadership.unconfirmed_seconds > 2 * self._timing.election:
             self._become_follower(self.term, leader=None)
         elif self._leadership.is_heartbeat_due:
--- /dev/null
+++ b/src/chicoryhold/control/membership_keeper.py
@@ -0,0 +1,78 @@
+"""Has the leader change the members of its group as they are lost and join."""
+
+from __future__ import annotations
+
+import attrs
+from loguru import logger
+
+from chicoryhold.clock import Clock
+from chicoryhold.consensus.replica import Replica, Role
+from chicoryhold.control.membership import MemberStates, next_members
+from chicoryhold.control.messages import JoinRequest
+from chicoryhold.control.replica_policy import ReplicaPolicy
+from chicoryhold.control.replica_requests import process_name
+
+JOIN_REQUEST_EXPIRY_SECONDS = 5.0
+CATCH_UP_ENTRIES = 256  # a replica that lacks fewer gets them in one message
+
+
+@attrs.frozen(kw_only=True)
+class _JoinRequested:
+    """The latest request of a process: its newest identity."""
+
+    identity: str
+    at: float
+
+
+class MembershipKeeper:
+    """Proposes the next change of the membership, if one is due and this one leads."""
+
+    def __init__(
+        self, *, replica: Replica, clock: Clock, policy: ReplicaPolicy
+    ) -> None:
+        self._replica = replica
+        self._clock = clock
+        self._policy = policy
+        self._join_requests: dict[str, _JoinRequested] = {}
+
+    def record_join(self, sender: str, request: JoinRequest) -> None:
+        """Note that ``sender`` asks for its replica to be a member."""
+        if sender == process_name(request.identity):
+            self._join_requests[sender] = _JoinRequested(
+                identity=request.identity, at=self._clock.now()
+            )
+
+    def update(self) -> None:
+        """Propose a change if one is due; call this often, and after each change."""
+        if self._replica.role is not Role.LEADER:
+            return
+        states = self._member_states()
+        members = next_members(
+            self._replica.members,
+            states,
+            tolerated_losses=self._policy.tolerated_losses,
+        )
+        if members and self._replica.propose_members(members):
+            logger.bind(
+                voters=list(members.voters),
+                learners=list(members.learners),
+                silent=list(states.silent),
+            ).info("control: proposed other members.")
+
+    def _member_states(self) -> MemberStates:
+        replica, policy = self._replica, self._policy
+        cutoff = self._clock.now() - JOIN_REQUEST_EXPIRY_SECONDS
+        requests = self._join_requests.values()
+        return MemberStates(
+            leader=replica.identity,
+            joining=[r.identity for r in requests if r.at > cutoff],
+            silent=replica.silent_members(longer_than=policy.silent_seconds),
+            forgotten=replica.silent_members(longer_than=policy.forget_seconds),
+            caught_up=self._is_caught_up,
+            place_of=policy.place_of,
+        )
+
+    def _is_caught_up(self, identity: str) -> bool:
+        match_index = self._replica.match_index_of(identity)
+        missing = self._replica.commit_index - match_index
+        return match_index > 0 and missing < CATCH_UP_ENTRIES
--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -24,7 +24,7 @@
 from chicoryhold.consensus.replica import Replica, Role
 from chicoryhold.control.feed import ChangeFeed
 from chicoryhold.control.in_force import InForceReports
-from chicoryhold.control.membership import next_members
+from chicoryhold.control.membership_keeper import MembershipKeeper
 from chicoryhold.control.messages import (
     FetchChanges,
     FetchImage,
@@ -34,7 +34,8 @@
     ReplicaStatusRequest,
     SourceUnavailable,
 )
-from chicoryhold.control.pending_fetches import MAX_FETCH_WAIT_SECONDS, PendingFetches
+from chicoryhold.control.pending_fetches import PendingFetches
+from chicoryhold.control.replica_policy import ReplicaPolicy
 from chicoryhold.control.replica_requests import (
     ControlView,
     Propose,
@@ -49,7 +50,6 @@
 
 DISK_RETRY_DELAY_SECONDS = 0.2
 JOIN_INTERVAL_SECONDS = 1.0
-JOIN_REQUEST_EXPIRY_SECONDS = 5.0
 RESEND_ADVICE = "the outcome is unknown: resend with the same request id"
 
 
@@ -59,25 +59,6 @@
     reply: Future
 
 
-@attrs.frozen(kw_only=True)
-class ReplicaPolicy:
-    """Settings of a group of control replicas.
-
-    With ``voter_limit``, replicas beyond it stay learners, and one of these replaces
-    a voter that hasn't answered for ``silent_seconds``. With
-    ``followers_serve_fetches``, replicas other than the leader answer fetches from
-    their copy; the answer states the age of the copy. With ``accept_any_sender``,
-    consensus messages from processes that aren't members are accepted. A fetch waits
-    at most ``max_fetch_wait`` seconds for a change.
-    """
-
-    voter_limit: int | None = None
-    silent_seconds: float = 10.0
-    followers_serve_fetches: bool = False
-    accept_any_sender: bool = False
-    max_fetch_wait: float = MAX_FETCH_WAIT_SECONDS
-
-
 class ReplicaActor(CriticalActor):
     """Owns the replica, its storage and the control state.
 
@@ -108,7 +89,9 @@
         self._pending_fetches = PendingFetches(
             feed=self._feed, clock=clock, max_wait=self._policy.max_fetch_wait
         )
-        self._join_requests: dict[str, float] = {}
+        self._membership = MembershipKeeper(
+            replica=replica, clock=clock, policy=self._policy
+        )
         self._join_due_at = 0.0
         self._logged_role: tuple[Role, str | None] = (Role.FOLLOWER, None)
 
@@ -147,7 +130,7 @@
 
     def _tick(self) -> None:
         self._replica.tick()
-        self._update_membership()
+        self._membership.update()
         self._ask_to_join()
 
     def _propose(self, request: Propose) -> None:
@@ -170,7 +153,7 @@
             case ReplicaMessage():
                 self._on_replica_message(received.sender, received.message)
             case JoinRequest():
-                self._on_join(received.sender, received.message)
+                self._membership.record_join(received.sender, received.message)
             case FetchChanges():
                 self._on_fetch(received)
             case FetchImage():
@@ -235,6 +218,8 @@
 
     def _apply(self, entry: Entry) -> None:
         self._applied_index = entry.index
+        if entry.members is not None:
+            self._membership.update()  # the next change needn't wait for a tick
         if not entry.command:
             return
         change = decode(entry.command)
@@ -333,37 +318,6 @@
 
     # Membership
 
-    def _on_join(self, sender: str, request: JoinRequest) -> None:
-        if sender == process_name(request.identity):
-            self._join_requests[request.identity] = self._clock.now()
-
-    def _update_membership(self) -> None:
-        if self._replica.role is not Role.LEADER:
-            return
-        now = self._clock.now()
-        joining = [
-            identity
-            for identity, requested_at in self._join_requests.items()
-            if now - requested_at < JOIN_REQUEST_EXPIRY_SECONDS
-        ]
-        silent = self._replica.silent_members(longer_than=self._policy.silent_seconds)
-        members = next_members(
-            self._replica.members,
-            joining=joining,
-            caught_up=self._is_caught_up,
-            voter_limit=self._policy.voter_limit,
-            silent=silent,
-        )
-        if members and self._replica.propose_members(members):
-            logger.bind(
-                voters=list(members.voters),
-                learners=list(members.learners),
-                silent=list(silent),
-            ).info("control: proposed other members.")
-
-    def _is_caught_up(self, identity: str) -> bool:
-        return self._replica.match_index_of(identity) >= self._replica.commit_index
-
     def _ask_to_join(self) -> None:
         now = self._clock.now()
         is_voter = self._replica.identity in self._replica.members.voters
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -14,6 +14,10 @@
 from chicoryhold.consensus.election_timer import Timing
 from chicoryhold.consensus.messages import Members
 from chicoryhold.consensus.replica import Replica
+from chicoryhold.control.membership import (
+    UNKNOWN_PLACE,
+    Place,
+)
 from chicoryhold.control.messages import (
     FetchChanges,
     FetchImage,
@@ -22,7 +26,8 @@
     ReplicaStatusRequest,
 )
 from chicoryhold.control.plane import ControlPlane
-from chicoryhold.control.replica_actor import ReplicaActor, ReplicaPolicy
+from chicoryhold.control.replica_actor import ReplicaActor
+from chicoryhold.control.replica_policy import ReplicaPolicy
 from chicoryhold.control.replica_requests import process_name
 from chicoryhold.control.storage import Storage, open_storage, read_identity
 from chicoryhold.hosts.actors import forward_to, running_actor
@@ -44,7 +49,6 @@
 from chicoryhold.metrics import Metrics, serve_metrics
 from chicoryhold.programs.host_bus import create_bus
 from chicoryhold.programs.host_settings import (
-    MAX_VOTERS,
     ControlHostSettings,
     RateTolerance,
 )
@@ -63,6 +67,11 @@
 REPLICA_TICK_SECONDS = 0.1
 REGISTRY_TICK_SECONDS = 0.25
 CONSENSUS_TIMING = Timing(heartbeat=0.25, election=1.0)
+# Of the time until the group has to bear the next loss. The rest is for an election
+# before, and two changes of the membership for each lost voter.
+SILENT_SHARE = 0.25
+FORGET_FACTOR = 10.0  # a host that is lost for so many times that time isn't back soon
+MAX_FETCH_WAIT_SECONDS = 0.5
 FOUNDER_SUFFIX = ".founder"
 EXTRA_REQUESTS_SHARE = 0.75  # of the tolerated extra requests; added to the burst
 IMMEDIATE_BURST_SHARE = 0.2  # of the burst; the rest is spread over the window
@@ -108,12 +117,7 @@
             clock=clock,
             snapshot_every=settings.snapshot_every,
             peers=peers,
-            policy=ReplicaPolicy(
-                voter_limit=MAX_VOTERS,
-                followers_serve_fetches=True,
-                accept_any_sender=True,
-                max_fetch_wait=0.5,
-            ),
+            policy=_replica_policy(settings, registry),
         )
         stack.enter_context(running_actor(actor, interval=REPLICA_TICK_SECONDS))
         reports = TargetReports(targets=lambda: state.targets, clock=clock)
@@ -191,6 +195,27 @@
     return Members(voters=tuple(f"{seed}{FOUNDER_SUFFIX}" for seed in settings.seeds))
 
 
+def _replica_policy(
+    settings: ControlHostSettings, registry: HostRegistry
+) -> ReplicaPolicy:
+    def place_of(identity: str) -> Place:
+        name = process_name(identity)
+        for host in registry.known_control_hosts:
+            if host.name == name:
+                return Place(region=host.region, domain=host.domain)
+        return UNKNOWN_PLACE
+
+    return ReplicaPolicy(
+        tolerated_losses=settings.tolerated_losses,
+        silent_seconds=SILENT_SHARE * settings.catch_up_seconds,
+        forget_seconds=FORGET_FACTOR * settings.catch_up_seconds,
+        place_of=place_of,
+        followers_serve_fetches=True,
+        accept_any_sender=True,
+        max_fetch_wait=MAX_FETCH_WAIT_SECONDS,
+    )
+
+
 def _peers(
     replica: Replica, registry: HostRegistry, seeds: tuple[str, ...]
 ) -> tuple[str, ...]:
--- a/src/chicoryhold/programs/host_settings.py
+++ b/src/chicoryhold/programs/host_settings.py
@@ -10,8 +10,6 @@
 from chicoryhold.gateway.currency import DEFAULT_APPLY_SECONDS
 from chicoryhold.membership.messages import ControlHost
 
-MAX_VOTERS = 5  # tolerates two losses; odd, so a two-way split leaves a majority
-
 
 @attrs.frozen(kw_only=True)
 class HostSettings:
@@ -63,10 +61,14 @@
     """Settings of a control host.
 
     ``new_installation`` is true only where an installation starts with empty disks.
+    Up to ``tolerated_losses`` control hosts may be lost at once. ``catch_up_seconds``
+    after a loss, the group has to bear the next one.
     """
 
     data_folder: Path
     new_installation: bool
+    tolerated_losses: int = 2
+    catch_up_seconds: float = 4.0
     tolerance: RateTolerance = RateTolerance()
     snapshot_every: int = 500
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -16,7 +16,7 @@
     VoteRequest,
 )
 from chicoryhold.consensus.replica import Role
-from chicoryhold.control.membership import next_members
+from chicoryhold.control.membership import MemberStates, next_members
 from chicoryhold.errors import NotLeader
 from tests.fakes import Group
 
@@ -207,13 +207,14 @@
     for _ in range(100):
         group.run(0.1)
         leader = group.replicas[group.wait_for_leader()]
-        members = next_members(
-            leader.members,
+        states = MemberStates(
+            leader=leader.identity,
             joining=[new],
             caught_up=lambda i, leader=leader: (
                 leader.match_index_of(i) >= leader.commit_index
             ),
         )
+        members = next_members(leader.members, states)
         if members is None:
             return
         leader.propose_members(members)
--- /dev/null
+++ b/tests/test_group_membership.py
@@ -0,0 +1,210 @@
+"""Which control replicas vote, while hosts are lost, return and are replaced."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from chicoryhold.consensus.messages import Members
+from chicoryhold.control.membership import MemberStates, Place, next_members
+from tests.group_model import GroupState, Limits
+from tests.replaced_hosts import ReplacedHosts
+
+CATCH_UP_SECONDS = 4.0
+ELECTION_SECONDS = 6.0  # with a second one after a split vote
+
+
+def next_step(members: Members, joining: list[str], **fields: object) -> Members | None:
+    states = MemberStates(joining=joining, **fields)
+    return next_members(members, states, tolerated_losses=1)
+
+
+def settled(members: Members, **fields: object) -> Members:
+    """Return the membership when no change is due any more."""
+    for _ in range(20):
+        changed = next_step(members, [], **fields)
+        if changed is None:
+            return members
+        assert len(set(changed.voters) ^ set(members.voters)) <= 1
+        members = changed
+    raise AssertionError(f"the membership goes on changing: {members}")
+
+
+def regions(*counts: int) -> tuple[Place, ...]:
+    """Return the places of control hosts, one domain each, for the count a region."""
+    places = [
+        Place(region=f"r{region}", domain=f"r{region}-{number}")
+        for number in range(max(counts))
+        for region, count in enumerate(counts)
+        if number < count
+    ]
+    return tuple(places)
+
+
+def test_a_replica_beyond_the_voter_limit_stays_a_learner():
+    members = Members(voters=("a.1", "b.1", "c.1"), learners=("d.1",))
+    assert next_step(members, ["d.1"]) is None
+
+
+def test_a_learner_takes_the_place_of_a_silent_voter():
+    members = Members(voters=("a.1", "b.1", "c.1"), learners=("d.1",))
+    reduced = next_step(members, ["d.1"], silent=("b.1",))
+    assert reduced == Members(voters=("a.1", "c.1"), learners=("d.1", "b.1"))
+    replaced = next_step(reduced, [], silent=("b.1",))
+    assert replaced == Members(voters=("a.1", "c.1", "d.1"), learners=("b.1",))
+    assert next_step(replaced, [], silent=("b.1",)) is None
+
+
+def test_a_replica_that_lost_its_disk_replaces_its_former_identity():
+    members = Members(voters=("a.1", "b.1", "c.1"), learners=("b.2",))
+    reduced = next_step(members, ["b.2"])
+    assert reduced == Members(voters=("a.1", "c.1"), learners=("b.2",))
+    assert next_step(reduced, []) == Members(voters=("a.1", "c.1", "b.2"))
+
+
+def test_a_voter_that_lost_its_disk_stays_until_its_successor_has_caught_up():
+    members = Members(voters=("a.1", "b.1", "c.1"), learners=("b.2",))
+    assert next_step(members, ["b.2"], caught_up=lambda identity: False) is None
+
+
+def test_a_silent_voter_stays_while_nobody_can_take_its_place():
+    members = Members(voters=("a.1", "b.1", "c.1"))
+    assert next_step(members, [], silent=("b.1",)) is None
+    assert next_step(members, [], silent=("b.1",), forgotten=("b.1",)) is None
+
+
+def test_of_four_voters_a_silent_one_leaves_at_once():
+    """Three of four have to reply, as of five; of three, two."""
+    members = Members(voters=("a.1", "b.1", "c.1", "d.1"))
+    after = next_members(members, MemberStates(silent=("d.1",)))
+    assert after == Members(voters=("a.1", "b.1", "c.1"), learners=("d.1",))
+
+
+def test_lost_voters_of_five_do_not_count_until_they_return():
+    """Three that reply bear a loss; with two lost ones among five, none."""
+    members = Members(voters=("a.1", "b.1", "c.1", "d.1", "e.1"))
+    states = MemberStates(silent=("b.1", "d.1"))
+    for _ in range(2):
+        members = next_members(members, states)
+    assert members == Members(voters=("a.1", "c.1", "e.1"), learners=("b.1", "d.1"))
+    assert next_members(members, states) is None
+    for _ in range(2):
+        members = next_members(members, MemberStates())
+    assert set(members.voters) == {"a.1", "b.1", "c.1", "d.1", "e.1"}
+
+
+def test_learners_that_do_not_return_are_forgotten():
+    members = Members(voters=("a.1", "c.1", "e.1"), learners=("b.1", "d.1"))
+    states = MemberStates(silent=("b.1", "d.1"), forgotten=("d.1",))
+    assert next_members(members, states) == Members(
+        voters=members.voters, learners=("b.1",)
+    )
+
+
+def test_two_replicas_that_join_at_once_become_learners_in_one_change():
+    members = Members(voters=("a.1", "b.1", "c.1"))
+    after = next_step(members, ["d.1", "e.1"])
+    assert after == Members(voters=members.voters, learners=("d.1", "e.1"))
+
+
+def test_a_silent_voter_leaves_first_where_a_lost_newcomer_would_end_the_group():
+    """With one of three silent, four voters would need the newcomer's reply."""
+    members = Members(voters=("a.1", "b.1", "c.1"), learners=("d.1",))
+    after = next_step(members, [], silent=("b.1",))
+    assert set(after.voters) == {"a.1", "c.1"}
+
+
+def test_no_region_has_three_voters_of_five_when_another_one_has_returned():
+    """Guards against CONFIG: three voters in one region, which is lost next."""
+    names = tuple(f"{region}{number}.1" for number in "123" for region in "abc")
+    places = dict(zip(names, regions(3, 3, 3), strict=True))
+
+    def settle(members: Members, silent: tuple[str, ...]) -> Members:
+        states = MemberStates(
+            leader="c1.1", silent=silent, place_of=lambda name: places[name]
+        )
+        while (after := next_members(members, states)) is not None:
+            members = after
+        return members
+
+    members = settle(Members(voters=names[:3], learners=names[3:]), ())
+    without_a = settle(members, ("a1.1", "a2.1", "a3.1"))
+    assert len(without_a.voters) == 5
+    assert not {name for name in without_a.voters if name.startswith("a")}
+    after = settle(without_a, ())
+    counts = Counter(name[0] for name in after.voters)
+    assert sorted(counts.values()) == [1, 2, 2]
+
+
+@pytest.mark.parametrize(
+    ("places", "limits"),
+    [
+        (regions(3), Limits(hosts=1)),
+        (regions(4), Limits(hosts=1)),
+        (regions(1, 1, 1), Limits(hosts=1, domains=1, regions=1)),
+        (regions(2, 1, 1), Limits(hosts=1, domains=1, regions=1)),
+        (regions(5), Limits(hosts=2)),
+        (regions(2, 2, 1), Limits(hosts=2, domains=1, regions=1)),
+        (regions(2, 2, 2), Limits(hosts=2, domains=1, regions=1)),
+        (regions(3, 3, 3), Limits(hosts=2, domains=1, regions=1)),
+    ],
+    ids=["3", "4", "3 in 3", "4 in 3", "5", "5 in 3", "6 in 3", "9 in 3"],
+)
+def test_no_order_of_losses_and_replacements_inside_the_limits_ends_the_group(
+    places, limits
+):
+    """Guards against CONFIG: hosts replaced one after the other ended the group.
+
+    Walks all states that any order of events can lead to.
+    """
+    start = GroupState.founded(places, limits)
+    seen = {start.key}
+    waiting = deque([(start, ())])
+    while waiting:
+        state, history = waiting.popleft()
+        assert state.has_majority, (history, state.members)
+        for event, following in state.successors():
+            if following.key not in seen:
+                seen.add(following.key)
+                waiting.append((following, (*history, event)))
+    assert len(seen) > 10
+
+
+@settings(max_examples=25, deadline=None)
+@given(
+    seed=st.integers(0, 2**32),
+    installation=st.sampled_from(
+        [
+            (regions(3), Limits(hosts=1)),
+            (regions(1, 1, 1), Limits(hosts=1, domains=1, regions=1)),
+            (regions(2, 2, 2), Limits(hosts=2, domains=1, regions=1)),
+            (regions(3, 3, 3), Limits(hosts=2, domains=1, regions=1)),
+        ]
+    ),
+)
+def test_the_group_bears_the_next_loss_as_soon_as_the_last_counts_no_more(
+    seed, installation
+):
+    """Guards against CONFIG: lost voters replaced later than ``catch_up_s`` allows.
+
+    Hosts are lost as early as the limits allow, and often those that vote.
+    """
+    places, limits = installation
+    hosts = ReplacedHosts(
+        seed=seed, places=places, limits=limits, catch_up_seconds=CATCH_UP_SECONDS
+    )
+    random = hosts.random
+    for _ in range(8):
+        losable = [slot for slot in hosts.slots if slot.is_up and hosts.may_lose(slot)]
+        random.shuffle(losable)
+        for slot in losable:
+            if hosts.may_lose(slot):
+                hosts.lose(slot)
+        hosts.run(random.choice((0.0, 0.3, 1.0, 3.0)))
+        for slot in hosts.slots:
+            if not slot.is_up:
+                hosts.bring_back(slot, replaced=random.random() < 0.7)
+        hosts.run(CATCH_UP_SECONDS + random.choice((0.1, 1.0)))
+    assert hosts.accepts_a_change(within=ELECTION_SECONDS)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,11 +1,9 @@
-"""The registry of live hosts, and which control replicas are voters."""
+"""The registry of live hosts."""
 
 from __future__ import annotations
 
 import msgspec
 
-from chicoryhold.consensus.messages import Members
-from chicoryhold.control.membership import next_members
 from chicoryhold.membership.messages import (
     ControlHost,
     ControlPresence,
@@ -153,28 +151,3 @@
     ]
     ordered = sort_by_proximity(hosts, domain="north-a", region="north")
     assert [host.name for host in ordered] == ["own", "near", "far"]
-
-
-def next_step(members: Members, joining: list[str], **fields: object) -> Members | None:
-    return next_members(
-        members, joining=joining, caught_up=lambda _: True, voter_limit=3, **fields
-    )
-
-
-def test_a_replica_beyond_the_voter_limit_stays_a_learner():
-    members = Members(voters=("a.1", "b.1", "c.1"), learners=("d.1",))
-    assert next_step(members, ["d.1"]) is None
-
-
-def test_a_learner_takes_the_place_of_a_silent_voter():
-    members = Members(voters=("a.1", "b.1", "c.1"), learners=("d.1",))
-    expanded = next_step(members, ["d.1"], silent=("b.1",))
-    assert expanded == Members(voters=("a.1", "b.1", "c.1", "d.1"))
-    assert next_step(expanded, [], silent=("b.1",)).voters == ("a.1", "c.1", "d.1")
-
-
-def test_a_replica_that_lost_its_disk_replaces_its_former_identity():
-    members = Members(voters=("a.1", "b.1", "c.1"), learners=("b.2",))
-    expanded = next_step(members, ["b.2"])
-    assert expanded.voters == ("a.1", "b.1", "c.1", "b.2")
-    assert next_step(expanded, []).voters == ("a.1", "c.1", "b.2")
