Order what a control host read late behind what its sender sent later (EVAC)

What callers saw: a follower of the control group was paused for 3.5 s.

Cause: evacuations have neither a version nor a sequence, and a control host never asked whether the sender still waits. Dropping requests of senders that have left when they are read wouldn't do: a host can be paused at any later point, the link between two control hosts can be cut, and the leader can be the one that is late.

Change: a control host reads the end of the leader's log, then asks the kernel whether the sender has closed its connection, and proposes the order with that position. The leader refuses it if its log has a later order on the same matter, or is of another term (control/overtaking.py). What a sender sends after it has given up is appended after that position, so an order that was given up can't follow it. Nothing of the replicated state changes, so builds may differ; an older leader ignores the position. The same question keeps a late DELETE /instances/ID from removing a later process of the same id, found by reading.

--- a/src/chicoryhold/consensus/messages.py
+++ b/src/chicoryhold/consensus/messages.py
@@ -33,6 +33,14 @@
     members: Members | None = None
 
 
+@message
+class LogPosition:
+    """The end of a leader's log at some time in its term."""
+
+    term: int
+    index: int
+
+
 @message
 class EntryBatch:
     """Entries that are stored together."""
--- a/src/chicoryhold/control/plane.py
+++ b/src/chicoryhold/control/plane.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from concurrent.futures import Future, TimeoutError as FutureTimeout
 from uuid import uuid4
 
@@ -13,10 +14,17 @@
 
 from chicoryhold.clock import Clock
 from chicoryhold.codec import decode, encode
+from chicoryhold.consensus.messages import LogPosition
 from chicoryhold.consensus.replica import Replica, Role
-from chicoryhold.control.replica_requests import Propose, Read, process_name
+from chicoryhold.control.replica_requests import (
+    ControlView,
+    Propose,
+    Read,
+    process_name,
+)
 from chicoryhold.errors import (
     NotLeader,
+    OrderOvertaken,
     PeerTimeout,
     ResultUnknown,
     Unavailable,
@@ -44,9 +52,19 @@
 
 ANSWER_TIMEOUT_SECONDS = 0.9  # callers use another host after one second
 RETRY_DELAY_SECONDS = 0.05  # between attempts to reach the leader
+# After a cut of the link, the end of a connection comes so long after its last request.
+DEPARTURE_SECONDS = 0.1
 MAX_COPY_AGE_SECONDS = 2.0  # an older copy isn't used to answer targets' reports
 
 
+HasLeft = Callable[[], bool]  # whether the sender of an order has given it up
+
+
+def never_leaves() -> bool:
+    """Return false: for a sender that waits until the order has an outcome."""
+    return False
+
+
 class ControlPlane:
     """Sends changes to the leader, from any control host, and returns their outcome.
 
@@ -87,19 +105,23 @@
         version = change.configuration.version
         return self._replicate(change, change_name="configuration", version=version)
 
-    def evacuate(self, domain: str) -> Result[None, Unavailable]:
+    def evacuate(
+        self, domain: str, *, has_left: HasLeft = never_leaves
+    ) -> Result[None, Unavailable]:
         return self._replicate(
             EvacuateDomain(domain=domain),
             change_name="evacuation",
-            deduplicate=True,
+            has_left=has_left,
             domain=domain,
         )
 
-    def end_evacuation(self, domain: str) -> Result[None, Unavailable]:
+    def end_evacuation(
+        self, domain: str, *, has_left: HasLeft = never_leaves
+    ) -> Result[None, Unavailable]:
         return self._replicate(
             EndEvacuation(domain=domain),
             change_name="evacuation end",
-            deduplicate=True,
+            has_left=has_left,
             domain=domain,
         )
 
@@ -122,11 +144,18 @@
                 self._reports.mark_recorded(record)
         return done
 
-    def remove_target(self, instance: str) -> Result[None, Unavailable]:
-        """Record that a target is gone for good."""
+    def remove_target(
+        self, instance: str, *, has_left: HasLeft = never_leaves
+    ) -> Result[None, Unavailable]:
+        """Record that a target is gone for good, if it still waits for the answer.
+
+        The process that is known by now may otherwise be a later one of the same name.
+        """
         known = self._state.targets.get(instance)
         if known is None:
             return Ok(None) if self.is_fresh else Err(Unavailable("no leader"))
+        if has_left():
+            return _given_up("target removal", target=instance)
         record = _as_gone(known)
         return self._replicate(
             RecordTargets(records=(record,)),
@@ -167,7 +196,9 @@
                 ForwardedOutcome(outcome=_outcome_or_none(done))
             )
         )
-        self._actor.tell(Propose(change=message.change, reply=reply))
+        self._actor.tell(
+            Propose(change=message.change, reply=reply, position=message.position)
+        )
         return answer
 
     def on_read(self, sender: str, message: ReadConfiguration) -> Future:
@@ -175,8 +206,10 @@
         reply: Future = Future()
 
         def deliver(done: Future) -> None:
-            proved = done.exception() is None
-            answer.set_result(self._configuration_read(proved=proved))
+            view = done.result() if done.exception() is None else None
+            answer.set_result(
+                self._configuration_read(view, with_text=message.with_text)
+            )
 
         reply.add_done_callback(deliver)
         self._actor.tell(Read(reply=reply))
@@ -189,18 +222,26 @@
         body: Body,
         *,
         change_name: str,
-        deduplicate: bool = False,
+        has_left: HasLeft | None = None,
         **fields: object,
     ) -> Result[None, Unavailable]:
         """Propose ``body`` until it has an outcome or ``ANSWER_TIMEOUT_SECONDS`` pass.
 
         A proposal that seemed lost may still be applied, after a later change that it
-        would undo. With ``deduplicate``, all attempts of this call have the same
-        request id, so that only the first one to arrive is applied.
+        would undo. Changes that aren't ordered by what they say need ``has_left``: they
+        are proposed only while their sender waits, and not after a later one on the
+        same matter. All attempts of this call then have the same request id, so that
+        only the first one to arrive is applied.
         """
         started = self._clock.now()
-        change = _change_of(body, request_id=uuid4().hex if deduplicate else "")
-        outcome = self._propose(change, deadline=started + ANSWER_TIMEOUT_SECONDS)
+        deadline = started + ANSWER_TIMEOUT_SECONDS
+        if has_left is None:
+            outcome = self._propose(_change_of(body), deadline=deadline)
+        else:
+            change = _change_of(body, request_id=uuid4().hex)
+            outcome = self._propose_in_order(change, has_left, deadline=deadline)
+            if outcome is None and has_left():
+                return _given_up(change_name, **fields)
         log = logger.bind(
             **fields,
             leader=process_name(self._replica.leader or ""),
@@ -221,33 +262,58 @@
             time.sleep(RETRY_DELAY_SECONDS)
         return None
 
-    def _try_propose(self, change: Change, timeout: float) -> Outcome | None:
+    def _propose_in_order(
+        self, change: Change, has_left: HasLeft, *, deadline: float
+    ) -> Outcome | None:
+        """Propose an order that must not take effect after a later one of its sender.
+
+        See :mod:`chicoryhold.control.overtaking`.
+        """
+        time.sleep(DEPARTURE_SECONDS)
+        while (remaining := deadline - self._clock.now()) > 0:
+            read = self._try_read(remaining, with_text=False)
+            if has_left():
+                return None
+            remaining = deadline - self._clock.now()
+            if read is not None and read.proved and remaining > 0:
+                outcome = self._try_propose(change, remaining, position=read.position)
+                if outcome is not None:
+                    return outcome
+            time.sleep(RETRY_DELAY_SECONDS)
+        return None
+
+    def _try_propose(
+        self, change: Change, timeout: float, *, position: LogPosition | None = None
+    ) -> Outcome | None:
         leader = process_name(self._replica.leader or "")
         if leader == self._bus.name:
             reply: Future = Future()
-            self._actor.tell(Propose(change=change, reply=reply))
+            self._actor.tell(Propose(change=change, reply=reply, position=position))
             try:
                 return reply.result(timeout)
-            except (NotLeader, ResultUnknown, FutureTimeout):
+            except (NotLeader, OrderOvertaken, ResultUnknown, FutureTimeout):
                 return None
         if not leader:
             return None
-        answer = self._ask(leader, ForwardedChange(change=change), timeout)
+        forwarded = ForwardedChange(change=change, position=position)
+        answer = self._ask(leader, forwarded, timeout)
         return answer.outcome if isinstance(answer, ForwardedOutcome) else None
 
-    def _try_read(self, timeout: float) -> ConfigurationRead | None:
+    def _try_read(
+        self, timeout: float, *, with_text: bool = True
+    ) -> ConfigurationRead | None:
         leader = process_name(self._replica.leader or "")
         if leader == self._bus.name:
             reply: Future = Future()
             self._actor.tell(Read(reply=reply))
             try:
-                reply.result(timeout)
+                view = reply.result(timeout)
             except (NotLeader, FutureTimeout):
                 return None
-            return self._configuration_read(proved=True)
+            return self._configuration_read(view, with_text=with_text)
         if not leader:
             return None
-        answer = self._ask(leader, ReadConfiguration(), timeout)
+        answer = self._ask(leader, ReadConfiguration(with_text=with_text), timeout)
         return answer if isinstance(answer, ConfigurationRead) else None
 
     def _ask(self, leader: str, message: object, timeout: float) -> object | None:
@@ -256,14 +322,23 @@
         except PeerTimeout:
             return None
 
-    def _configuration_read(self, *, proved: bool) -> ConfigurationRead:
+    def _configuration_read(
+        self, view: ControlView | None, *, with_text: bool
+    ) -> ConfigurationRead:
+        """Return what is known; ``view`` is ``None`` if it couldn't be confirmed."""
         return ConfigurationRead(
-            proved=proved,
+            proved=view is not None,
             version=self._state.configuration.version,
-            text=self._state.configuration_text,
+            text=self._state.configuration_text if with_text else b"",
+            position=view.position if view else None,
         )
 
 
+def _given_up(change_name: str, **fields: object) -> Result[None, Unavailable]:
+    logger.bind(**fields).info("control: {} dropped: its sender has left.", change_name)
+    return Err(Unavailable("the sender has given it up"))
+
+
 def _change_of(body: Body, *, request_id: str = "") -> Change:
     return Change(request_id=request_id, operator="", body=encode(body))
 
--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -20,7 +20,7 @@
     SaveVote,
     Send,
 )
-from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS, Entry
+from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS, Entry, LogPosition
 from chicoryhold.consensus.replica import Replica, Role
 from chicoryhold.control.feed import ChangeFeed
 from chicoryhold.control.in_force import InForceReports
@@ -34,6 +34,7 @@
     ReplicaStatusRequest,
     SourceUnavailable,
 )
+from chicoryhold.control.overtaking import is_overtaken
 from chicoryhold.control.pending_fetches import PendingFetches
 from chicoryhold.control.replica_policy import ReplicaPolicy
 from chicoryhold.control.replica_requests import (
@@ -43,7 +44,13 @@
     process_name,
 )
 from chicoryhold.control.storage import Storage
-from chicoryhold.errors import NotEncodable, NotLeader, ResultUnknown, UnknownMessage
+from chicoryhold.errors import (
+    NotEncodable,
+    NotLeader,
+    OrderOvertaken,
+    ResultUnknown,
+    UnknownMessage,
+)
 from chicoryhold.hosts.actors import CriticalActor, PeerRequest, Tick
 from chicoryhold.hosts.bus import Bus
 from chicoryhold.state.control_state import ControlState
@@ -134,6 +141,9 @@
         self._ask_to_join()
 
     def _propose(self, request: Propose) -> None:
+        if self._is_overtaken(request):
+            request.reply.set_exception(OrderOvertaken())
+            return
         try:
             index = self._replica.propose(encode(request.change))
         except NotLeader:
@@ -148,6 +158,16 @@
             term=term, reply=request.reply
         )
 
+    def _is_overtaken(self, request: Propose) -> bool:
+        if request.position is None or self._replica.role is not Role.LEADER:
+            return False
+        return is_overtaken(
+            request.change,
+            request.position,
+            log=self._replica.log,
+            term=self._replica.term,
+        )
+
     def _on_request(self, received: PeerRequest) -> None:
         match received.message:
             case ReplicaMessage():
@@ -307,6 +327,9 @@
                     state=self._state,
                     in_force=self._in_force,
                     status=self._status(),
+                    position=LogPosition(
+                        term=self._replica.term, index=self._replica.log.last_index
+                    ),
                 )
                 read.reply.set_result(view)
             else:
--- a/src/chicoryhold/control/replica_requests.py
+++ b/src/chicoryhold/control/replica_requests.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from chicoryhold.consensus.messages import LogPosition
 from chicoryhold.control.in_force import InForceReports
 from chicoryhold.control.messages import ReplicaStatus
 from chicoryhold.state.changes import Change
@@ -14,10 +15,15 @@
 
 @attrs.frozen(kw_only=True)
 class Propose:
-    """Replicate a change; ``reply`` gets its outcome."""
+    """Replicate a change; ``reply`` gets its outcome.
+
+    With ``position``, it gets :class:`OrderOvertaken` if a later order on the same
+    matter may be in the log after that position.
+    """
 
     change: Change
     reply: Future
+    position: LogPosition | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -33,11 +39,15 @@
 
 @attrs.frozen(kw_only=True)
 class ControlView:
-    """The leader's state, read-only, confirmed to be current when it was returned."""
+    """The leader's state, read-only, confirmed to be current when it was returned.
+
+    ``position`` is the end of its log.
+    """
 
     state: ControlState
     in_force: InForceReports
     status: ReplicaStatus
+    position: LogPosition
 
 
 def process_name(identity: str) -> str:
--- a/src/chicoryhold/errors.py
+++ b/src/chicoryhold/errors.py
@@ -52,6 +52,13 @@
     """Raised when a change was sent but no replica confirmed its outcome."""
 
 
+class OrderOvertaken(ChicoryholdError):
+    """Raised when another order on the same matter may have been accepted since."""
+
+    def __init__(self) -> None:
+        super().__init__("another order on the same matter came first: send it again")
+
+
 class OperatorRequestFailed(ChicoryholdError):
     """Raised when an operator's command is invalid, refused or can't be completed."""
 
--- a/src/chicoryhold/http_channel.py
+++ b/src/chicoryhold/http_channel.py
@@ -37,6 +37,7 @@
 QUEUED_REQUESTS = "chicoryhold.queued_requests"
 ARRIVED_AT = "chicoryhold.arrived_at"
 CANCELLATION = "chicoryhold.cancellation"
+HAS_LEFT = "chicoryhold.has_left"
 # With more left to send, the thread that sends may itself wait until it is sent.
 MAX_UNPOLLED_BYTES = 1_048_576
 UNUSED_SECONDS = 2.0  # a new connection without a request counts as idle then
@@ -51,7 +52,9 @@
     The WSGI environment holds under ``QUEUED_REQUESTS`` the number of requests that
     wait for a thread, because waitress doesn't bound that queue; under ``ARRIVED_AT``
     the boot-clock time at which the request was received in full; and under
-    ``CANCELLATION`` a ``Cancellation`` that is set when the caller disconnects.
+    ``CANCELLATION`` a ``Cancellation`` that is set when the caller disconnects; and
+    under ``HAS_LEFT`` a function that returns whether the caller has disconnected by
+    now, for a host that may have been paused since it read the request.
 
     WSGI forbids an application to send the Connection header, and waitress responds
     with 500 if one does, so the task sets it instead.
@@ -66,6 +69,7 @@
         environ[QUEUED_REQUESTS] = len(channel.server.task_dispatcher.queue)
         environ[ARRIVED_AT] = self.request.arrived_at
         environ[CANCELLATION] = channel.new_cancellation(self.request)
+        environ[HAS_LEFT] = lambda: channel.has_left
         return environ
 
     def write(self, data: bytes) -> None:
@@ -131,6 +135,11 @@
         """Whether each request that was read is answered in full."""
         return not (self.requests or self._has_partial() or self.total_outbufs_len)
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the caller has closed the connection, as far as the kernel knows."""
+        return not self.connected or has_ended(self.socket)
+
     @property
     def may_be_closed(self) -> bool:
         """Whether it is idle, and its next request is not likely to be on its way."""
--- a/src/chicoryhold/membership/messages.py
+++ b/src/chicoryhold/membership/messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from chicoryhold.codec import message
-from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
+from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS, LogPosition
 from chicoryhold.quarantine.messages import CrashReport, QuarantinedRequest
 from chicoryhold.state.changes import Change, Outcome
 
@@ -117,9 +117,14 @@
 
 @message
 class ForwardedChange:
-    """A change that a control host received and forwards to the leader."""
+    """A change that a control host received and forwards to the leader.
+
+    With ``position``, the leader refuses it if a later order on the same matter may be
+    in its log after that position.
+    """
 
     change: Change
+    position: LogPosition | None = None
 
 
 @message
@@ -131,13 +136,19 @@
 
 @message
 class ReadConfiguration:
-    """Asks the leader for the newest accepted configuration."""
+    """Asks the leader for the newest accepted configuration, and the end of its log."""
+
+    with_text: bool = True
 
 
 @message
 class ConfigurationRead:
-    """``text`` is the compressed document; ``proved`` is false if it may be stale."""
+    """``text`` is the compressed document; ``proved`` is false if it may be stale.
+
+    ``position`` is the end of the leader's log, ``None`` from an older build.
+    """
 
     proved: bool
     version: int = 0
     text: bytes = b""
+    position: LogPosition | None = None
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -10,6 +10,7 @@
 from werkzeug.test import Client
 
 from chicoryhold.codec import decode
+from chicoryhold.consensus.messages import LogPosition
 from chicoryhold.control.in_force import InForceReports
 from chicoryhold.control.messages import HostReport
 from chicoryhold.control.replica_requests import ControlView, Propose, Read
@@ -43,7 +44,12 @@
             self.proposed.append(message.change)
             message.reply.set_result(self.state.apply(message.change))
         else:
-            view = ControlView(state=self.state, in_force=self.in_force, status=None)
+            view = ControlView(
+                state=self.state,
+                in_force=self.in_force,
+                status=None,
+                position=LogPosition(term=1, index=1),
+            )
             message.reply.set_result(view)
 
 
