Give an attempt up only for a retry that is reserved (LOST)

Cause: whether a retry is allowed was decided when the attempt began, and not when it was given up: a stop that began meanwhile, a budget spent meanwhile, a quarantine or a lack of other targets refused the retry for which the attempt had been given up.

Change: when the early deadline passes, the reader asks. The delivery then chooses the target of the retry, charges the budget, and only then is the attempt given up; otherwise it goes on to its own deadline. The same holds for a head that has begun and doesn't end. A head that came in full proves the connection, so the early deadline no longer cuts its body. A connection found lost by the kernel is no longer taken for a deadline.

Tests: test_delivery (four; the first one fails if the retry isn't reserved) and test_lost_connections on real sockets.

--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -35,11 +35,11 @@
     no_target,
     rejected_by_target,
 )
-from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata, TargetCall
+from chicoryhold.gateway.request import ResponseMetadata, RoutedRequest, TargetCall
+from chicoryhold.gateway.reserved_retry import ReservedRetry
 from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.quarantine.crash_watch import CrashWatch
 from chicoryhold.quarantine.guard import RequestGuard
-from chicoryhold.routing.configuration import RouteRule
 from chicoryhold.routing.selection import Choice, Overloaded, SelectionCriteria
 from chicoryhold.routing.stated_limits import RateStatement, StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
@@ -60,25 +60,6 @@
     def response_metadata(self, response: TargetResponse) -> ResponseMetadata: ...
 
 
-@attrs.frozen(kw_only=True)
-class RoutedRequest:
-    """A request with its route and service, ready to be sent to targets.
-
-    ``deadline`` is on the local clock. ``allowed_regions`` are the regions that the
-    request may run in, empty for any. ``digest`` names the request when it comes again.
-    Rank 0 is the most urgent.
-    """
-
-    request: GatewayRequest
-    route: RouteRule
-    service: str
-    organisation: str
-    allowed_regions: frozenset[str]
-    deadline: float
-    digest: bytes
-    rank: int = 0
-
-
 @attrs.frozen(kw_only=True)
 class _AttemptResult:
     """The result of one attempt.
@@ -127,27 +108,51 @@
             return deadline_passed()
         last: _AttemptResult | None = None
         avoid: frozenset[str] = frozenset()
+        reserved: Choice | None = None
         for attempt in range(max(1, routed.route.attempts)):
-            if attempt and not self._may_retry(routed, last):
-                break
-            if not self._may_take(routed.deadline):
-                last = last or _AttemptResult(
-                    outcome=Err(stopping_refusal()), known_not_run=True
-                )
-                break
-            choice = self._chooser.choose(self._criteria(routed, avoid))
+            choice = reserved
+            if choice is None:
+                if attempt and not self._may_retry(routed, last):
+                    break
+                if not self._may_take(routed.deadline):
+                    last = last or _AttemptResult(
+                        outcome=Err(stopping_refusal()), known_not_run=True
+                    )
+                    break
+                choice = self._chooser.choose(self._criteria(routed, avoid))
             if isinstance(choice, Overloaded):
                 last = last or self._overload_result(routed, choice)
                 break
             if choice is None:
                 break
-            attempt_result = self._run_attempt(routed, choice, attempt)
+            avoid |= {choice.view.record.instance}
+            retry = self._retry(routed, attempt, avoid)
+            attempt_result = self._run_attempt(routed, choice, attempt, retry)
             if not attempt_result.failed:
                 return attempt_result.outcome
             last = _decisive_result(last, attempt_result)
-            avoid |= {choice.view.record.instance}
+            reserved = retry.choice
         return last.outcome if last else no_target(routed.service)
 
+    def _retry(
+        self, routed: RoutedRequest, attempt: int, avoid: frozenset[str]
+    ) -> ReservedRetry:
+        def reserve() -> Choice | None:
+            is_last = attempt + 1 >= routed.route.attempts
+            if is_last or not self._may_take(routed.deadline):
+                return None
+            if not self._may_repeat(routed, known_not_run=False):
+                return None
+            choice = self._chooser.choose(self._criteria(routed, avoid))
+            if not isinstance(choice, Choice):
+                return None
+            if not self._budgets.spend(routed.service):
+                self._chooser.release(choice)
+                return None
+            return choice
+
+        return ReservedRetry(reserve=reserve)
+
     def _criteria(
         self, routed: RoutedRequest, avoid: frozenset[str]
     ) -> SelectionCriteria:
@@ -182,20 +187,23 @@
         return _AttemptResult(outcome=Err(refusal), known_not_run=True)
 
     def _may_retry(self, routed: RoutedRequest, last: _AttemptResult) -> bool:
+        may_repeat = self._may_repeat(routed, known_not_run=last.known_not_run)
+        return may_repeat and self._budgets.spend(routed.service)
+
+    def _may_repeat(self, routed: RoutedRequest, *, known_not_run: bool) -> bool:
+        """Return whether another attempt may be made, if the budget allows it."""
         if routed.request.cancellation.is_set or self._is_cut_off():
             return False
-        if not (last.known_not_run or routed.route.repeatable):
+        if not (known_not_run or routed.route.repeatable):
             return False
         if routed.deadline - self._clock.now() < MIN_REMAINING_SECONDS:
             return False
         if self._guard.quarantine_seconds(routed.digest):
             return False
-        if not last.known_not_run and not self._guard.may_retry(routed.digest):
-            return False
-        return self._budgets.spend(routed.service)
+        return known_not_run or self._guard.may_retry(routed.digest)
 
     def _run_attempt(
-        self, routed: RoutedRequest, choice: Choice, attempt: int
+        self, routed: RoutedRequest, choice: Choice, attempt: int, retry: ReservedRetry
     ) -> _AttemptResult:
         started = self._clock.now()
         record = choice.view.record
@@ -208,6 +216,7 @@
                 stale_connection_deadline=self._stale_connection_deadline(
                     routed, choice, attempt
                 ),
+                may_give_up=retry.reserve,
                 cancellation=routed.request.cancellation,
             )
         except ExchangeFailed as error:
@@ -251,9 +260,9 @@
     ) -> float:
         """Return the deadline of an attempt on a connection that may have been lost.
 
-        Half of the remaining time is kept for a retry, if one would be allowed and the
-        other half is enough for an attempt. Otherwise, a target that is merely slow
-        would be broken off for nothing.
+        Half of the remaining time is kept for a retry, if there can be one and the
+        other half is enough for an attempt. Whether there will be one is asked when
+        that time comes.
         """
         now = self._clock.now()
         half = (routed.deadline - now) / 2
--- a/src/chicoryhold/gateway/request.py
+++ b/src/chicoryhold/gateway/request.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from chicoryhold.routing.configuration import RouteRule
 from chicoryhold.routing.stated_limits import RateStatement
 from chicoryhold.routing.target_view import LoadReport
 from chicoryhold.targets.cancellation import Cancellation
@@ -88,3 +89,22 @@
     other_instance: bool = False
     load: LoadReport | None = None
     limit: RateStatement = RateStatement()
+
+
+@attrs.frozen(kw_only=True)
+class RoutedRequest:
+    """A request with its route and service, ready to be sent to targets.
+
+    ``deadline`` is on the local clock. ``allowed_regions`` are the regions that the
+    request may run in, empty for any. ``digest`` names the request when it comes again.
+    Rank 0 is the most urgent.
+    """
+
+    request: GatewayRequest
+    route: RouteRule
+    service: str
+    organisation: str
+    allowed_regions: frozenset[str]
+    deadline: float
+    digest: bytes
+    rank: int = 0
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -17,10 +17,10 @@
 )
 from chicoryhold.clock import Clock
 from chicoryhold.gateway.currency import CopyCurrency
-from chicoryhold.gateway.delivery import Delivery, RoutedRequest
+from chicoryhold.gateway.delivery import Delivery
 from chicoryhold.gateway.outcomes import MIN_REMAINING_SECONDS, deadline_passed
 from chicoryhold.gateway.relay import Relay, RelayedRequest
-from chicoryhold.gateway.request import GatewayRequest
+from chicoryhold.gateway.request import GatewayRequest, RoutedRequest
 from chicoryhold.keys import key_digest
 from chicoryhold.limits.permit_client import Permission, PermitClient
 from chicoryhold.metrics import Metrics
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -29,7 +29,7 @@
     IdleConnections,
     idle_limit_seconds,
 )
-from chicoryhold.targets.limited_reader import ExchangeDeadlines
+from chicoryhold.targets.limited_reader import ExchangeDeadlines, always
 from chicoryhold.targets.link_failures import LinkFailure, connect_failure
 from chicoryhold.targets.response_memory import ResponseMemory
 
@@ -75,7 +75,8 @@
 
     def exchange(
         self, address: str, request: OutgoingRequest, *, deadline: float,
-        stale_connection_deadline: float, cancellation: Cancellation = NEVER_CANCELLED,
+        stale_connection_deadline: float, may_give_up: Callable[[], bool] = always,
+        cancellation: Cancellation = NEVER_CANCELLED,
     ) -> TargetResponse:  # fmt: skip
         """Return the response of the target at ``address``, by ``deadline``.
 
@@ -84,7 +85,9 @@
         time must remain for an attempt on another one. A more recently used
         connection is known to work, so a late response there means that the target is
         slow, and another attempt would only add load. The earlier deadline also
-        applies while a response has begun and its head doesn't end.
+        applies while a response has begun and its head doesn't end. When it passes,
+        ``may_give_up`` is asked once whether another attempt will be made; if not, this
+        one goes on.
 
         Raises ``ConnectFailed`` if no byte was sent (its subclass ``RequestNotSent`` if
         a connection was open), and ``ExchangeFailed`` if the
@@ -101,10 +104,15 @@
             connection = self._connect(address, deadline)
         else:
             connection = idle.connection
-            if self._clock.now() - idle.idle_since > STALE_AFTER_SECONDS:
-                deadline = stale_connection_deadline
-        deadlines = ExchangeDeadlines(final=deadline, early=stale_connection_deadline)
         started = self._clock.now()
+        deadlines = ExchangeDeadlines(
+            final=deadline,
+            early=stale_connection_deadline,
+            is_doubtful=(
+                idle is not None and started - idle.idle_since > STALE_AFTER_SECONDS
+            ),
+            may_give_up=may_give_up,
+        )
         try:
             with cancellation.closing(connection.sock):
                 response = self._send(connection, request, deadlines)
@@ -119,7 +127,7 @@
             self._idle.close(address)
             if idle is not None and self._clock.now() - started < LOST_SECONDS:
                 self._idle.record_lost()
-            failure = self._exchange_error(address, deadline, e)
+            failure = self._exchange_error(address, deadlines, e)
             if not isinstance(failure, ExchangeTimeout):
                 self._record_link_failure(address, LinkFailure.LOST)
             if not connection.may_have_sent:
@@ -132,9 +140,10 @@
         return response
 
     def _exchange_error(
-        self, address: str, deadline: float, error: Exception
+        self, address: str, deadlines: ExchangeDeadlines, error: Exception
     ) -> ExchangeFailed:
-        kind = ExchangeTimeout if self._clock.now() >= deadline else ExchangeFailed
+        timed_out = deadlines.was_given_up or self._clock.now() >= deadlines.final
+        kind = ExchangeTimeout if timed_out else ExchangeFailed
         return kind(
             f"target {address} broke off: {error}; look at its log and at the link"
         )
--- a/src/chicoryhold/targets/limited_reader.py
+++ b/src/chicoryhold/targets/limited_reader.py
@@ -4,6 +4,7 @@
 
 import io
 import socket
+from collections.abc import Callable
 
 import attrs
 
@@ -18,16 +19,35 @@
 MAX_FRAMING_PER_BODY_BYTE = 8
 
 
-@attrs.frozen(kw_only=True)
+def always() -> bool:
+    """Return true: an exchange may be given up without asking."""
+    return True
+
+
+@attrs.define(kw_only=True)
 class ExchangeDeadlines:
     """Times on the clock of this host by which an exchange must have ended.
 
     An exchange that has probably failed ends by ``early``, so that time remains for
     another attempt, any other by ``final``. Both are equal if there can be no other.
+    ``is_doubtful`` is whether the connection may have been lost before the request.
+
+    ``may_give_up`` is asked when the early deadline passes, and reserves the other
+    attempt. If it returns false, the exchange goes on until ``final``.
     """
 
     final: float
     early: float
+    is_doubtful: bool = False
+    may_give_up: Callable[[], bool] = always
+    was_given_up: bool = attrs.field(default=False, init=False)
+
+    def give_up(self) -> bool:
+        """Return whether to end early; if not, the early deadline is void."""
+        self.was_given_up = self.may_give_up()
+        if not self.was_given_up:
+            self.early = self.final
+        return self.was_given_up
 
 
 class LimitedReader(io.RawIOBase):
@@ -46,7 +66,7 @@
         self._stream = sock.makefile("rb", buffering=0)
         self._clock = clock
         self._deadlines = deadlines
-        self._deadline = deadlines.final
+        self._deadline = deadlines.early if deadlines.is_doubtful else deadlines.final
         self._in_head = True
         self._head_has_begun = False
         self._waits = True
@@ -70,12 +90,7 @@
         allowed = self._limit - self._received
         if allowed <= 0:
             raise InvalidResponse(self._limit_message())
-        self._socket.settimeout(self._remaining())
-        try:
-            count = self._socket.recv_into(buffer, min(allowed, len(buffer)))
-        except TimeoutError:
-            self._remaining()
-            raise
+        count = self._receive(memoryview(buffer)[:allowed])
         self._received += count
         if self._in_head and not self._head_has_begun:
             self._begin_head()
@@ -104,6 +119,15 @@
         self._stream.close()
         super().close()
 
+    def _receive(self, buffer: memoryview) -> int:
+        while True:
+            self._socket.settimeout(self._remaining())
+            try:
+                return self._socket.recv_into(buffer)
+            except TimeoutError as error:
+                if error.errno is not None:
+                    raise  # the kernel has found the connection lost
+
     def _read_arrived(self, buffer) -> int | None:
         try:
             return self._socket.recv_into(buffer)
@@ -125,11 +149,16 @@
         remaining = self._deadline - self._clock.now()
         if remaining > 0:
             return remaining
-        if self._deadline < self._deadlines.final:
+        if self._deadline >= self._deadlines.final:
+            raise TimeoutError("the deadline has passed")
+        if not self._deadlines.give_up():
+            self._deadline = self._deadlines.final
+            return self._remaining()
+        if self._head_has_begun:
             raise InvalidResponse(
                 "the answer's head has begun and doesn't end: look at the target's log"
             )
-        raise TimeoutError("the deadline has passed")
+        raise TimeoutError("the connection may be lost: another attempt is made")
 
     def _limit_message(self) -> str:
         if self._in_head:
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -13,8 +13,8 @@
     ExchangeTimeout,
     RequestNotSent,
 )
-from chicoryhold.gateway.delivery import Delivery, RoutedRequest
-from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata
+from chicoryhold.gateway.delivery import Delivery
+from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata, RoutedRequest
 from chicoryhold.limits.retry_budgets import RetryBudgets, RetryTerms
 from chicoryhold.metrics import Metrics
 from chicoryhold.quarantine.evidence import AMBIGUOUS_CRASHES
@@ -33,6 +33,9 @@
 PLAIN_503 = TargetResponse(status=503, headers=(), body=b"")
 
 
+GIVEN_UP_IF_ALLOWED = object()  # a result: the early deadline passes, then OK
+
+
 class Connections:
     """Returns or raises the given results in order and records the addresses."""
 
@@ -43,12 +46,15 @@
         self.seconds_for_a_retry: list[float] = []
 
     def exchange(
-        self, address, request, *, deadline, stale_connection_deadline, cancellation
-    ):
+        self, address, request, *, deadline, stale_connection_deadline, may_give_up,
+        cancellation,
+    ):  # fmt: skip
         self.addresses.append(address)
         self.seconds_for_a_retry.append(deadline - stale_connection_deadline)
         self.clock.advance(0.1)
         result = self.results.pop(0)
+        if result is GIVEN_UP_IF_ALLOWED:
+            result = ExchangeTimeout("late") if may_give_up() else OK
         if isinstance(result, Exception):
             raise result
         return result
@@ -272,3 +278,41 @@
     assert refusal.kind is RefusalKind.DEADLINE_PASSED
     assert refusal.ran is RunStatus.NOT_RUN
     assert refusal.retry_after > 0
+
+
+def test_an_attempt_is_not_given_up_for_a_retry_that_a_stop_would_refuse():
+    """Guards against LOST: a target that is at work is broken off, and 504 answered."""
+    outcome, connections = run_recorded(
+        GIVEN_UP_IF_ALLOWED, repeatable=True, is_ending=True
+    )
+    assert outcome.ok_value is OK
+    assert len(connections.addresses) == 1
+
+
+def test_an_attempt_is_given_up_for_a_retry_that_is_then_made():
+    outcome, connections = run_recorded(GIVEN_UP_IF_ALLOWED, OK, repeatable=True)
+    assert outcome.ok_value is OK
+    assert len(set(connections.addresses)) == 2
+
+
+def test_a_reserved_retry_is_charged_to_the_budget_once():
+    budgets = RetryBudgets(
+        terms=RetryTerms(earned_per_request=0.0, initial=2.0, max_saved=2.0)
+    )
+    for _ in range(2):
+        outcome, connections = run_recorded(
+            GIVEN_UP_IF_ALLOWED, OK, repeatable=True, budgets=budgets
+        )
+        assert len(connections.addresses) == 2
+    outcome, connections = run_recorded(
+        GIVEN_UP_IF_ALLOWED, repeatable=True, budgets=budgets
+    )
+    assert outcome.ok_value is OK
+    assert len(connections.addresses) == 1
+
+
+def test_an_attempt_is_not_given_up_where_no_attempt_is_left():
+    outcome, connections = run_recorded(
+        GIVEN_UP_IF_ALLOWED, repeatable=True, attempts=1
+    )
+    assert outcome.ok_value is OK
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -18,9 +18,9 @@
 from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
 from chicoryhold.clock import BootClock
 from chicoryhold.errors import ExchangeFailed, ExchangeTimeout, InvalidResponse
-from chicoryhold.gateway.delivery import Delivery, RoutedRequest
+from chicoryhold.gateway.delivery import Delivery
 from chicoryhold.gateway.reachability import TargetReachability
-from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata
+from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata, RoutedRequest
 from chicoryhold.hosts.messages import Admitted
 from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.metrics import Metrics
--- a/tests/test_lost_connections.py
+++ b/tests/test_lost_connections.py
@@ -6,7 +6,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import pytest
 
@@ -50,8 +50,9 @@
 
 
 def exchange(
-    address: str, *, seconds: float, early_seconds: float, body: bytes = b""
-) -> TargetResponse:
+    address: str, *, seconds: float, early_seconds: float, body: bytes = b"",
+    may_give_up: Callable[[], bool] = lambda: True,
+) -> TargetResponse:  # fmt: skip
     request = OutgoingRequest(
         request_id="r1",
         method="POST",
@@ -66,6 +67,7 @@
         request,
         deadline=now + seconds,
         stale_connection_deadline=now + early_seconds,
+        may_give_up=may_give_up,
     )
 
 
@@ -117,6 +119,32 @@
         assert time.monotonic() - started < 3
 
 
+@pytest.mark.parametrize("may_give_up", [True, False])
+def test_a_response_that_stalls_is_given_up_only_for_another_attempt(may_give_up):
+    """Guards against LOST: a target at work is broken off, and none is asked next."""
+    asked: list[None] = []
+
+    def serve(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(RESPONSE[:10])
+        time.sleep(1.2)
+        with suppress(OSError):
+            connection.sendall(RESPONSE[10:])
+
+    def ask() -> bool:
+        asked.append(None)
+        return may_give_up
+
+    with target(serve) as address:
+        if may_give_up:
+            with pytest.raises(ExchangeFailed):
+                exchange(address, seconds=4, early_seconds=0.6, may_give_up=ask)
+        else:
+            response = exchange(address, seconds=4, early_seconds=0.6, may_give_up=ask)
+            assert response.body == b"ok"
+    assert len(asked) == 1
+
+
 @pytest.mark.parametrize(
     ("early_seconds", "expected_ms"),
     [(0.3, 1_000), (1.5, 2_000), (4.0, 4_000), (600.0, 10_000)],
