--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import http.client
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
-from contextlib import closing
 
-import urllib3
 from loguru import logger
 
 from chicoryhold.clock import Clock
@@ -21,7 +18,7 @@
     RequestNotSent,
 )
 from chicoryhold.targets.cancellation import NEVER_CANCELLED, Cancellation
-from chicoryhold.targets.checked_connection import CheckedConnection, read_body
+from chicoryhold.targets.checked_connection import CheckedConnection
 from chicoryhold.targets.dialect import OWN_DIALECT, TargetDialect
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
 from chicoryhold.targets.idle_connections import (
@@ -32,10 +29,12 @@
 from chicoryhold.targets.limited_reader import ExchangeDeadlines, always
 from chicoryhold.targets.link_failures import LinkFailure, connect_failure
 from chicoryhold.targets.response_memory import ResponseMemory
+from chicoryhold.targets.response_parser import ParsedResponse
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 PRECONNECT_THREADS = 2
 LOST_SECONDS = 0.25  # a connection that ends so soon after it was reused was lost
+MAX_SKIPPED_RESPONSES = 2  # to earlier requests, before the one to this request
 STALE_AFTER_SECONDS = 0.1  # idle time after which a connection may have been lost
 
 
@@ -116,10 +115,10 @@
         try:
             with cancellation.closing(connection.sock):
                 response = self._send(connection, request, deadlines)
-        except InvalidResponse:
+        except (InvalidResponse, RequestNotSent):
             connection.close()
             raise
-        except (OSError, urllib3.exceptions.HTTPError, http.client.HTTPException) as e:
+        except OSError as e:
             connection.close()
             if cancellation.is_set:
                 raise ExchangeCancelled("the caller left: nobody waits for this") from e
@@ -135,9 +134,11 @@
                 raise RequestNotSent(message) from e
             raise failure from e
         self._idle.keep(
-            address, connection, idle_limit_seconds(_header(response, "keep-alive"))
+            address, connection, idle_limit_seconds(response.header("keep-alive"))
+        )
+        return TargetResponse(
+            status=response.status, headers=response.headers, body=response.body
         )
-        return response
 
     def _exchange_error(
         self, address: str, deadlines: ExchangeDeadlines, error: Exception
@@ -200,7 +201,7 @@
         started = self._clock.now()
         try:
             connection.connect()
-        except (OSError, urllib3.exceptions.HTTPError) as error:
+        except OSError as error:
             connection.close()
             self._idle.close(address)
             self._record_link_failure(address, connect_failure(error))
@@ -213,58 +214,64 @@
     def _send(
         self, connection: CheckedConnection, request: OutgoingRequest,
         deadlines: ExchangeDeadlines,
-    ) -> TargetResponse:  # fmt: skip
+    ) -> ParsedResponse:  # fmt: skip
         connection.start_exchange(deadlines)
-        connection.request(
+        id_header = self._dialect.request_id_header
+        connection.send_request(
             request.method,
             request.path,
-            body=request.body or None,
-            headers={
-                **request.headers,
-                self._dialect.request_id_header: request.request_id,
-            },
-            preload_content=False,
-            decode_content=False,
+            {**request.headers, id_header: request.request_id},
+            request.body,
         )
-        response = connection.getresponse()
-        with closing(response):
-            body = read_body(response, memory=self._memory)
-            self._validate(connection, request, response)
+        response = self._read_response(connection, request)
+        self._validate(request, response)
+        if connection.has_more() and not self._dialect.lenient_framing:
+            raise InvalidResponse(
+                "the answer goes on after its end: fix its Content-Length"
+            )
+        if connection.has_more() or not response.keeps_connection:
+            # The response is complete; what follows belongs to no request.
+            connection.close()
         connection.end_exchange()
-        return TargetResponse(
-            status=response.status,
-            headers=tuple(response.headers.items()),
-            body=body,
-        )
+        return response
+
+    def _read_response(
+        self, connection: CheckedConnection, request: OutgoingRequest
+    ) -> ParsedResponse:
+        """Return the next response, or the one after responses to earlier requests.
 
-    def _validate(
-        self,
-        connection: CheckedConnection,
-        request: OutgoingRequest,
-        response: urllib3.HTTPResponse,
-    ) -> None:
-        raw_response = response._original_response
-        chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-        has_no_body = response.status in (204, 304) or request.method == "HEAD"
-        has_framing = chunked or has_no_body or "Content-Length" in response.headers
-        if not (has_framing or self._dialect.lenient_framing):
+        A target may send a response twice, the second time when the next one is due.
+        """
+        for _ in range(MAX_SKIPPED_RESPONSES):
+            response = connection.read_response(memory=self._memory)
+            echoed_id = response.header(self._dialect.request_id_header)
+            is_other = bool(echoed_id) and echoed_id != request.request_id
+            if not (is_other and self._dialect.lenient_framing):
+                return response
+            logger.bind(request=request.request_id, other=echoed_id).info(
+                "connections: skipped a response to an earlier request."
+            )
+        return connection.read_response(memory=self._memory)
+
+    def _validate(self, request: OutgoingRequest, response: ParsedResponse) -> None:
+        if not (response.states_its_end or self._dialect.lenient_framing):
             raise InvalidResponse(
                 "the answer has no length, so it can't be known to be whole: make the "
                 "target send Content-Length or chunks"
             )
-        header = self._dialect.request_id_header
-        echoed_id = response.headers.get(header)
-        if raw_response.has_trailing_bytes and self._dialect.lenient_framing:
-            # The response itself is complete; the trailing bytes belong to no request.
-            connection.close()
-        elif raw_response.has_trailing_bytes:
-            raise InvalidResponse(
-                "the answer goes on after its end: fix its Content-Length"
-            )
+        id_header = self._dialect.request_id_header
+        echoed_id = response.header(id_header)
         if echoed_id != request.request_id:
             raise InvalidResponse(
                 f"the answer is for request {echoed_id!r}, not {request.request_id!r}: "
-                f"make the target return {header}"
+                f"make the target return {id_header}"
+            )
+        proof_header = self._dialect.proof_header
+        is_success = 200 <= response.status < 300
+        if is_success and proof_header and not response.header(proof_header):
+            raise InvalidResponse(
+                f"the answer is a success without {proof_header}, so it isn't known to "
+                "come from the target: look at what is between"
             )
 
 
@@ -274,7 +281,3 @@
         logger.bind(address=address).opt(exception=error).error(
             "connections: opening a connection in advance raised an error."
         )
-
-
-def _header(response: TargetResponse, name: str) -> str:
-    return next((v for k, v in response.headers if k.lower() == name), "")
--- a/src/chicoryhold/targets/limited_reader.py
+++ b/src/chicoryhold/targets/limited_reader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import io
 import socket
 from collections.abc import Callable
 
@@ -11,6 +10,7 @@
 from chicoryhold.clock import Clock
 from chicoryhold.errors import InvalidResponse
 
+READ_BYTES = 65_536
 MAX_HEAD_BYTES = 64 * 1024  # of the final and all interim heads together
 MIN_HEAD_SECONDS = 0.5  # for a head that has begun; a lost packet is sent again by then
 # Chunk sizes, chunk extensions and trailers. The smallest chunk, of one byte, has five
@@ -50,8 +50,8 @@
         return self.was_given_up
 
 
-class LimitedReader(io.RawIOBase):
-    """A raw stream for one response, limited as a whole and not only for each read.
+class LimitedReader:
+    """Reads the responses of one exchange, limited as a whole and not for each read.
 
     The timeout of the socket is computed anew before each read, so a target that sends
     a byte now and then can't extend the exchange.
@@ -60,41 +60,33 @@
     def __init__(
         self, *, sock: socket.socket, clock: Clock, deadlines: ExchangeDeadlines
     ) -> None:
-        super().__init__()
         self._socket = sock
-        # Keeps the socket open after ``close()`` until this stream is closed.
-        self._stream = sock.makefile("rb", buffering=0)
         self._clock = clock
         self._deadlines = deadlines
         self._deadline = deadlines.early if deadlines.is_doubtful else deadlines.final
         self._in_head = True
         self._head_has_begun = False
-        self._waits = True
         self._received = 0
         self._limit = MAX_HEAD_BYTES
 
-    def makefile(self, mode: str) -> io.BufferedReader:
-        """Return a buffered stream, as the socket's method of this name does."""
-        return io.BufferedReader(self)
+    @property
+    def has_received(self) -> bool:
+        """Whether any byte has arrived since the request was sent."""
+        return self._received > 0
 
-    def readable(self) -> bool:
-        return True
+    def receive(self) -> bytes:
+        """Return the next bytes, or none if the target has ended the connection.
 
-    def readinto(self, buffer) -> int | None:
-        """Read into ``buffer``; raise ``TimeoutError`` or ``InvalidResponse`` if over.
-
-        Returns ``None`` after :meth:`stop_waiting` if no byte has arrived.
+        Raises ``TimeoutError`` or ``InvalidResponse`` if a limit is reached.
         """
-        if not self._waits:
-            return self._read_arrived(buffer)
         allowed = self._limit - self._received
         if allowed <= 0:
             raise InvalidResponse(self._limit_message())
-        count = self._receive(memoryview(buffer)[:allowed])
-        self._received += count
+        data = self._receive(min(allowed, READ_BYTES))
+        self._received += len(data)
         if self._in_head and not self._head_has_begun:
             self._begin_head()
-        return count
+        return data
 
     def end_interim_head(self) -> None:
         """Wait for another head, until the deadline of the exchange."""
@@ -106,34 +98,33 @@
         self._in_head = False
         self._limit = self._received + MAX_FRAMING_BYTES
 
+    def start_another_head(self) -> None:
+        """Apply the limits of a head from now on, for another response."""
+        self._in_head = True
+        self._limit = self._received + MAX_HEAD_BYTES
+
     def count_body(self, count: int) -> None:
         """Note that ``count`` of the bytes were body, which allows for more framing."""
         self._limit += count * (1 + MAX_FRAMING_PER_BODY_BYTE)
 
-    def stop_waiting(self) -> None:
-        """Return only what has arrived already from now on."""
-        self._waits = False
+    def has_unread(self) -> bool:
+        """Return whether more has arrived, without waiting for it."""
         self._socket.settimeout(0)
+        try:
+            return bool(self._socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            # Nothing has arrived, or the connection is broken: nothing can be read.
+            return False
 
-    def close(self) -> None:
-        self._stream.close()
-        super().close()
-
-    def _receive(self, buffer: memoryview) -> int:
+    def _receive(self, count: int) -> bytes:
         while True:
             self._socket.settimeout(self._remaining())
             try:
-                return self._socket.recv_into(buffer)
+                return self._socket.recv(count)
             except TimeoutError as error:
                 if error.errno is not None:
                     raise  # the kernel has found the connection lost
 
-    def _read_arrived(self, buffer) -> int | None:
-        try:
-            return self._socket.recv_into(buffer)
-        except BlockingIOError:
-            return None
-
     def _begin_head(self) -> None:
         self._head_has_begun = True
         self._deadline = min(
--- a/tests/links.py
+++ b/tests/links.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import threading
+import time
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
@@ -24,6 +25,9 @@
     RESET = "new connects are refused, open connections are reset"
 
 
+RUN_SECONDS = 0.04  # so that several run at once, and connections are opened
+
+
 class StandInTarget:
     """Responds to every request and counts how often each request id ran.
 
@@ -43,9 +47,11 @@
                 self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 request_id = self.headers["Request-Id"]
                 runs[request_id] += 1
+                time.sleep(RUN_SECONDS)
                 may_respond.wait()
                 self.send_response(200)
                 self.send_header("Request-Id", request_id)
+                self.send_header("Server-Seal", "s1")
                 self.send_header("Content-Length", "2")
                 self.end_headers()
                 self.wfile.write(b"ok")
