Remove the newest process of a name, and acknowledge no removal without effect

Found by reading for DRAIN, not seen in the users' record: DELETE /instances/ID names no process, so the control host took the record of its own copy. If that copy was behind, the removal was proposed for an earlier process of the id, which changes nothing, or nothing was proposed for an id that the copy didn't know; both were acknowledged, and requests went on to a target that had said it was leaving.

Now the host first reads the end of the leader's log, waits until its own state has all of that, and only then looks up the record. With the wait taken out, the new test fails.

--- a/src/chicoryhold/control/plane.py
+++ b/src/chicoryhold/control/plane.py
@@ -20,6 +20,7 @@
     ControlView,
     Propose,
     Read,
+    Sync,
     process_name,
 )
 from chicoryhold.errors import (
@@ -54,6 +55,7 @@
 RETRY_DELAY_SECONDS = 0.05  # between attempts to reach the leader
 # After a cut of the link, the end of a connection comes so long after its last request.
 DEPARTURE_SECONDS = 0.1
+CATCH_UP_POLL_SECONDS = 0.01
 MAX_COPY_AGE_SECONDS = 2.0  # an older copy isn't used to answer targets' reports
 
 
@@ -149,13 +151,18 @@
     ) -> Result[None, Unavailable]:
         """Record that a target is gone for good, if it still waits for the answer.
 
-        The process that is known by now may otherwise be a later one of the same name.
+        The call names no process, so it is that of the newest record. A copy that is
+        behind may have an earlier one of the same name, or none: to record that this
+        one is gone would be acknowledged and have no effect. And if the target doesn't
+        wait any more, the newest one may be a later process.
         """
+        if not self._catch_up(self._clock.now() + ANSWER_TIMEOUT_SECONDS):
+            return Err(Unavailable("this control host's copy isn't up to date"))
         known = self._state.targets.get(instance)
-        if known is None:
-            return Ok(None) if self.is_fresh else Err(Unavailable("no leader"))
         if has_left():
             return _given_up("target removal", target=instance)
+        if known is None:
+            return Ok(None)
         record = _as_gone(known)
         return self._replicate(
             RecordTargets(records=(record,)),
@@ -282,6 +289,31 @@
             time.sleep(RETRY_DELAY_SECONDS)
         return None
 
+    def _catch_up(self, deadline: float) -> bool:
+        """Return once the state here has all that the leader's log had at the call."""
+        position: LogPosition | None = None
+        while (remaining := deadline - self._clock.now()) > 0:
+            if position is None:
+                read = self._try_read(remaining, with_text=False)
+                if read is not None and read.proved:
+                    if read.position is None:
+                        return self.is_fresh  # the leader is of an older build
+                    position = read.position
+            if position and self._replica.commit_index >= position.index:
+                return self._has_applied(deadline - self._clock.now())
+            time.sleep(CATCH_UP_POLL_SECONDS)
+        return False
+
+    def _has_applied(self, timeout: float) -> bool:
+        """Wait until what is committed here is applied; return whether it is."""
+        reply: Future = Future()
+        self._actor.tell(Sync(reply=reply))
+        try:
+            reply.result(max(0.0, timeout))
+        except FutureTimeout:
+            return False
+        return True
+
     def _try_propose(
         self, change: Change, timeout: float, *, position: LogPosition | None = None
     ) -> Outcome | None:
--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -41,6 +41,7 @@
     ControlView,
     Propose,
     Read,
+    Sync,
     process_name,
 )
 from chicoryhold.control.storage import Storage
@@ -114,6 +115,8 @@
             case PeerRequest():
                 self._on_request(message)
         self._run_effects()
+        if isinstance(message, Sync):
+            message.reply.set_result(None)
         self._log_role()
         self._answer_reads()
         self._answer_fetches()
--- a/src/chicoryhold/control/replica_requests.py
+++ b/src/chicoryhold/control/replica_requests.py
@@ -37,6 +37,13 @@
     since: float = attrs.field(default=0.0)
 
 
+@attrs.frozen(kw_only=True)
+class Sync:
+    """Set ``reply`` once all that is committed here is applied to the state."""
+
+    reply: Future
+
+
 @attrs.frozen(kw_only=True)
 class ControlView:
     """The leader's state, read-only, confirmed to be current when it was returned.
--- a/tests/test_overtaken_orders.py
+++ b/tests/test_overtaken_orders.py
@@ -136,6 +136,36 @@
     assert single.state.targets.get("i-1").state is TargetState.GONE
 
 
+def test_a_removal_waits_until_the_copy_has_the_newest_process_of_the_name(single):
+    """Guards against DRAIN: a removal by an old record, acknowledged without effect.
+
+    The copy learns of the process that sends the removal while the host handles it.
+    """
+    with running(single):
+        single.plane.report_target(target(1))
+    old = single.state.targets.copy()
+    commit_index = single.actor._replica.commit_index
+    propose(single, RecordTargets(records=(target(2),)))
+    newest = single.state.targets
+    single.state._objects._targets = old
+    single.actor._replica._committed._commit_index = commit_index
+    shown: list[bool] = []
+
+    def catch_up(seconds: float) -> None:
+        time.sleep(seconds)
+        single.state._objects._targets = newest
+        single.actor._replica._committed._commit_index = commit_index + 1
+        shown.append(True)
+
+    with running(single):
+        learning = threading.Thread(target=catch_up, args=[0.1])
+        learning.start()
+        assert single.plane.remove_target("i-1").is_ok()
+        learning.join()
+    gone = single.state.targets.get("i-1")
+    assert (gone.born_ms, gone.state) == (2, TargetState.GONE)
+
+
 def test_an_application_is_told_that_the_caller_has_closed_its_connection():
     """Also if the thread that reads from the connection hasn't found out yet."""
     begun, closed = threading.Event(), threading.Event()
