Give an attempt up only for a retry in the product's own forwarder as well

Now the retry is charged before the attempt is given up. Its target is still chosen afterwards, by the coordinator, who may refuse.

Test: test_a_slow_attempt_is_given_up_only_while_the_budget_has_a_retry.

--- a/src/chicoryhold/callers/forwarding.py
+++ b/src/chicoryhold/callers/forwarding.py
@@ -65,6 +65,7 @@
     tried_addresses: tuple[str, ...] = ()
     last_failure: Err[Refusal] | None = None
     is_final: bool = False
+    is_reserved: bool = False  # the next attempt is charged to the budget already
 
 
 class Forwarder:
@@ -102,7 +103,10 @@
         state = _RetryState()
         while True:
             outcome = self._attempt(forwarded, state)
-            if outcome.is_ok() or not self._may_retry(forwarded, state, outcome):
+            if outcome.is_ok():
+                return outcome
+            not_run = outcome.err_value.ran is RunStatus.NOT_RUN
+            if not self._may_retry(forwarded, state, not_run=not_run):
                 return outcome
             state.last_failure = outcome
 
@@ -164,6 +168,7 @@
                 stale_connection_deadline=self._stale_connection_deadline(
                     forwarded, state
                 ),
+                may_give_up=lambda: self._reserve_retry(forwarded, state),
             )
             latency = self._clock.now() - started
             ok = response.status < 500
@@ -206,14 +211,25 @@
         now = self._clock.now()
         return now + (forwarded.deadline - now) / 2
 
+    def _reserve_retry(self, forwarded: ForwardedRequest, state: _RetryState) -> bool:
+        """Charge another attempt to the budget; return whether it will be made.
+
+        Asked before an attempt is given up for it. Its target isn't reserved: that is
+        for the coordinator to choose.
+        """
+        state.is_reserved = self._may_retry(forwarded, state, not_run=False)
+        return state.is_reserved
+
     def _may_retry(
-        self, forwarded: ForwardedRequest, state: _RetryState, outcome: Err[Refusal]
+        self, forwarded: ForwardedRequest, state: _RetryState, *, not_run: bool
     ) -> bool:
+        if state.is_reserved:
+            state.is_reserved = False
+            return True
         if state.is_final or state.attempts >= MAX_ATTEMPTS:
             return False
         if self._clock.now() >= forwarded.deadline or self._reachability.is_cut_off:
             return False
-        not_run = outcome.err_value.ran is RunStatus.NOT_RUN
         if forwarded.request.at_most_once and not not_run:
             return False
         if self._guard.refusal(forwarded.digest) is not None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -11,7 +11,7 @@
 from chicoryhold.callers.forwarding import ForwardedRequest, Forwarder
 from chicoryhold.callers.granted_targets import GrantedTargets
 from chicoryhold.callers.refusals import RunStatus
-from chicoryhold.errors import ConnectFailed, ExchangeFailed
+from chicoryhold.errors import ConnectFailed, ExchangeFailed, ExchangeTimeout
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.target_prober import TargetProber
 from chicoryhold.hosts.messages import Admitted
@@ -70,6 +70,8 @@
             CrashedTargets(), on_crash=self.guard.record_crash, refusing=set(ADDRESSES)
         )
         self.crashes_targets = False
+        self.is_slow = False  # the next attempt passes its early deadline
+        self.gave_up: bool | None = None
         self.forwarder = Forwarder(
             crashes=self.crashes.watch(self.clock),
             guard=self.guard,
@@ -88,13 +90,20 @@
             return ProbeOutcome(reached=(), failed=tuple(addresses))
         return ProbeOutcome(reached=tuple(addresses), failed=())
 
-    def exchange(self, address, request, *, deadline, stale_connection_deadline):
+    def exchange(
+        self, address, request, *, deadline, stale_connection_deadline, may_give_up
+    ):
         if self.is_cut:
             self.reachability.record_failure(address)
             raise ConnectFailed("refused")
         self.reachability.record_opened()
         if self.crashes_targets:
             raise ExchangeFailed("closed")
+        if self.is_slow:
+            self.is_slow = False
+            self.gave_up = may_give_up()
+            if self.gave_up:
+                raise ExchangeTimeout("late")
         return OK
 
     def send(self, *, at_most_once: bool = True):
@@ -183,3 +192,14 @@
     granted = host.admission.granted
     host.send(at_most_once=False)
     assert host.admission.granted - granted == 1
+
+
+def test_a_slow_attempt_is_given_up_only_while_the_budget_has_a_retry(host):
+    """Guards against attempts that are broken off although no other one follows."""
+    given_up = []
+    for _ in range(100):
+        host.is_slow = True
+        assert host.send(at_most_once=False) == Ok(OK)
+        given_up.append(host.gave_up)
+    assert given_up[0]
+    assert not all(given_up)
