Log no error for a request that ends after its server

Now it is a line of level DEBUG, unless the server isn't closing. The new test fails without the change.

--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -208,6 +208,7 @@
     server.adj.socket_options = _CALLER_SOCKET_OPTIONS
     server.readable = partial(_make_room_and_accept, server, server.readable)
     closing = threading.Event()
+    server.pull_trigger = partial(_pull_trigger, server.pull_trigger, closing)
     create_critical_thread(lambda: _run_server(server, closing), name="http").start()
     try:
         yield HttpServer(server=server, state=state)
@@ -227,6 +228,19 @@
     return accepts()
 
 
+def _pull_trigger(pull: Callable[[], None], closing: threading.Event) -> None:
+    """Wake the server's thread, unless it has ended: a request may outlast the server.
+
+    Raises ``OSError`` if that fails before ``closing``.
+    """
+    try:
+        pull()
+    except OSError as error:
+        if not closing.is_set():
+            raise
+        logger.debug("http: a request ended after the server: {!r}", error)
+
+
 def _run_server(server: BaseWSGIServer, closing: threading.Event) -> None:
     """Serve until ``server`` is closed; raise if that fails before ``closing``."""
     try:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import socket
+import threading
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future
 
@@ -12,6 +14,7 @@
 
 from chicoryhold.http_server import serve_http
 from chicoryhold.logs import forward_library_errors
+from chicoryhold.trial.fleet import wait_until
 
 
 @pytest.fixture
@@ -46,3 +49,27 @@
     assert len(log) == 1
     assert log[0].startswith("ERROR library: concurrent.futures")
     assert "a programming error" in log[0]
+
+
+def test_a_request_that_ends_after_its_server_logs_no_error(log):
+    """Its thread wakes the server's, which is closed by then."""
+    begun, closed = threading.Event(), threading.Event()
+
+    def app(environ: dict, start_response: Callable) -> list[bytes]:
+        begun.set()
+        closed.wait(5)
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    with serve_http(app, "127.0.0.1:0", threads=1) as server:
+        caller = socket.create_connection(("127.0.0.1", int(server.port)))
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert begun.wait(5)
+    closed.set()
+    wait_until(
+        lambda: any("after the server" in line for line in log),
+        what="the request to end",
+        timeout=5,
+    )
+    caller.close()
+    assert not [line for line in log if line.startswith("ERROR")]
