Wait until a caller's held requests are cancelled before a test releases them

Cause: the test released the held requests once the channel was no longer listed. The server cancels them a moment later, in the same call. A request released in between ends without seeing its cancellation, which the test then waits for in vain. Nobody gets its response either way, and nothing that waited is handled, so the product isn't at fault. Change: the test waits for the cancellations themselves before it goes on. All that it asserted it still asserts: every held request is cancelled, and none that waited starts.

--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -261,6 +261,7 @@
             connection.send(wire(requests(*held, "/1", "/2", "/3", "/4", "/5")))
             wait_until(lambda: len(app.started) == running)
         wait_until(lambda: not server._server.active_channels)
+        wait_until(lambda: all(app.cancellations[path].is_set for path in held))
         for path in held:
             app.release(path)
         wait_until(lambda: app.cancelled == set(held))
