--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import msgspec
 import pytest
 from wiring.client_app import ClientApp
@@ -92,6 +94,17 @@
         read_configuration(msgspec.json.encode(CONFIGURATION)[:-3])
 
 
+@pytest.mark.parametrize(
+    ("read", "original"),
+    [(read_configuration, CONFIGURATION), (partial(read_report, "i-1"), REPORT)],
+)
+def test_a_document_whose_unknown_field_is_no_text_is_rejected(read, original):
+    body = with_value(original, "note", "REPLACED")
+    read(body)
+    with pytest.raises(ValueError, match="can't decode byte"):
+        read(body.replace(b"REPLACED", b"\xff"))
+
+
 def test_target_report_is_decoded():
     record = read_report("i-1", msgspec.json.encode(REPORT))
     assert record.state is TargetState.DRAINING
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -130,3 +130,19 @@
     assert control.process.poll() is None
     control.process.send_signal(signal.SIGTERM)
     assert control.process.wait(timeout=5) == 0
+
+
+NEXT_VERSION = {**CONFIGURATION, "version": "00000002"}
+UNREADABLE = (
+    json.dumps({**NEXT_VERSION, "note": "REPLACED"})
+    .encode()
+    .replace(b"REPLACED", b"\xff"),
+)
+
+
+def test_a_configuration_that_can_not_be_read_is_refused_and_not_in_force(control):
+    body = json.dumps(CONFIGURATION).encode()
+    control.request_until_ok("PUT", "/config", body)
+    statuses = [control.send_request("PUT", "/config", each)[0] for each in UNREADABLE]
+    assert statuses == [400] * len(UNREADABLE)
+    assert control.request_until_ok("GET", "/config") == body
