Refuse a document that is nested too deeply, in place of an error of the server

An operator that sent a configuration with a deeply nested field, valid or cut off, got 500 from each control host, where an invalid one needs a 4xx; a target's report of that kind did too.

Cause: the decoder's RecursionError isn't a ValueError, so nobody handled it.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,6 +19,7 @@
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.exchange import TargetResponse
 
+NESTING_DEPTH = 100_000  # more than the decoder takes
 CONFIGURATION = {
     "version": "0000000c",
     "routes": [
@@ -105,6 +106,18 @@
         read(body.replace(b"REPLACED", b"\xff"))
 
 
+@pytest.mark.parametrize("closing", ["]", ""])
+@pytest.mark.parametrize(
+    ("read", "original"),
+    [(read_configuration, CONFIGURATION), (partial(read_report, "i-1"), REPORT)],
+)
+def test_a_document_that_is_nested_too_deeply_is_rejected(read, original, closing):
+    nested = b"[" * NESTING_DEPTH + closing.encode() * NESTING_DEPTH
+    body = with_value(original, "note", "REPLACED").replace(b'"REPLACED"', nested)
+    with pytest.raises(ValueError, match="nested too deeply"):
+        read(body)
+
+
 def test_target_report_is_decoded():
     record = read_report("i-1", msgspec.json.encode(REPORT))
     assert record.state is TargetState.DRAINING
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -133,10 +133,10 @@
 
 
 NEXT_VERSION = {**CONFIGURATION, "version": "00000002"}
-UNREADABLE = (
-    json.dumps({**NEXT_VERSION, "note": "REPLACED"})
-    .encode()
-    .replace(b"REPLACED", b"\xff"),
+NESTING = b"[" * 100_000 + b"]" * 100_000
+UNREADABLE = tuple(
+    json.dumps({**NEXT_VERSION, "note": "REPLACED"}).encode().replace(*replacement)
+    for replacement in ((b"REPLACED", b"\xff"), (b'"REPLACED"', NESTING))
 )
 
 
