--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -32,7 +32,14 @@
             "target_latency_s": 0.3,
             "max_attempts": 2,
             "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
-        }
+        },
+        {
+            "name": "q",
+            "host": "shop.example",
+            "path_prefix": "/b/",
+            "kind": "safe",
+            "service": "s",
+        },
     ],
     "services": [{"name": "s", "cold_per_s": 16.0}, {"name": "t"}],
     "tenants": [{"name": "o", "api_keys": ["k"], "rate_per_s": 5, "burst": 7}],
@@ -75,6 +82,7 @@
         ("routes.0.path_prefix", "a/"),
         ("routes.0.timeout_s", 601),
         ("routes.0.split", [{"service": "x", "weight": 1}]),
+        ("routes.1.split", [{"service": "x", "weight": 1}]),
         ("version", "zz"),
         ("version", 12),
         ("version", "f" * 17),
@@ -90,6 +98,13 @@
         read_configuration(with_value(CONFIGURATION, path, value))
 
 
+def test_a_route_with_a_service_and_a_split_is_served_by_the_service():
+    split = [{"service": "t", "weight": 1}]
+    body = with_value(CONFIGURATION, "routes.1.split", split)
+    route = read_configuration(body).routes[1]
+    assert [part.service for part in route.parts] == ["s"]
+
+
 def test_truncated_configuration_is_rejected():
     with pytest.raises(InvalidConfiguration):
         read_configuration(msgspec.json.encode(CONFIGURATION)[:-3])
