Serve a split whose weights add up to more than a float holds

A configuration with weights such as 1e308 twice was acknowledged, and each request of its route got 500.

Cause: the choice adds the weights up, and an infinite sum can't be chosen from.

Weights near 0, which were rounded to a share of nothing, are right as well.

--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -28,6 +28,7 @@
 from chicoryhold.quarantine.guard import RequestGuard
 from chicoryhold.routing.configuration import OrganisationRule, RouteRule
 from chicoryhold.routing.route_index import RouteIndex
+from chicoryhold.routing.split import choose_service
 from chicoryhold.targets.exchange import TargetResponse
 
 Outcome = Result[TargetResponse, Refusal]
@@ -202,7 +203,7 @@
         return RoutedRequest(
             request=request,
             route=route,
-            service=self._choose_service(route),
+            service=choose_service(route, random=self._random),
             organisation=organisation.name if organisation else "",
             rank=_rank(route, organisation),
             allowed_regions=_allowed_regions(route, organisation),
@@ -210,14 +211,6 @@
             digest=digest,
         )
 
-    def _choose_service(self, route: RouteRule) -> str:
-        if len(route.parts) == 1:
-            return route.parts[0].service
-        weights = [part.weight for part in route.parts]
-        if sum(weights) <= 0:
-            return route.parts[0].service
-        return self._random.choices(route.parts, weights)[0].service
-
     def _log_refusal(
         self, request: GatewayRequest, index: RouteIndex, result: ServeResult
     ) -> None:
--- a/tests/test_routing_configuration.py
+++ b/tests/test_routing_configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from chicoryhold.codec import encode
@@ -14,6 +16,7 @@
     validation_errors,
 )
 from chicoryhold.routing.route_index import RouteIndex
+from chicoryhold.routing.split import choose_service
 from chicoryhold.state.changes import (
     Change,
     EndEvacuation,
@@ -22,6 +25,8 @@
 )
 from chicoryhold.state.control_state import ControlState
 
+CHOICES = 2_000
+
 
 def route(**fields: object) -> RouteRule:
     defaults = {
@@ -70,6 +75,29 @@
     assert "'r'" in errors[0]
 
 
+@pytest.mark.parametrize(
+    ("weights", "shares"),
+    [
+        ((90, 10), (0.9, 0.1)),
+        ((0, 5), (0, 1)),
+        ((0, 0), (1, 0)),
+        ((1e308, 1e308), (0.5, 0.5)),
+        ((5e-324, 5e-324), (0.5, 0.5)),
+    ],
+)
+def test_a_split_whose_weights_add_up_to_no_number_is_served_by_its_weights(
+    weights, shares
+):
+    parts = tuple(
+        WeightedService(service=name, weight=weight)
+        for name, weight in zip("ab", weights, strict=True)
+    )
+    random = Random(7)
+    chosen = [choose_service(route(parts=parts), random=random) for _ in range(CHOICES)]
+    counts = [chosen.count(name) / CHOICES for name in "ab"]
+    assert counts == pytest.approx(shares, abs=0.05)
+
+
 def test_two_organisations_may_not_share_a_key():
     organisations = (
         OrganisationRule(name="one", keys=("k",)),
