--- a/src/chicoryhold/consensus/committed_log.py
+++ b/src/chicoryhold/consensus/committed_log.py
@@ -52,7 +52,10 @@
         if snapshot.index > self._commit_index:
             self._log.compact(snapshot)
             self._commit_index = snapshot.index
-            self._request(SaveSnapshot(snapshot=snapshot))
+            remaining = self._log.slice(
+                self._log.first_index, limit=self._log.last_index
+            )
+            self._request(SaveSnapshot(snapshot=snapshot, remaining=remaining))
 
     def compact(self, *, index: int, data: bytes) -> Snapshot:
         """Replace the log up to ``index`` by a snapshot with ``data``.
--- a/src/chicoryhold/consensus/effects.py
+++ b/src/chicoryhold/consensus/effects.py
@@ -23,9 +23,13 @@
 
 @attrs.frozen(kw_only=True)
 class SaveSnapshot:
-    """Sync a received snapshot to disk and load it into the state machine."""
+    """Sync a received snapshot to disk and load it into the state machine.
+
+    ``remaining`` are the entries after it that the log keeps.
+    """
 
     snapshot: Snapshot
+    remaining: tuple[Entry, ...]
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -238,8 +238,8 @@
                 self._save(lambda: self._storage.save_vote(vote))
             case SaveEntries(entries=entries):
                 self._save(lambda: self._storage.append(entries))
-            case SaveSnapshot(snapshot=snapshot):
-                self._save(lambda: self._storage.save_snapshot(snapshot, ()))
+            case SaveSnapshot(snapshot=snapshot, remaining=remaining):
+                self._save(lambda: self._storage.save_snapshot(snapshot, remaining))
                 self._state.load(snapshot.data)
                 self._feed.clear()
                 self._applied_index = snapshot.index
--- a/src/chicoryhold/control/storage.py
+++ b/src/chicoryhold/control/storage.py
@@ -86,6 +86,8 @@
         for end, payload in read_records(content, path):
             position = end
             for entry in _entries_of(decode(payload)):
+                if entry.index > log.last_index + 1:
+                    raise CorruptLog(_corruption_message(path, end))
                 if entry.index > snapshot.index:
                     log.write([entry])
         if position < len(content):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -127,8 +127,8 @@
         match effect:
             case SaveEntries(entries=entries):
                 disk.log.write(entries)
-            case SaveSnapshot(snapshot=snapshot):
-                disk.log.compact(snapshot)
+            case SaveSnapshot(snapshot=snapshot, remaining=remaining):
+                disk.log = Log(snapshot=snapshot, entries=remaining)
             case Send():
                 blocked = name in self.partitioned or effect.to in self.partitioned
                 if not blocked and self.random.random() >= self.loss_probability:
