Finish the replacement of a log that the end of a process interrupted

Its log then seemed to end in an older term than it does, so it could vote for a candidate that lacks an acknowledged change.

--- a/src/chicoryhold/control/storage.py
+++ b/src/chicoryhold/control/storage.py
@@ -66,7 +66,9 @@
     def save_snapshot(self, snapshot: Snapshot, remaining: Iterable[Entry]) -> None:
         """Store ``snapshot``, then replace the log by the ``remaining`` entries."""
         replace_file(self._folder / "snapshot", _encode_record(encode(snapshot)))
-        entries = tuple(remaining)
+        self._replace_log(tuple(remaining))
+
+    def _replace_log(self, entries: tuple[Entry, ...]) -> None:
         data = _encode_record(encode(EntryBatch(entries=entries))) if entries else b""
         replace_file(self._folder / "log", data)
         new_file = os.open(self._folder / "log", os.O_WRONLY | os.O_APPEND)
@@ -79,21 +81,22 @@
         Without a stored snapshot, the initial members are ``founders``.
         """
         snapshot = self._load_snapshot(founders)
-        log = Log(snapshot=snapshot)
+        stored = _StoredLog(snapshot=snapshot)
         path = self._folder / "log"
         content = path.read_bytes()
         position = 0
         for end, payload in read_records(content, path):
             position = end
             for entry in _entries_of(decode(payload)):
-                if entry.index > log.last_index + 1:
+                if not stored.add(entry):
                     raise CorruptLog(_corruption_message(path, end))
-                if entry.index > snapshot.index:
-                    log.write([entry])
         if position < len(content):
             os.truncate(path, position)
             os.fsync(self._log_file)
-        return log
+        if stored.is_from_before_snapshot:
+            log = stored.log
+            self._replace_log(log.slice(log.first_index, limit=log.last_index))
+        return stored.log
 
     def _load_snapshot(self, founders: Members) -> Snapshot:
         path = self._folder / "snapshot"
@@ -105,6 +108,43 @@
         return decode(records[0][1])
 
 
+class _StoredLog:
+    """The log that the entries of a file make up, read in the order of the file.
+
+    If the process ended after a snapshot was stored and before the log was replaced,
+    the file has the entries that the snapshot covers, and later ones may have been
+    replaced with it.
+    """
+
+    def __init__(self, *, snapshot: Snapshot) -> None:
+        self._snapshot = snapshot
+        self._log = Log(snapshot=snapshot)
+        self._last_index = snapshot.index
+        self._matches = True
+        self._is_from_before_snapshot = False
+
+    @property
+    def log(self) -> Log:
+        return self._log
+
+    @property
+    def is_from_before_snapshot(self) -> bool:
+        return self._is_from_before_snapshot
+
+    def add(self, entry: Entry) -> bool:
+        """Add the next entry; return whether the log has all that come before it."""
+        if entry.index > self._last_index + 1:
+            return False
+        self._last_index = entry.index
+        if entry.index <= self._snapshot.index:
+            self._log = Log(snapshot=self._snapshot)
+            self._is_from_before_snapshot = True
+            self._matches = entry.term == self._snapshot.term
+        elif self._matches:
+            self._log.write([entry])
+        return True
+
+
 def _entries_of(stored: EntryBatch | Entry) -> tuple[Entry, ...]:
     """Return the entries of a record; earlier versions stored one per record."""
     return stored.entries if isinstance(stored, EntryBatch) else (stored,)
--- a/tests/test_installed_snapshot.py
+++ b/tests/test_installed_snapshot.py
@@ -111,3 +111,34 @@
         storage.append(entries(4, 4))
         with pytest.raises(CorruptLog, match="rejoins under a new identity"):
             storage.load_log(MEMBERS)
+
+
+def test_entries_that_a_snapshot_replaced_do_not_return_after_a_crash_while_it_is_saved(
+    tmp_path,
+):
+    with open_storage(tmp_path) as storage:
+        storage.append(entries(1, 5))
+        old_log = (tmp_path / "log").read_bytes()
+        taken = Snapshot(index=4, term=2, members=MEMBERS, data=b"")
+        storage.save_snapshot(taken, ())
+    (tmp_path / "log").write_bytes(old_log)
+    later = Entry(index=5, term=2)
+    with open_storage(tmp_path) as storage:
+        assert storage.load_log(MEMBERS).last_index == 4
+        storage.append((later,))
+    with open_storage(tmp_path) as storage:
+        assert storage.load_log(MEMBERS).slice(5, limit=100) == (later,)
+
+
+def test_entries_that_were_replaced_before_a_snapshot_do_not_return_after_that_crash(
+    tmp_path,
+):
+    with open_storage(tmp_path) as storage:
+        storage.append(entries(1, 5))
+        storage.append((Entry(index=3, term=2),))
+        old_log = (tmp_path / "log").read_bytes()
+        taken = Snapshot(index=3, term=2, members=MEMBERS, data=b"")
+        storage.save_snapshot(taken, ())
+    (tmp_path / "log").write_bytes(old_log)
+    with open_storage(tmp_path) as storage:
+        assert storage.load_log(MEMBERS).last_index == 3
