Log pauses, waiting fetches and how a copy comes into force

A host that refused callers with "no configuration" for five seconds logged nothing that told a pause, a slow link's backlog and a copy that wasn't confirmed apart: the line "the copy is old" was left out exactly while the copy had never been confirmed, and neither a pause nor the end of one was logged.

The line of an old copy is also written before the first confirmation, with the oldest unanswered fetch and the bytes of an image so far. New lines say that a fetch was given up and that a copy is confirmed for the first time; a configuration in force says how long ago it came, and a replica that changes its role, for how long it had heard no leader.

--- a/src/chicoryhold/consensus/election.py
+++ b/src/chicoryhold/consensus/election.py
@@ -69,7 +69,12 @@
     @property
     def has_recent_leader(self) -> bool:
         """Whether a leader sent a message within the minimum election timeout."""
-        return self._clock.now() - self._leader_contact_at < self._timing.election
+        return self.unheard_seconds < self._timing.election
+
+    @property
+    def unheard_seconds(self) -> float:
+        """Seconds since a leader's message was last handled; infinite before."""
+        return self._clock.now() - self._leader_contact_at
 
     def reset_timeout(self) -> None:
         """Draw a new election timeout, counted from now."""
--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -96,6 +96,11 @@
         """The identity of the leader that this replica follows, if any."""
         return self._leader
 
+    @property
+    def unheard_seconds(self) -> float:
+        """Seconds since the last message of a leader was handled here."""
+        return self._election.unheard_seconds
+
     @property
     def log(self) -> Log:
         return self._log
--- a/src/chicoryhold/control/fetch_log.py
+++ b/src/chicoryhold/control/fetch_log.py
@@ -28,6 +28,7 @@
     applied: float = 0.0
     between_ticks: float = 0.0
     source_age: float = 0.0
+    unanswered: float = 0.0
 
 
 class FetchLog:
@@ -37,13 +38,15 @@
     in both directions, threads of both processes included, and then ``queued`` here
     until the follower handled it. Putting a new state in force took ``applied``, on
     the follower's thread. ``between_ticks`` shows a process that was paused or
-    had no processor time.
+    had no processor time. The oldest fetch hasn't been answered for ``unanswered``;
+    ``image_bytes`` of an image have arrived.
     """
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._second = _Second()
         self._next_line_at = 0.0
+        self._started_at: float | None = None
         self._ticked_at: float | None = None
         self._reason = ""
         self._source_revision = 0
@@ -88,14 +91,22 @@
         seconds = self._clock.now() - since
         self._second.applied = max(self._second.applied, seconds)
 
-    def write(self, *, age: float, revision: int, version: int, source: str) -> None:
+    def write(
+        self, *, age: float, revision: int, version: int, source: str,
+        unanswered: float = 0.0, image_bytes: int = 0,
+    ) -> None:  # fmt: skip
         """Log a line if one is due, and begin the next second.
 
-        It is also written for the second in which the copy gets recent again.
+        It is also written for the second in which the copy gets recent again. Until
+        the copy was first confirmed its age counts from the first call.
         """
         now = self._clock.now()
-        age_now = age if age < UNCONFIRMED_AGE_SECONDS else 0.0
+        if self._started_at is None:
+            self._started_at = now
+        was_confirmed = age < UNCONFIRMED_AGE_SECONDS
+        age_now = age if was_confirmed else now - self._started_at
         self._second.age = max(self._second.age, age_now)
+        self._second.unanswered = max(self._second.unanswered, unanswered)
         if now < self._next_line_at:
             return
         self._next_line_at = now + LOG_INTERVAL_SECONDS
@@ -108,5 +119,7 @@
             source=source,
             source_revision=self._source_revision,
             reason=self._reason,
+            image_bytes=image_bytes,
+            was_confirmed=was_confirmed,
             **{name: round(value, 3) for name, value in attrs.asdict(second).items()},
         ).info("follower: the copy is old.")
--- a/src/chicoryhold/control/follower.py
+++ b/src/chicoryhold/control/follower.py
@@ -4,6 +4,8 @@
 
 import enum
 import zlib
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import attrs
 from loguru import logger
@@ -59,6 +61,7 @@
         self._state = ControlState(max_request_records=0)
         self._feed = ChangeFeed(state=self._copy)
         self._confirmed_at = float("-inf")
+        self._version_came_at = float("-inf")
         self._partial_images: dict[str, _PartialImage] = {}
 
     @property
@@ -80,6 +83,16 @@
         """The version of the configuration in the copy."""
         return self._copy.configuration.version
 
+    @property
+    def version_came_at(self) -> float:
+        """When the copy got the configuration that it has, on the local clock."""
+        return self._version_came_at
+
+    @property
+    def image_bytes(self) -> int:
+        """How many bytes of images have arrived that aren't complete."""
+        return sum(len(image.data) for image in self._partial_images.values())
+
     @property
     def feed(self) -> ChangeFeed:
         return self._feed
@@ -109,9 +122,10 @@
             return BatchResult.BEHIND
         if batch.after != self._copy.revision:
             return BatchResult.OUT_OF_ORDER
-        for change in batch.changes:
-            self._copy.apply(change)
-            self._feed.record(change)
+        with self._noting_version():
+            for change in batch.changes:
+                self._copy.apply(change)
+                self._feed.record(change)
         if self._copy.revision < batch.revision:
             return BatchResult.APPLIED
         if self._copy.digest != batch.digest:
@@ -146,7 +160,8 @@
         except (zlib.error, UnknownMessage) as error:
             logger.error("follower: dropped a difference: {}.", error)
             return False
-        is_equal = self._copy.apply_delta(delta)
+        with self._noting_version():
+            is_equal = self._copy.apply_delta(delta)
         self._feed.record_update()
         return is_equal
 
@@ -171,10 +186,25 @@
         if image.revision < self._copy.revision:
             return False
         data = bytes(image.data)
-        self._copy.load(zlib.decompress(data) if is_compressed else data)
+        with self._noting_version():
+            self._copy.load(zlib.decompress(data) if is_compressed else data)
         self._feed.clear()
         return True
 
+    @contextmanager
+    def _noting_version(self) -> Iterator[None]:
+        """Note that the copy has another configuration after the block, if it has."""
+        former = self._copy.configuration.version
+        yield
+        if self._copy.configuration.version == former:
+            return
+        self._version_came_at = self._clock.now()
+        if self._state is not self._copy:
+            logger.bind(
+                version=self._copy.configuration.version,
+                revision=self._copy.revision,
+            ).info("follower: a configuration has come; no source has confirmed it.")
+
     def _confirm(self, reply: ChangeBatch | StateUpdate, sent_at: float) -> None:
         """Note that the copy has all that the source of ``reply`` had."""
         if reply.confirmed_age >= UNCONFIRMED_AGE_SECONDS:
--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -135,6 +135,8 @@
             revision=self._follower.fetched_revision,
             version=self._follower.fetched_version,
             source=self._source,
+            unanswered=self._fetches.longest_wait,
+            image_bytes=self._follower.image_bytes,
         )
         for fetch in self._fetches.take_overdue(timeout=self._patience):
             self._log_avoided(fetch.source, "it is slow to reply")
@@ -274,7 +276,7 @@
         if self._is_confirmed:
             return
         self._is_confirmed = self._follower.state.revision > 0
-        logger.bind(
+        log = logger.bind(
             source=fetch.source,
             result=result.value,
             revision=self._follower.fetched_revision,
@@ -282,7 +284,10 @@
             source_age=round(reply.confirmed_age, 2),
             version=self._follower.fetched_version,
             seconds=round(self._clock.now() - fetch.sent_at, 3),
-        ).info("follower: received a reply while catching up.")
+        )
+        log.info("follower: received a reply while catching up.")
+        if self._is_confirmed:
+            log.info("follower: the copy is confirmed for the first time.")
 
     def _has_caught_up_with(self, reply: StateUpdate | ChangeBatch) -> bool:
         """Return whether the copy has every change that the source of ``reply`` has.
--- a/src/chicoryhold/control/open_fetches.py
+++ b/src/chicoryhold/control/open_fetches.py
@@ -6,6 +6,7 @@
 from concurrent.futures import Future
 
 import attrs
+from loguru import logger
 
 from chicoryhold.clock import Clock
 
@@ -48,6 +49,12 @@
         """The sources that owe a reply."""
         return frozenset(fetch.source for fetch in self._open.values())
 
+    @property
+    def longest_wait(self) -> float:
+        """For how many seconds the oldest fetch hasn't been answered."""
+        oldest = min((fetch.sent_at for fetch in self._open.values()), default=None)
+        return 0.0 if oldest is None else self._clock.now() - oldest
+
     def next_number(self) -> int:
         """Return the number of the fetch that is about to be sent."""
         self._next_number += 1
@@ -83,4 +90,8 @@
         return overdue
 
     def _drop(self, number: int) -> None:
-        self._forget(self._open.pop(number).future)
+        fetch = self._open.pop(number)
+        logger.bind(
+            source=fetch.source, seconds=round(self._clock.now() - fetch.sent_at, 3)
+        ).info("follower: a fetch is given up; its source hasn't replied.")
+        self._forget(fetch.future)
--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -139,6 +139,7 @@
             term=replica.term,
             commit=replica.commit_index,
             last=replica.log.last_index,
+            unheard=round(min(replica.unheard_seconds, UNCONFIRMED_AGE_SECONDS), 3),
         ).info("control: the role or the leader has changed.")
 
     def _tick(self) -> None:
--- a/src/chicoryhold/gateway/currency.py
+++ b/src/chicoryhold/gateway/currency.py
@@ -10,6 +10,7 @@
 from chicoryhold.clock import Clock
 from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.metrics import Metrics
+from chicoryhold.pauses import PauseWatch
 
 # A change is to be in force this long after its acknowledgement.
 DEFAULT_APPLY_SECONDS = 2.5
@@ -56,7 +57,7 @@
         self._in_touch_since = float("inf")
         self._told_confirmed_at = float("-inf")
         self._others_serve = False
-        self._checked_at: float | None = None
+        self._pauses = PauseWatch(clock=clock)
         self._woke_at = float("-inf")
         self._logged = Currency.CURRENT
         metrics.gauge(
@@ -71,7 +72,8 @@
             # A copy that was never confirmed isn't in force at all.
             return Currency.CURRENT
         now = self._clock.now()
-        if self._is_paused_until(now) or now - self._woke_at < WAKING_SECONDS:
+        is_paused = self._pauses.unchecked_seconds > PAUSE_SECONDS
+        if is_paused or now - self._woke_at < WAKING_SECONDS:
             return Currency.WAKING
         is_in_touch = now - self._told_confirmed_at <= TOLD_SECONDS
         if is_in_touch and now - self._in_touch_since > self._max_age:
@@ -118,9 +120,8 @@
     def check(self) -> None:
         """Notice pauses and log changes; called several times a second."""
         now = self._clock.now()
-        if self._is_paused_until(now):
+        if self._pauses.check() > PAUSE_SECONDS:
             self._woke_at = now
-        self._checked_at = now
         current = self.now
         if current is self._logged:
             return
@@ -133,7 +134,3 @@
             ),
         ).warning("gateway: the copy is {}.", current.value)
         self._on_change()
-
-    def _is_paused_until(self, now: float) -> bool:
-        """Whether the process seems to have been paused until ``now``."""
-        return self._checked_at is not None and now - self._checked_at > PAUSE_SECONDS
--- a/src/chicoryhold/membership/registry_actor.py
+++ b/src/chicoryhold/membership/registry_actor.py
@@ -24,6 +24,7 @@
 )
 from chicoryhold.membership.registry import HostRegistry
 from chicoryhold.membership.target_reports import TargetReports
+from chicoryhold.pauses import PauseWatch
 from chicoryhold.quarantine.messages import (
     CrashReport,
     QuarantineChanged,
@@ -61,6 +62,7 @@
         self._reports = reports
         self._bus = bus
         self._clock = clock
+        self._pauses = PauseWatch(clock=clock)
         self._peers = peers
         self._leads = leads
         self._record_silent = record_silent
@@ -76,6 +78,7 @@
     def on_receive(self, message: object) -> None:
         match message:
             case Tick():
+                self._pauses.check()
                 self._tick()
             case PeerRequest():
                 with dropping_bad_messages(message):
--- a/src/chicoryhold/programs/gateway_host.py
+++ b/src/chicoryhold/programs/gateway_host.py
@@ -143,6 +143,7 @@
             version=configuration.version,
             revision=self._follower.state.revision,
             age=round(self.copy_age, 2),
+            seconds=round(self._clock.now() - self._follower.version_came_at, 3),
             routes=len(configuration.routes),
         )
         try:
--- a/tests/test_failing_configuration.py
+++ b/tests/test_failing_configuration.py
@@ -21,6 +21,7 @@
 
     state: ControlState
     age: float = 0.0
+    version_came_at: float = 0.0
 
 
 def failing_index(configuration: Configuration) -> RouteIndex:
--- a/tests/test_fetch_log.py
+++ b/tests/test_fetch_log.py
@@ -132,3 +132,11 @@
     host.tick(3.0)
     host.run(1.0, replies=False)
     assert max(line["between_ticks"] for line in lines) == pytest.approx(3.0)
+
+
+def test_the_log_tells_for_how_long_a_copy_was_never_confirmed(lines):
+    host = Host()
+    host.run(5.0, replies=False)
+    assert not lines[-1]["was_confirmed"]
+    assert lines[-1]["age"] > 3.0
+    assert lines[-1]["unanswered"] > 3.0
