Date a control host's copy from its own reply, not from a late message

A control host that was paused, or whose leader's messages waited on a link, handled a heartbeat that was seconds old and took its copy for as young as the heartbeat said: with 3 s of pause, 0.1 s old. It answered waiting fetches so, and entry hosts then took a replaced configuration for current: they denied routes that had been added since, and said nothing of being behind.

A follower's reply now says when it was sent, by the follower's clock, and the leader's next message repeats that and says for how long it has known it. The copy is dated from there, so time on the way or in a queue makes it older, never younger. Both fields have defaults for older builds, whose messages are dated as before.

--- a/src/chicoryhold/consensus/leadership.py
+++ b/src/chicoryhold/consensus/leadership.py
@@ -117,7 +117,9 @@
     def on_reply(self, reply: AppendReply) -> None:
         """Handle a member's reply in this term."""
         self._watch.record_reply(reply.follower)
-        progress = self._progress.record_reply(reply, last_index=self._log.last_index)
+        progress = self._progress.record_reply(
+            reply, last_index=self._log.last_index, now=self._clock.now()
+        )
         behind = True
         if reply.accepted:
             previous_commit = self._committed.commit_index
@@ -161,6 +163,8 @@
             commit=self._committed.commit_index,
             round=self._progress.round,
             confirmed_age=self._confirmed_age(),
+            reply_sent_at=progress.reply_sent_at,
+            reply_held=self._clock.now() - progress.reply_handled_at,
         )
         # Requests are pipelined: the next one starts after these entries. If this one
         # is lost, the follower rejects the next, and its reply limits ``next_index``
--- a/src/chicoryhold/consensus/messages.py
+++ b/src/chicoryhold/consensus/messages.py
@@ -93,6 +93,10 @@
     time at which that broadcast was sent. ``confirmed_age`` is the number of seconds
     between the last time at which a majority confirmed the leader and the sending of
     this request. Everything committed by that time is covered by ``commit``.
+
+    ``reply_sent_at`` is the ``sent_at`` of the newest reply of this follower that the
+    leader had handled ``reply_held`` seconds before it sent this request: 0 if there
+    is none in this term, ``None`` from an older build.
     """
 
     term: int
@@ -103,15 +107,20 @@
     commit: int
     round: int
     confirmed_age: float = UNCONFIRMED_AGE_SECONDS
+    reply_sent_at: float | None = None
+    reply_held: float = 0.0
 
 
 @message
 class AppendReply:
+    """``sent_at`` is by the follower's clock; 0 from an older build."""
+
     term: int
     follower: str
     accepted: bool
     match: int
     round: int
+    sent_at: float = 0.0
 
 
 @message
--- a/src/chicoryhold/consensus/progress.py
+++ b/src/chicoryhold/consensus/progress.py
@@ -12,12 +12,15 @@
     """The leader's view of one follower.
 
     ``acknowledged_at`` is when the latest broadcast that the follower has replied to
-    was sent.
+    was sent. ``reply_sent_at`` is when the follower sent its newest reply, by its own
+    clock, and ``reply_handled_at`` when it was handled here, by this one's.
     """
 
     next_index: int
     match_index: int = 0
     acknowledged_at: float = float("-inf")
+    reply_sent_at: float = 0.0
+    reply_handled_at: float = 0.0
 
 
 class Progress:
@@ -66,11 +69,16 @@
             self._members[member] = progress
         return progress
 
-    def record_reply(self, reply: AppendReply, *, last_index: int) -> MemberProgress:
+    def record_reply(
+        self, reply: AppendReply, *, last_index: int, now: float
+    ) -> MemberProgress:
         """Update and return the progress of the follower that sent ``reply``."""
         progress = self.of(reply.follower, last_index=last_index)
         sent_at = self._round_sent_at.get(reply.round, float("-inf"))
         progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
+        if reply.sent_at > progress.reply_sent_at:
+            progress.reply_sent_at = reply.sent_at
+            progress.reply_handled_at = now
         if reply.accepted:
             progress.match_index = max(progress.match_index, reply.match)
             progress.next_index = max(progress.next_index, reply.match + 1)
--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -129,8 +129,9 @@
     def copy_confirmed_at(self) -> float:
         """The latest time at which the committed state here was known to be current.
 
-        A follower computes it from the age in the leader's message and the time at
-        which the message arrived, so it doesn't account for the network delay.
+        A follower computes it from the age in the leader's message, and from when it
+        sent the reply that the leader had handled before: the message may be handled
+        long after it was sent.
         """
         if self._role is Role.LEADER:
             return max(self.confirmed_at, self._copy_confirmed_at)
@@ -321,10 +322,20 @@
             request.commit <= match_index
             and request.confirmed_age < UNCONFIRMED_AGE_SECONDS
         ):
-            confirmed_at = self._clock.now() - request.confirmed_age
+            confirmed_at = self._sent_at(request) - request.confirmed_age
             self._copy_confirmed_at = max(self._copy_confirmed_at, confirmed_at)
         self._reply_append(request.leader, True, match_index, request.round)
 
+    def _sent_at(self, request: AppendRequest) -> float:
+        """Return a time before which the leader didn't send ``request``."""
+        now = self._clock.now()
+        if request.reply_sent_at is None:
+            return now  # an older build doesn't tell
+        if not 0 < request.reply_sent_at <= now:
+            # The leader has no reply yet, or only of before this machine was restarted.
+            return float("-inf")
+        return min(now, request.reply_sent_at + request.reply_held)
+
     def _on_snapshot(self, request: SnapshotRequest) -> None:
         if not self._accept_leader(request.term, request.leader):
             self._reply_append(request.leader, False, self._log.last_index, 0)
@@ -351,6 +362,7 @@
             accepted=accepted,
             match=match_index,
             round=round,
+            sent_at=self._clock.now(),
         )
         self._send(to, reply)
 
