Replicate in parts, so that heartbeats don't wait behind long entries

A control leader sent each member all that it lacked, up to 256 entries in one message, and again at each rejection: heartbeats waited behind it, on the link and in the member that stored and applied it.

With a full window a heartbeat goes without entries.

--- a/src/chicoryhold/consensus/leadership.py
+++ b/src/chicoryhold/consensus/leadership.py
@@ -7,14 +7,16 @@
 from chicoryhold.clock import Clock
 from chicoryhold.consensus.committed_log import CommittedLog
 from chicoryhold.consensus.election_timer import Timing
+from chicoryhold.consensus.in_flight import first_that_fit, size_of
 from chicoryhold.consensus.log import Log
 from chicoryhold.consensus.messages import (
     UNCONFIRMED_AGE_SECONDS,
     AppendReply,
     AppendRequest,
+    Entry,
     SnapshotRequest,
 )
-from chicoryhold.consensus.progress import Progress
+from chicoryhold.consensus.progress import MemberProgress, Progress
 from chicoryhold.consensus.reply_watch import ReplyWatch
 
 MAX_ENTRIES_PER_REQUEST = 256
@@ -112,7 +114,7 @@
         self._progress.start_round(now)
         for peer in self._log.members.identities:
             if peer != self._identity:
-                self._replicate_to(peer)
+                self._replicate_to(peer, is_heartbeat=True)
 
     def on_reply(self, reply: AppendReply) -> None:
         """Handle a member's reply in this term."""
@@ -146,19 +148,43 @@
         ):
             self._committed.commit_to(index)
 
-    def _replicate_to(self, peer: str) -> None:
+    def _replicate_to(self, peer: str, *, is_heartbeat: bool = False) -> None:
+        """Send entries while there is room for them; a heartbeat is sent without."""
         progress = self._progress.of(peer, last_index=self._log.last_index)
-        previous = progress.next_index - 1
-        previous_term = self._log.term_at(previous)
-        if previous_term is None:
-            self._send_snapshot(peer)
+        if self._log.term_at(progress.next_index - 1) is None:
+            self._send_snapshot(peer, progress)
+            return
+        entries = self._next_entries(progress)
+        if not entries and not is_heartbeat:
             return
-        entries = self._log.slice(progress.next_index, limit=MAX_ENTRIES_PER_REQUEST)
+        self._send_append(peer, progress, entries)
+        # Requests are pipelined: the next one starts after these entries. If this one
+        # is lost, the follower rejects the next, and its reply limits ``next_index``
+        # to what the follower's log can contain.
+        progress.next_index += len(entries)
+        if entries:
+            progress.in_flight.add(
+                last_index=entries[-1].index,
+                size=size_of(entries),
+                at=self._clock.now(),
+            )
+
+    def _next_entries(self, progress: MemberProgress) -> tuple[Entry, ...]:
+        if not progress.in_flight.has_room:
+            return ()
+        return first_that_fit(
+            self._log.slice(progress.next_index, limit=MAX_ENTRIES_PER_REQUEST)
+        )
+
+    def _send_append(
+        self, peer: str, progress: MemberProgress, entries: tuple[Entry, ...]
+    ) -> None:
+        previous = progress.next_index - 1
         request = AppendRequest(
             term=self._term,
             leader=self._identity,
             previous_index=previous,
-            previous_term=previous_term,
+            previous_term=self._log.term_at(previous),
             entries=entries,
             commit=self._committed.commit_index,
             round=self._progress.round,
@@ -166,13 +192,10 @@
             reply_sent_at=progress.reply_sent_at,
             reply_held=self._clock.now() - progress.reply_handled_at,
         )
-        # Requests are pipelined: the next one starts after these entries. If this one
-        # is lost, the follower rejects the next, and its reply limits ``next_index``
-        # to what the follower's log can contain.
-        progress.next_index += len(entries)
         self._send(peer, request)
 
-    def _send_snapshot(self, peer: str) -> None:
+    def _send_snapshot(self, peer: str, progress: MemberProgress) -> None:
+        """Send the snapshot; what follows it is sent as if it had arrived."""
         request = SnapshotRequest(
             term=self._term,
             leader=self._identity,
@@ -180,6 +203,12 @@
             round=self._progress.round,
         )
         self._send(peer, request)
+        snapshot = self._log.snapshot
+        progress.next_index = snapshot.index + 1
+        progress.in_flight.clear()
+        progress.in_flight.add(
+            last_index=snapshot.index, size=len(snapshot.data), at=self._clock.now()
+        )
 
     def _confirmed_age(self) -> float:
         return min(self._clock.now() - self.confirmed_at(), UNCONFIRMED_AGE_SECONDS)
--- a/src/chicoryhold/consensus/progress.py
+++ b/src/chicoryhold/consensus/progress.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from chicoryhold.consensus.in_flight import InFlight
 from chicoryhold.consensus.messages import AppendReply, Members
 
 
@@ -13,7 +14,8 @@
 
     ``acknowledged_at`` is when the latest broadcast that the follower has replied to
     was sent. ``reply_sent_at`` is when the follower sent its newest reply, by its own
-    clock, and ``reply_handled_at`` when it was handled here, by this one's.
+    clock, and ``reply_handled_at`` when it was handled here, by this one's. Rejections
+    of broadcasts before ``restarted_round`` were sent before the leader went back.
     """
 
     next_index: int
@@ -21,6 +23,8 @@
     acknowledged_at: float = float("-inf")
     reply_sent_at: float = 0.0
     reply_handled_at: float = 0.0
+    restarted_round: int = 0
+    in_flight: InFlight = attrs.field(factory=InFlight)
 
 
 class Progress:
@@ -82,8 +86,12 @@
         if reply.accepted:
             progress.match_index = max(progress.match_index, reply.match)
             progress.next_index = max(progress.next_index, reply.match + 1)
-        else:
+            progress.in_flight.acknowledge(reply.match, now=now)
+        elif reply.round >= progress.restarted_round:
             progress.next_index = max(1, min(progress.next_index - 1, reply.match + 1))
+            progress.in_flight.clear()
+            self.start_round(now)
+            progress.restarted_round = self._round
         return progress
 
     def match_index_of(self, member: str) -> int:
