Storms soak: write down what was done to which host

A failed run left the logs of the hosts, but not when the soak had paused, killed, started or slowed which one, so a trace couldn't tell whether the users' page allows an answer.

--- a/bench/storms/probes.py
+++ b/bench/storms/probes.py
@@ -52,6 +52,11 @@
         self._closing = threading.Event()
         self.faults: list[Fault] = []
         self.statuses: Counter[str] = Counter()
+        self.last_status = 0
+
+    @property
+    def host(self) -> str:
+        return self._linked.host.name
 
     @contextmanager
     def running(self) -> Iterator[None]:
@@ -66,7 +71,8 @@
     def serves_newest(self) -> bool:
         """Return whether the host serves the route that was added last."""
         newest = self._operator.acknowledged[-1].version
-        return self._ask(added_path(newest)) == 200
+        self.last_status = self._ask(added_path(newest))
+        return self.last_status == 200
 
     def _run(self) -> None:
         while not self._closing.wait(PROBE_PAUSE_SECONDS):
--- a/bench/storms/run.py
+++ b/bench/storms/run.py
@@ -16,6 +16,7 @@
 from bench.stops.records import Ledger
 from bench.stops.targets import Reporter, running_targets
 from bench.storms.changes import SERVICE, StormOperator
+from bench.storms.event_log import EventLog
 from bench.storms.installation import Installation, running_installation
 from bench.storms.load import running_load
 from bench.storms.probes import Fault, Probe, running_probes
@@ -27,6 +28,7 @@
 TARGETS = 2
 TARGET_SLOTS = 100
 GRACE_SECONDS = 5.0
+INSTALLATION = "installation"  # in the log of events, for what isn't done to one host
 LOAD_CLIENTS = (10, 80)
 IP_PREFIX = "127.0.11."
 IP_BLOCKS = 20
@@ -79,6 +81,7 @@
 
     def run(self) -> Outcome:
         clients = self._random.randint(*LOAD_CLIENTS)
+        log = EventLog(self._plan.folder)
         with ExitStack() as stack:
             installation = self._start(stack)
             operator = StormOperator(
@@ -88,6 +91,7 @@
             self._report_targets(stack, installation)
             for linked in installation.hosts:
                 linked.host.wait_ready()
+            log.write(INSTALLATION, "the probes begin")
             probes = stack.enter_context(
                 running_probes(
                     hosts=installation.hosts,
@@ -108,8 +112,9 @@
                     controls=installation.controls,
                     seed=self._plan.seed,
                     seconds=self._plan.seconds,
+                    log=log,
                 )
-            slowest_end = self._wait_for_newest(operator, probes)
+            slowest_end = self._wait_for_newest(operator, probes, log)
         return Outcome(
             seed=self._plan.seed,
             versions=operator.sent,
@@ -160,11 +165,12 @@
         )
 
     def _wait_for_newest(
-        self, operator: StormOperator, probes: list[Probe]
+        self, operator: StormOperator, probes: list[Probe], log: EventLog
     ) -> float | None:
         """Send one more version, and wait until all hosts serve it."""
         wait_until(operator.put, what="the last version", timeout=10.0)
         acknowledged_at = time.monotonic()
+        log.write(INSTALLATION, "the last version is acknowledged")
         try:
             wait_until(
                 lambda: all(probe.serves_newest() for probe in probes),
@@ -172,5 +178,7 @@
                 timeout=APPLY_SECONDS,
             )
         except FleetError:
+            for probe in probes:
+                log.write(probe.host, "the last probe", status=probe.last_status)
             return None
         return round(time.monotonic() - acknowledged_at, 3)
--- a/bench/storms/schedule.py
+++ b/bench/storms/schedule.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from bench.stops.hosts import PlatformProcess
+from bench.storms.event_log import EventLog
 from bench.storms.installation import LinkedHost
 from bench.storms.links import Speed
 
@@ -27,12 +28,15 @@
     """Pauses, restarts and slows down one entry host until ``end_at``."""
 
     def __init__(
-        self, *, linked: LinkedHost, random: Random, end_at: float, counts: Counter
-    ) -> None:
+        self, *, linked: LinkedHost, random: Random, end_at: float, counts: Counter,
+        log: EventLog,
+    ) -> None:  # fmt: skip
         self._linked = linked
         self._random = random
         self._end_at = end_at
         self._counts = counts
+        self._log = log
+        self._name = linked.host.name
         self._fast_again_at = 0.0
 
     def run(self) -> None:
@@ -43,20 +47,26 @@
             self._counts[event.__name__.strip("_")] += 1
             event()
         self._linked.set_speed(Speed())
+        self._log.write(self._name, "its links are fast until the end")
 
     def _pause(self) -> None:
+        self._log.write(self._name, "paused")
         self._linked.pause()
         time.sleep(self._random.uniform(*PAUSE_SECONDS))
         self._linked.resume()
+        self._log.write(self._name, "resumed")
 
     def _restart(self) -> None:
         host = self._linked.host
         if self._random.random() < 0.5:
+            self._log.write(self._name, "SIGTERM")
             host.send_signal(signal.SIGTERM)
             host.wait_exit()
         else:
+            self._log.write(self._name, "killed")
             host.kill()
         host.start()
+        self._log.write(self._name, "started")
         if self._random.random() < READY_SHARE:
             host.wait_ready()
 
@@ -67,6 +77,12 @@
             bytes_per_second=draw(*SLOW_BYTES_PER_SECOND),
         )
         self._linked.set_speed(speed)
+        self._log.write(
+            self._name,
+            "its links are slow",
+            delay=speed.delay,
+            bytes_per_second=speed.bytes_per_second,
+        )
         self._fast_again_at = time.monotonic() + draw(*SLOW_SECONDS)
 
     def _slow_and_pause(self) -> None:
@@ -76,6 +92,7 @@
     def _restore_speed(self) -> None:
         if 0 < self._fast_again_at < time.monotonic():
             self._linked.set_speed(Speed())
+            self._log.write(self._name, "its links are fast")
             self._fast_again_at = 0.0
 
 
@@ -84,12 +101,13 @@
 
     def __init__(
         self, *, controls: Sequence[PlatformProcess], random: Random, end_at: float,
-        counts: Counter,
+        counts: Counter, log: EventLog,
     ) -> None:  # fmt: skip
         self._controls = controls
         self._random = random
         self._end_at = end_at
         self._counts = counts
+        self._log = log
 
     def run(self) -> None:
         draw = self._random.uniform
@@ -97,19 +115,23 @@
             control = self._random.choice(self._controls)
             if self._random.random() < 0.6:
                 self._counts["control pause"] += 1
+                self._log.write(control.name, "paused")
                 control.send_signal(signal.SIGSTOP)
                 time.sleep(draw(*CONTROL_PAUSE_SECONDS))
                 control.send_signal(signal.SIGCONT)
+                self._log.write(control.name, "resumed")
             else:
                 self._counts["control restart"] += 1
+                self._log.write(control.name, "killed")
                 control.kill()
                 time.sleep(draw(*CONTROL_DOWN_SECONDS))
                 control.start()
+                self._log.write(control.name, "started")
 
 
 def run_events(
     *, hosts: Sequence[LinkedHost], controls: Sequence[PlatformProcess], seed: int,
-    seconds: float,
+    seconds: float, log: EventLog,
 ) -> Counter:  # fmt: skip
     """Run the events of all hosts at the same time, and return how many there were."""
     end_at = time.monotonic() + seconds
@@ -120,13 +142,18 @@
             random=Random(f"{seed}-{number}"),
             end_at=end_at,
             counts=counts,
+            log=log,
         ).run
         for number, linked in enumerate(hosts)
     ]
     control_random = Random(f"{seed}-control")
     runs.append(
         ControlEvents(
-            controls=controls, random=control_random, end_at=end_at, counts=counts
+            controls=controls,
+            random=control_random,
+            end_at=end_at,
+            counts=counts,
+            log=log,
         ).run
     )
     with ThreadPoolExecutor(len(runs)) as pool:
