--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -59,6 +59,9 @@
 
 DISK_RETRY_DELAY_SECONDS = 0.2
 JOIN_INTERVAL_SECONDS = 1.0
+# A snapshot is taken after so many bytes of entries, and this many times its own size.
+SNAPSHOT_EVERY_BYTES = 4_194_304
+SNAPSHOT_SIZE_FACTOR = 4
 RESEND_ADVICE = "the outcome is unknown: resend with the same request id"
 
 
@@ -72,8 +75,8 @@
     """Owns the replica, its storage and the control state.
 
     ``peers`` returns the names of the processes to which a replica that isn't a voter
-    sends its join requests. A snapshot is taken once ``snapshot_every`` entries have
-    been applied after the previous one.
+    sends its join requests. A snapshot is taken once ``snapshot_every`` entries, or
+    many bytes of them, have been applied after the previous one.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         self._feed = ChangeFeed(state=state)
         self._in_force = InForceReports(clock=clock)
         self._applied_index = replica.commit_index
+        self._applied_bytes = 0
         self._pending_proposals: dict[int, _PendingProposal] = {}
         self._pending_reads: list[Read] = []
         self._pending_fetches = PendingFetches(
@@ -244,6 +248,7 @@
                 self._state.load(snapshot.data)
                 self._feed.clear()
                 self._applied_index = snapshot.index
+                self._applied_bytes = 0
             case Send(to=to, message=message):
                 body = encode(message)
                 self._bus.tell(process_name(to), ReplicaMessage(to=to, body=body))
@@ -254,6 +259,7 @@
 
     def _apply(self, entry: Entry) -> None:
         self._applied_index = entry.index
+        self._applied_bytes += len(entry.command)
         if entry.members is not None:
             self._membership.update()  # the next change needn't wait for a tick
         if not entry.command:
@@ -280,13 +286,15 @@
         self._pending_proposals.clear()
 
     def _compact(self) -> None:
-        first = self._replica.log.first_index
-        if self._applied_index - first + 1 < self._snapshot_every:
+        log = self._replica.log
+        count = self._applied_index - log.first_index + 1
+        limit = max(SNAPSHOT_EVERY_BYTES, SNAPSHOT_SIZE_FACTOR * len(log.snapshot.data))
+        if count < self._snapshot_every and self._applied_bytes < limit:
             return
+        self._applied_bytes = 0
         snapshot = self._replica.compact(
             index=self._applied_index, data=self._state.image()
         )
-        log = self._replica.log
         remaining = log.slice(log.first_index, limit=log.last_index)
         self._save(lambda: self._storage.save_snapshot(snapshot, remaining))
 
