Put a fresh image in force though the next change doesn't fit a reply

While changes followed each other that are each longer than a reply (a configuration of 2,500 routes, all of them changed, a few times a second), an entry host that started refused with "no configuration" for as long as they went on: 15 s of 15 s after each of four starts. Hosts that ran took their copies for old in such a time.

Cause: a copy was confirmed only by a difference that made it level with its source. After each image the source had changed again, the difference was too long, and the host fetched the next image.

A piece of an image now says how long ago the image was the newest state, counted by its source, and the host counts that from when it sent the fetch. An image that was the newest less than 2 s ago confirms the copy. Sources of the former build don't say it; their images confirm nothing, as before.

--- a/src/chicoryhold/control/feed.py
+++ b/src/chicoryhold/control/feed.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from chicoryhold.codec import encode
+from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.control.images import COMPRESSION_LEVEL, Image, Images
 from chicoryhold.control.messages import (
     ChangeBatch,
@@ -94,16 +95,27 @@
             fits_later_copies=request.after >= self._complete_since,
         )
 
-    def piece(self, request: FetchImage) -> ImagePiece:
+    def piece(
+        self,
+        request: FetchImage,
+        *,
+        confirmed_at: float = float("-inf"),
+        now: float = 0.0,
+    ) -> ImagePiece:
         """Return one piece of an image.
 
         A request for the first piece, or for an image that is no longer stored, gets
-        the first piece of the newest image.
+        the first piece of the newest image. ``confirmed_at`` is when the state was
+        last known to be the newest, on the clock that says ``now``.
         """
         image, offset = self._images.get(request.revision), request.offset
         if offset == 0 or image is None:
-            image = self._images.newest(at_least=request.at_least, create=self._image)
+            image = self._images.newest(
+                at_least=request.at_least, create=lambda: self._image(confirmed_at)
+            )
             offset = 0
+        if image.revision != self._state.revision:
+            confirmed_at = image.confirmed_at
         data = image.compressed if request.compressed else image.plain
         return ImagePiece(
             revision=image.revision,
@@ -111,6 +123,7 @@
             total=len(data),
             data=data[offset : offset + MAX_REPLY_BYTES],
             compressed=request.compressed,
+            confirmed_age=min(now - confirmed_at, UNCONFIRMED_AGE_SECONDS),
         )
 
     def _note_digest(self) -> None:
@@ -133,9 +146,9 @@
         data = self._updates[after]
         return data if len(data) <= MAX_REPLY_BYTES else None
 
-    def _image(self) -> Image:
+    def _image(self, confirmed_at: float = float("-inf")) -> Image:
         plain = self._state.image(for_replica=False)
-        return Image.of(plain, revision=self._state.revision)
+        return Image.of(plain, revision=self._state.revision, confirmed_at=confirmed_at)
 
     def _is_recent(self, revision: int) -> bool:
         """Return whether a copy at ``revision`` needs no other image."""
--- a/src/chicoryhold/control/follower.py
+++ b/src/chicoryhold/control/follower.py
@@ -23,6 +23,8 @@
 from chicoryhold.errors import UnknownMessage
 from chicoryhold.state.control_state import ControlState
 
+MAX_IMAGE_AGE_SECONDS = 2.0  # of an image that is put in force as it is
+
 
 class BatchResult(enum.Enum):
     """The result of applying a batch."""
@@ -45,8 +47,9 @@
     """Applies batches and images in order; the revision never decreases.
 
     ``state`` stays empty until the copy has once held everything that a source held
-    whose own copy had been confirmed. Until then it may lack changes that were accepted
-    long ago, so routes and keys would seem unknown that are not.
+    whose own copy had been confirmed, or is an image of a state that was confirmed a
+    moment ago. Until then it may lack changes that were accepted long ago, so routes
+    and keys would seem unknown that are not.
 
     ``confirmed_at`` is the latest time on the local clock at which this copy was
     confirmed to be the newest accepted state. It is computed from the time at which
@@ -165,9 +168,13 @@
         self._feed.record_update()
         return is_equal
 
-    def on_piece(self, piece: ImagePiece, *, source: str) -> bool:
+    def on_piece(
+        self, piece: ImagePiece, *, source: str, sent_at: float = float("-inf")
+    ) -> bool:
         """Add a piece of an image; return whether an image is now loaded.
 
+        The fetch of the piece was sent at ``sent_at``.
+
         A piece with offset 0 starts a new image; a piece out of order is ignored.
         Images of two sources differ even if they are of the same revision.
         """
@@ -180,7 +187,10 @@
         if len(partial.data) < piece.total:
             return False
         self._partial_images.clear()
-        return self._load_image(partial, is_compressed=piece.compressed)
+        if not self._load_image(partial, is_compressed=piece.compressed):
+            return False
+        self._confirm_image(sent_at - piece.confirmed_age)
+        return True
 
     def _load_image(self, image: _PartialImage, *, is_compressed: bool) -> bool:
         if image.revision < self._copy.revision:
@@ -205,6 +215,16 @@
                 revision=self._copy.revision,
             ).info("follower: a configuration has come; no source has confirmed it.")
 
+    def _confirm_image(self, confirmed_at: float) -> None:
+        """Note that the image just loaded was that of the newest state then.
+
+        One that was the newest longer ago decides nothing by itself: the copy first
+        gets what its source has besides.
+        """
+        if self._clock.now() - confirmed_at < MAX_IMAGE_AGE_SECONDS:
+            self._state = self._copy
+            self._confirmed_at = max(self._confirmed_at, confirmed_at)
+
     def _confirm(self, reply: ChangeBatch | StateUpdate, sent_at: float) -> None:
         """Note that the copy has all that the source of ``reply`` had."""
         if reply.confirmed_age >= UNCONFIRMED_AGE_SECONDS:
--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -228,7 +228,7 @@
         if piece.revision < self._follower.fetched_revision:
             self._needs_image = False
             self._avoid(fetch, BatchResult.BEHIND.value)
-        elif self._follower.on_piece(piece, source=fetch.source):
+        elif self._follower.on_piece(piece, source=fetch.source, sent_at=fetch.sent_at):
             self._needs_image = False
 
     def _on_applied_reply(
@@ -326,7 +326,12 @@
                 self._record_reports(request.reports)
                 self._incoming_fetches.add(request, received.reply)
             case FetchImage() as request:
-                received.reply.set_result(self._follower.feed.piece(request))
+                piece = self._follower.feed.piece(
+                    request,
+                    confirmed_at=self._follower.confirmed_at,
+                    now=self._clock.now(),
+                )
+                received.reply.set_result(piece)
 
     def _record_reports(self, reports: tuple[HostReport, ...]) -> None:
         now = self._clock.now()
--- a/src/chicoryhold/control/images.py
+++ b/src/chicoryhold/control/images.py
@@ -12,16 +12,25 @@
 
 @attrs.frozen(kw_only=True)
 class Image:
-    """An image of the state at ``revision``, plain and compressed."""
+    """An image of the state at ``revision``, plain and compressed.
+
+    ``confirmed_at`` is when the state was known to be the newest, as far as it was
+    known when the image was made.
+    """
 
     revision: int
     plain: bytes
     compressed: bytes
+    confirmed_at: float
 
     @classmethod
-    def of(cls, plain: bytes, *, revision: int) -> Image:
-        compressed = zlib.compress(plain, COMPRESSION_LEVEL)
-        return cls(revision=revision, plain=plain, compressed=compressed)
+    def of(cls, plain: bytes, *, revision: int, confirmed_at: float) -> Image:
+        return cls(
+            revision=revision,
+            plain=plain,
+            compressed=zlib.compress(plain, COMPRESSION_LEVEL),
+            confirmed_at=confirmed_at,
+        )
 
 
 class Images:
--- a/src/chicoryhold/control/messages.py
+++ b/src/chicoryhold/control/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chicoryhold.codec import message
+from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
 from chicoryhold.state.changes import Change
 
 
@@ -114,13 +115,18 @@
 
 @message
 class ImagePiece:
-    """The bytes at ``offset`` of an image that is ``total`` bytes long."""
+    """The bytes at ``offset`` of an image that is ``total`` bytes long.
+
+    ``confirmed_age`` is how many seconds ago the image was known to be that of the
+    newest state; sources of older builds don't say.
+    """
 
     revision: int
     offset: int
     total: int
     data: bytes
     compressed: bool = False
+    confirmed_age: float = UNCONFIRMED_AGE_SECONDS
 
 
 @message
--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -28,6 +28,7 @@
 from chicoryhold.control.messages import (
     FetchChanges,
     FetchImage,
+    ImagePiece,
     JoinRequest,
     ReplicaMessage,
     ReplicaStatus,
@@ -197,7 +198,7 @@
             case FetchChanges():
                 self._on_fetch(received)
             case FetchImage():
-                received.reply.set_result(self._feed.piece(received.message))
+                received.reply.set_result(self._piece(received.message))
             case ReplicaStatusRequest():
                 received.reply.set_result(self._status())
 
@@ -329,6 +330,13 @@
         self._in_force.record(received.message.reports)
         self._pending_fetches.add(received.message, received.reply)
 
+    def _piece(self, request: FetchImage) -> ImagePiece:
+        return self._feed.piece(
+            request,
+            confirmed_at=self._replica.copy_confirmed_at,
+            now=self._clock.now(),
+        )
+
     def _answer_fetches(self) -> None:
         if self._serves_fetches():
             age = self._clock.now() - self._replica.copy_confirmed_at
