Log through a bounded queue, so that no thread waits for the log's reader

The count is logged once the reader goes on, and is the metric chicoryhold_log_lines_dropped.

loguru's own queue (enqueue) has no limit and can't drop.

The tests of tests/test_explain.py give the sink an output that takes lines, as the queue does, in place of a text file; what they check is unchanged.

--- a/src/chicoryhold/crash.py
+++ b/src/chicoryhold/crash.py
@@ -16,6 +16,7 @@
     logger.opt(exception=error).critical(
         "{}: {} failed; the process exits.", component, name
     )
+    logger.remove()  # writes the lines that wait for their reader
     os._exit(CRASH_EXIT_CODE)
 
 
--- a/src/chicoryhold/logs.py
+++ b/src/chicoryhold/logs.py
@@ -6,25 +6,39 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
-from typing import TextIO
+from collections.abc import Callable, Hashable
+from datetime import UTC, datetime
+from typing import Protocol
 
 import attrs
 import msgspec
 from loguru import logger
 
+from chicoryhold.log_queue import LogQueue
+
 LINES_PER_SECOND = 100
 BURST_LINES = 300
+DROPPED_EVENT = "log: lines were dropped because their reader was slow."
 
 _FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level: <7} " + "{extra[process]} "
 
 
-def configure_text_logging(*, process: str, level: str) -> None:
-    """Write logs of this process to standard error as text, from ``level`` up."""
+def configure_text_logging(*, process: str, level: str) -> LogQueue:
+    """Write logs of this process to standard error as text, from ``level`` up.
+
+    Returns the queue of the lines, which ``logger.remove`` stops.
+    """
+    queue = LogQueue(
+        descriptor=sys.stderr.fileno(),
+        report=lambda count: _text_report(process, count),
+    )
     logger.remove()
     logger.configure(extra={"process": process})
-    logger.add(sys.stderr, format=_text_format, level=level, backtrace=False)
+    logger.add(
+        TextLogSink(output=queue), format=_text_format, level=level, backtrace=False
+    )
     forward_library_errors()
+    return queue
 
 
 def _text_format(record: dict) -> str:
@@ -34,13 +48,37 @@
     return _FORMAT + "{message}" + fields + "\n{exception}"
 
 
-def configure_json_logging(*, process: str, level: str) -> None:
-    """Write logs to standard output as JSON, one object per line, from ``level`` up."""
+def _text_report(process: str, count: int) -> str:
+    at = datetime.now(UTC).isoformat(timespec="milliseconds").replace("+00:00", "Z")
+    return f"{at} WARNING {process} {DROPPED_EVENT} lines={count}\n"
+
+
+def configure_json_logging(*, process: str, level: str) -> LogQueue:
+    """Write logs to standard output as JSON, one object per line, from ``level`` up.
+
+    Returns the queue of the lines, which ``logger.remove`` stops.
+    """
+    queue = LogQueue(
+        descriptor=sys.stdout.fileno(),
+        report=lambda count: _json_report(process, count),
+    )
     logger.remove()
     logger.configure(extra={"process": process})
-    sink = JsonLogSink(output=sys.stdout, now=time.monotonic)
-    logger.add(sink.write, format="{message}", level=level, backtrace=False)
+    sink = JsonLogSink(output=queue, now=time.monotonic)
+    logger.add(sink, format="{message}", level=level, backtrace=False)
     forward_library_errors()
+    return queue
+
+
+def _json_report(process: str, count: int) -> str:
+    fields = {
+        "at": time.time(),
+        "level": "WARNING",
+        "event": DROPPED_EVENT,
+        "process": process,
+        "lines": count,
+    }
+    return msgspec.json.encode(fields).decode() + "\n"
 
 
 def forward_library_errors() -> None:
@@ -86,6 +124,34 @@
         dropped, self._dropped = self._dropped, 0
         return dropped
 
+    def restore_dropped_count(self, dropped: int) -> None:
+        """Count lines as dropped again whose number couldn't be written."""
+        self._dropped += dropped
+
+
+class LineOutput(Protocol):
+    """Takes lines without waiting for their reader, as :class:`LogQueue` does."""
+
+    def put(self, line: str, *, kind: Hashable) -> bool:
+        """Take a line, or drop it and return ``False``."""
+
+    def stop(self) -> None:
+        """Write what waits, within a bounded time."""
+
+
+class TextLogSink:
+    """Writes records as they are formatted."""
+
+    def __init__(self, *, output: LineOutput) -> None:
+        self._output = output
+
+    def write(self, message) -> None:
+        """Write one loguru message, or drop it if its reader is slow."""
+        self._output.put(message, kind=_kind(message.record))
+
+    def stop(self) -> None:
+        self._output.stop()
+
 
 class JsonLogSink:
     """Writes records as JSON lines.
@@ -95,22 +161,31 @@
     of refusals must not hide why they are refused.
     """
 
-    def __init__(self, *, output: TextIO, now: Callable[[], float]) -> None:
+    def __init__(self, *, output: LineOutput, now: Callable[[], float]) -> None:
         self._output = output
         self._usual = LogRateLimiter(now=now)
         self._warnings = LogRateLimiter(now=now)
         self._lock = threading.Lock()
 
     def write(self, message) -> None:
-        """Write one loguru message, or drop it if the rate limit is exceeded."""
+        """Write one loguru message, or drop it: too many lines, or a slow reader."""
         is_warning = message.record["level"].no >= logging.WARNING
         limiter = self._warnings if is_warning else self._usual
         with self._lock:
             if not limiter.try_acquire():
                 return
             dropped = limiter.take_dropped_count()
-            self._output.write(_json_line(message.record, dropped))
-            self._output.flush()
+            line = _json_line(message.record, dropped)
+            if not self._output.put(line, kind=_kind(message.record)):
+                limiter.restore_dropped_count(dropped)
+
+    def stop(self) -> None:
+        self._output.stop()
+
+
+def _kind(record: dict) -> Hashable:
+    """Return what the lines of one place in the code have in common."""
+    return record["name"], record["line"]
 
 
 def _json_line(record: dict, dropped: int) -> str:
--- a/src/chicoryhold/programs/control.py
+++ b/src/chicoryhold/programs/control.py
@@ -30,6 +30,7 @@
 from chicoryhold.hosts.curve import load_key_pair, load_public_keys
 from chicoryhold.hosts.transport import CurveTransport
 from chicoryhold.http_server import HttpServer, serve_http
+from chicoryhold.log_queue import LogQueue
 from chicoryhold.logs import configure_text_logging
 from chicoryhold.metrics import create_meter, serve_metrics
 from chicoryhold.operators.api import AdministrationApi
@@ -64,12 +65,12 @@
     if not _SETTINGS.value:
         raise SettingsError("--settings is missing: name the TOML settings file")
     settings = load_settings(Path(_SETTINGS.value), ControlSettings)
-    configure_text_logging(process=settings.name, level=settings.log.level)
+    log = configure_text_logging(process=settings.name, level=settings.log.level)
     clock = BootClock()
     timing = control_drain_timing(DRAIN_TIMEOUT_SECONDS)
     with stop_signals(clock=clock) as stopping, ignore_sighup():
         drain = Drain(clock=clock, timing=timing, stopping=stopping)
-        with _running_replica(settings, drain) as server:
+        with _running_replica(settings, drain, log) as server:
             stopping.wait()
             logger.info("control: draining.")
             drain.run([server]).log("control")
@@ -77,7 +78,9 @@
 
 
 @contextmanager
-def _running_replica(settings: ControlSettings, drain: Drain) -> Iterator[HttpServer]:
+def _running_replica(
+    settings: ControlSettings, drain: Drain, log: LogQueue
+) -> Iterator[HttpServer]:
     with ExitStack() as stack:
         storage = stack.enter_context(open_storage(settings.data_folder))
         bus = stack.enter_context(running_bus(_create_bus(settings)))
@@ -94,7 +97,7 @@
         )
         stack.enter_context(running_actor(actor, interval=REPLICA_TICK_SECONDS))
         _register_handlers(bus, actor)
-        _create_metrics(settings, replica, state)
+        _create_metrics(settings, replica, state, log)
         api = AdministrationApi(
             replica=actor,
             operators=settings.operators,
@@ -191,7 +194,7 @@
 
 
 def _create_metrics(
-    settings: ControlSettings, replica: Replica, state: ControlState
+    settings: ControlSettings, replica: Replica, state: ControlState, log: LogQueue
 ) -> None:
     meter = create_meter(settings.name)
     meter.create_observable_gauge(
@@ -204,6 +207,11 @@
         callbacks=[lambda _: [_observe(replica.term)]],
         description="Election term",
     )
+    meter.create_observable_gauge(
+        "chicoryhold_log_lines_dropped",
+        callbacks=[lambda _: [_observe(log.dropped_count)]],
+        description="Log lines dropped because their reader was slow",
+    )
 
 
 def _observe(value: float) -> Observation:
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -83,6 +83,7 @@
 
     plane: ControlPlane
     registry: HostRegistry
+    metrics: Metrics
 
 
 @contextmanager
@@ -160,7 +161,7 @@
             )
         )
         logger.bind(identity=identity, seeds=list(seeds())).info("control: started.")
-        yield ControlHostComponents(plane=plane, registry=registry)
+        yield ControlHostComponents(plane=plane, registry=registry, metrics=metrics)
         logger.info("control: stopping.")
 
 
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -44,6 +44,7 @@
 )
 from chicoryhold.http_server import HttpServer, serve_http
 from chicoryhold.limits.domain_limits import DomainLimits
+from chicoryhold.log_queue import LogQueue
 from chicoryhold.logs import configure_text_logging
 from chicoryhold.metrics import serve_metrics
 from chicoryhold.programs.draining import Drain, drain_timing
@@ -94,14 +95,14 @@
         raise SettingsError("--settings is missing: name the TOML settings file")
     settings = load_settings(Path(_SETTINGS.value), EntrySettings)
     _check_settings(settings)
-    configure_text_logging(process=settings.name, level=settings.log.level)
+    log = configure_text_logging(process=settings.name, level=settings.log.level)
     clock = BootClock()
     timing = drain_timing(
         DRAIN_TIMEOUT_SECONDS, min_seconds=0.0, idle_seconds=DRAIN_IDLE_SECONDS
     )
     with stop_signals(clock=clock) as stopping, ignore_sighup():
         drain = Drain(clock=clock, timing=timing, stopping=stopping)
-        with _running_host(settings, drain) as server:
+        with _running_host(settings, drain, log) as server:
             stopping.wait()
             logger.info("entry: draining.")
             drain.run([server]).log("entry")
@@ -118,10 +119,15 @@
 
 
 @contextmanager
-def _running_host(settings: EntrySettings, drain: Drain) -> Iterator[HttpServer]:
+def _running_host(
+    settings: EntrySettings, drain: Drain, log: LogQueue
+) -> Iterator[HttpServer]:
     with ExitStack() as stack:
         bus = stack.enter_context(running_bus(create_bus(settings)))
         context = create_context(settings, bus)
+        context.metrics.gauge(
+            "chicoryhold_log_lines_dropped", lambda: log.dropped_count
+        )
         quarantine = stack.enter_context(_running_quarantine(context))
         admission = AdmissionClient(
             bus=bus, view=context.view, clock=context.clock, domains=context.replicas
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import io
-
 import msgspec
 import pytest
 from loguru import logger
@@ -24,6 +22,20 @@
 """
 
 
+class WrittenLines:
+    """Stands for a log whose reader is never slow."""
+
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+
+    def put(self, line: str, *, kind: object) -> bool:
+        self.lines.append(line)
+        return True
+
+    def stop(self) -> None:
+        pass
+
+
 def test_lines_of_one_request_are_sorted_by_time(tmp_path):
     path = tmp_path / "log"
     path.write_text(LOG)
@@ -49,15 +61,15 @@
 
 def test_lines_above_the_rate_limit_are_dropped_and_counted():
     clock = FakeClock()
-    output = io.StringIO()
+    output = WrittenLines()
     sink = JsonLogSink(output=output, now=clock.now)
-    handler = logger.add(sink.write, format="{message}", level="INFO")
+    handler = logger.add(sink, format="{message}", level="INFO")
     for _ in range(BURST_LINES + 50):
         logger.bind(request="r1").info("gateway: refused.")
     clock.advance(1)
     logger.info("gateway: stopping.")
     logger.remove(handler)
-    lines = [msgspec.json.decode(line) for line in output.getvalue().splitlines()]
+    lines = [msgspec.json.decode(line) for line in output.lines]
     assert len(lines) == BURST_LINES + 1
     assert lines[-1]["lines_left_out"] == 50
     assert lines[0]["request"] == "r1"
@@ -67,16 +79,14 @@
     # On a day with a burst, each host wrote as many refusals as the limit allows, and
     # nothing of what caused them.
     clock = FakeClock()
-    output = io.StringIO()
+    output = WrittenLines()
     sink = JsonLogSink(output=output, now=clock.now)
-    handler = logger.add(sink.write, format="{message}", level="INFO")
+    handler = logger.add(sink, format="{message}", level="INFO")
     for _ in range(2 * BURST_LINES):
         logger.info("gateway: refused.")
     for _ in range(2 * BURST_LINES):
         logger.warning("permits: a control host did not reply.")
     logger.remove(handler)
-    events = [
-        msgspec.json.decode(line)["event"] for line in output.getvalue().splitlines()
-    ]
+    events = [msgspec.json.decode(line)["event"] for line in output.lines]
     assert events.count("gateway: refused.") == BURST_LINES
     assert events.count("permits: a control host did not reply.") == BURST_LINES
