Test of the log's queue: fill the pipe before lines are to wait

Seen: test_a_flood_of_one_kind_leaves_room_for_the_first_lines_of_others failed in the first run beside other work (load 40 on 8 cores): nine lines were kept in place of eight. Cause: the test's flood ended while the queue's thread was still filling the pipe, so room came back after it. The queue isn't at fault. Change: the pipe is filled first, so that the thread can write nothing until the reader goes on. The checks are the same.

--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -19,6 +19,7 @@
 
 LINE = "x" * 1000 + "\n"
 PIPE_BYTES = 65536
+FILLING = b"."  # one byte, so that none is left
 ENOUGH_LINES = 2 * (MAX_WAITING_BYTES + PIPE_BYTES) // len(LINE)
 JOIN_SECONDS = 30
 
@@ -57,6 +58,14 @@
                 self.text += data.decode()
         return self.text
 
+    def fill(self) -> None:
+        """Leave no room in the pipe, so that the next line waits for the reader."""
+        os.set_blocking(self.writer, False)
+        with suppress(BlockingIOError):
+            while os.write(self.writer, FILLING):
+                pass
+        os.set_blocking(self.writer, True)
+
     def close_reader(self) -> None:
         if self.reader is not None:
             os.close(self.reader)
@@ -88,7 +97,9 @@
     assert not thread.is_alive()
 
 
-def flood(log: LogQueue) -> None:
+def flood(log: LogQueue, pipe: Pipe) -> None:
+    """Log more lines than may wait, to a pipe that takes none."""
+    pipe.fill()
     run_within_limit(
         lambda: [log.put(LINE, kind="usual") for _ in range(ENOUGH_LINES)] and None
     )
@@ -99,12 +110,12 @@
 
 
 def test_a_reader_that_pauses_does_not_hold_up_who_logs(log, pipe):
-    flood(log)
+    flood(log, pipe)
     assert 0 < log.dropped_count < ENOUGH_LINES
 
 
 def test_the_number_of_dropped_lines_is_written_once_the_reader_goes_on(log, pipe):
-    flood(log)
+    flood(log, pipe)
     dropped = log.dropped_count
     wait_for_text(pipe, "dropped")
     wait_until(
@@ -117,7 +128,7 @@
 
 
 def test_a_flood_of_one_kind_leaves_room_for_the_first_lines_of_others(log, pipe):
-    flood(log)
+    flood(log, pipe)
     line = LINE.replace("x", "y")
     kept = [log.put(line, kind="stop") for _ in range(KEPT_LINES + 1)]
     assert kept == [True] * KEPT_LINES + [False]
@@ -125,7 +136,7 @@
 
 
 def test_many_kinds_take_no_memory_without_a_limit(log, pipe):
-    flood(log)
+    flood(log, pipe)
     kinds = range(2 * (MAX_WAITING_BYTES // len(LINE)))
     assert not all(log.put(LINE, kind=kind) for kind in kinds)
 
@@ -137,7 +148,7 @@
 
 
 def test_an_end_does_not_wait_for_a_reader_that_pauses(log, pipe):
-    flood(log)
+    flood(log, pipe)
     run_within_limit(log.stop)
 
 
