--- a/bench/stops/targets.py
+++ b/bench/stops/targets.py
@@ -174,9 +174,9 @@
         try:
             yield
         finally:
-            self._end()
+            self.end()
 
-    def _end(self) -> None:
+    def end(self) -> None:
         """Take no more connections and requests; those at work are answered."""
         self.shutdown()
         self.server_close()
