Own interface: grant nothing on a target that said to a host that it leaves

On the own interface the coordinator of a failure domain chooses the target, and knows only from the target's own announcements that it leaves.

The coordinator then counts that process as draining, for good: it grants nothing on it, and the next process at the address is used as ever. A grant names its process, so that a late word binds nobody else.

--- a/src/chicoryhold/hosts/messages.py
+++ b/src/chicoryhold/hosts/messages.py
@@ -245,7 +245,8 @@
 
     ``latency``, in seconds, is ``None`` if no request was attempted. ``limit`` is the
     number of requests per second that the target takes, by an answer that says so.
-    ``has_no_limit`` means that its answer named none.
+    ``has_no_limit`` means that its answer named none, and ``is_leaving`` that the
+    target has said to the sender that it leaves.
     """
 
     grant: str
@@ -253,6 +254,7 @@
     latency: float | None
     limit: float | None = None
     has_no_limit: bool = False
+    is_leaving: bool = False
 
 
 @message
--- a/src/chicoryhold/steering/admission_client.py
+++ b/src/chicoryhold/steering/admission_client.py
@@ -108,12 +108,13 @@
 
     def release(
         self, grant: str, *, ok: bool, latency: float | None,
-        limit: RateStatement | None = None,
+        limit: RateStatement | None = None, is_leaving: bool = False,
     ) -> None:  # fmt: skip
         """Release a slot, and report the outcome of the request to the coordinator.
 
         ``latency`` is in seconds, or ``None`` if the request wasn't sent to the target.
         ``limit`` is what the target's answer says of its limit, if there was one.
+        ``is_leaving`` means that the target has said that it leaves.
         """
         stated = limit if limit is not None and limit.is_readable else None
         with self._lock:
@@ -127,6 +128,7 @@
                 latency=latency,
                 limit=stated.rate if stated else None,
                 has_no_limit=stated is not None and stated.rate is None,
+                is_leaving=is_leaving,
             )
             self._bus.tell(held.coordinator, message)
 
--- a/src/chicoryhold/steering/coordinator.py
+++ b/src/chicoryhold/steering/coordinator.py
@@ -125,6 +125,8 @@
             self._targets.observe(grant.address, ok=release.ok, latency=release.latency)
         if release.limit is not None or release.has_no_limit:
             self._targets.record_limit(grant.address, release.limit)
+        if release.is_leaving:
+            self._targets.record_leaving(grant.address, grant.instance)
         self._targets.release_slot(grant.address)
         self._serve_slot_queues()
 
@@ -269,7 +271,9 @@
         self._last_grant_number += 1
         grant = f"{self._epoch}.{self._last_grant_number}"
         self._grants[grant] = Grant(
-            address=target.address, expires_at=pending.grant_expires_at
+            address=target.address,
+            instance=target.instance,
+            expires_at=pending.grant_expires_at,
         )
         self._targets.acquire_slot(target)
         answer = Admitted(
--- a/src/chicoryhold/steering/pending.py
+++ b/src/chicoryhold/steering/pending.py
@@ -38,6 +38,7 @@
     """A slot that a host uses until it releases it, or until it expires."""
 
     address: str
+    instance: str
     expires_at: float
 
 
--- a/src/chicoryhold/steering/targets.py
+++ b/src/chicoryhold/steering/targets.py
@@ -166,6 +166,16 @@
             target.has_stated_limit = True
             self._set_limit(target, limit)
 
+    def record_leaving(self, address: str, instance: str) -> None:
+        """Note that the process ``instance`` has said to a host that it leaves."""
+        target = self._targets.get(address)
+        if target is None or target.instance != instance or target.draining:
+            return
+        target.draining = True
+        logger.bind(target=address, instance=instance).info(
+            "coordinator: a target says to a host that it leaves."
+        )
+
     def record_known_limits(self, hello: Hello) -> None:
         """Take the limits that targets named to a host under an earlier coordinator."""
         known = {limit.address: limit.rate for limit in hello.limits if limit.rate >= 0}
