Log by which state a target was chosen, and when the copy says that one leaves

Change: a line when the copy begins to call a target draining or gone, or no longer holds it (state before, revision, age of the copy; at most 20 lines a copy), with a metric; 'delivery: attempt failed.' names the target's state and the revision by which it was chosen, with a metric by that state, and the age of the copy; 'gateway: refused.' names the revision beside the version. The log of attempts is a module of its own.

--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -24,6 +24,7 @@
     InvalidResponse,
     RequestNotSent,
 )
+from chicoryhold.gateway.attempt_log import AttemptLog
 from chicoryhold.gateway.outcomes import (
     MIN_REMAINING_SECONDS,
     NOT_RUN_STATUSES,
@@ -82,7 +83,7 @@
     def __init__(
         self, *, chooser: TargetChooser, connections: TargetConnections,
         header_translator: TargetHeaderTranslator, budgets: RetryBudgets, clock: Clock,
-        limits: StatedLimits, crashes: CrashWatch, guard: RequestGuard,
+        limits: StatedLimits, crashes: CrashWatch, guard: RequestGuard, log: AttemptLog,
         is_cut_off: Callable[[], bool] = lambda: False,
         may_take: Callable[[float], bool] = lambda deadline: True,
     ) -> None:  # fmt: skip
@@ -96,6 +97,7 @@
         self._crashes = crashes
         self._guard = guard
         self._is_cut_off = is_cut_off
+        self._log = log
 
     def deliver(self, routed: RoutedRequest) -> Outcome:
         """Return a complete response, or a refusal that states whether the request ran.
@@ -223,7 +225,7 @@
             return self._handle_exchange_error(routed, choice, attempt, error, started)
         except RequestNotSent as error:
             self._chooser.release(choice)
-            self._log_failed_attempt(routed, choice, attempt, str(error))
+            self._log.record_failure(routed, choice, attempt, str(error))
             return _AttemptResult(
                 outcome=failure(RefusalKind.NO_TARGET, RunStatus.NOT_RUN, error),
                 known_not_run=True,
@@ -288,7 +290,7 @@
             return _AttemptResult(outcome=rejected_by_target(), known_not_run=True)
         if metadata.did_not_run:
             self._chooser.record_rejection(choice, load=metadata.load)
-            self._log_failed_attempt(
+            self._log.record_failure(
                 routed, choice, attempt, "the target did not run the request"
             )
             return _AttemptResult(outcome=rejected_by_target(), known_not_run=True)
@@ -332,7 +334,7 @@
         if timed_out and not overdue:
             # The target had less time than it normally needs, so this is no failure.
             self._chooser.release(choice)
-            self._log_failed_attempt(routed, choice, attempt, str(error))
+            self._log.record_failure(routed, choice, attempt, str(error))
         else:
             self._record_failure(routed, choice, attempt, error)
         if not timed_out and not isinstance(error, InvalidResponse):
@@ -347,33 +349,10 @@
         *, unreachable: bool = False,
     ) -> None:  # fmt: skip
         ejected = self._chooser.record_failure(choice, unreachable=unreachable)
-        self._log_failed_attempt(
+        self._log.record_failure(
             routed, choice, attempt, str(error), left_alone=ejected
         )
 
-    def _log_failed_attempt(
-        self,
-        routed: RoutedRequest,
-        choice: Choice,
-        attempt: int,
-        reason: str,
-        **fields: object,
-    ) -> None:
-        view = choice.view
-        logger.bind(
-            request=routed.request.request_id,
-            attempt=attempt,
-            target=view.record.instance,
-            address=view.record.address,
-            service=routed.service,
-            expected=round(choice.expected_latency, 3),
-            in_flight=view.in_flight,
-            failures=view.failures,
-            left=round(routed.deadline - self._clock.now(), 3),
-            reason=reason,
-            **fields,
-        ).info("delivery: attempt failed.")
-
 
 def _decisive_result(
     last: _AttemptResult | None, attempt_result: _AttemptResult
--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -59,18 +59,20 @@
 
     ``index`` returns the index of the current configuration; version 0 means that no
     configuration has been received yet. ``copy_age`` returns how many seconds ago the
-    copy that it comes from was confirmed to be the newest, and ``currency`` tells what
-    it is good for. ``may_take`` returns whether a request with a given deadline may
-    still be sent to a target.
+    copy that it comes from was confirmed to be the newest, ``revision`` which one that
+    is, and ``currency`` tells what it is good for. ``may_take`` returns whether a
+    request with a given deadline may still be sent to a target.
     """
 
     def __init__(
         self, *, index: Callable[[], RouteIndex], copy_age: Callable[[], float],
-        permits: PermitClient, delivery: Delivery, relay: Relay, guard: RequestGuard,
-        clock: Clock, random: Random, metrics: Metrics, currency: CopyCurrency,
+        revision: Callable[[], int], permits: PermitClient, delivery: Delivery,
+        relay: Relay, guard: RequestGuard, clock: Clock, random: Random,
+        metrics: Metrics, currency: CopyCurrency,
         may_take: Callable[[float], bool] = lambda deadline: True,
     ) -> None:  # fmt: skip
         self._copy_age = copy_age
+        self._revision = revision
         self._currency = currency
         self._may_take = may_take
         self._metrics = metrics
@@ -228,6 +230,7 @@
             host=request.host,
             path=request.path,
             version=index.version,
+            revision=self._revision(),
             age=round(self._copy_age(), 2),
             seconds=round(self._clock.now() - request.arrived_at, 3),
             left=round(request.deadline - self._clock.now(), 3),
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -12,6 +12,7 @@
 from chicoryhold.clock import BootClock
 from chicoryhold.control.follower import Follower
 from chicoryhold.control.follower_actor import FetchTiming, FollowerActor
+from chicoryhold.gateway.attempt_log import AttemptLog
 from chicoryhold.gateway.delivery import Delivery, TargetHeaderTranslator
 from chicoryhold.gateway.relay import Relay, RelayHeaderTranslator
 from chicoryhold.gateway.service import GatewayService
@@ -121,6 +122,9 @@
             limits=limits,
             crashes=crashes,
             guard=guard,
+            log=AttemptLog(
+                clock=clock, metrics=metrics, copy_age=lambda: gateway.copy_age
+            ),
             is_cut_off=lambda: links.reachability.is_cut_off,
             may_take=drain.may_take,
         )
@@ -201,6 +205,7 @@
     return GatewayService(
         index=lambda: gateway.route_index,
         copy_age=lambda: gateway.copy_age,
+        revision=lambda: gateway.revision,
         currency=gateway.currency,
         permits=permits,
         delivery=delivery,
--- a/src/chicoryhold/programs/gateway_host.py
+++ b/src/chicoryhold/programs/gateway_host.py
@@ -11,6 +11,7 @@
 from chicoryhold.control.follower import Follower
 from chicoryhold.gateway.currency import CopyCurrency
 from chicoryhold.gateway.service import GatewayService
+from chicoryhold.gateway.target_state_log import TargetStateLog
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
 from chicoryhold.programs.draining import Drain
@@ -40,6 +41,7 @@
         self._clock = clock
         self._route_index = RouteIndex(follower.state.configuration)
         self._failed_version: int | None = None
+        self._target_log = TargetStateLog(metrics=metrics)
         self._drain = drain
         self._announce: Callable[[], None] = lambda: None
         self._metrics = metrics
@@ -84,6 +86,11 @@
         """
         return min(self._follower.age, UNCONFIRMED_AGE_SECONDS)
 
+    @property
+    def revision(self) -> int:
+        """The revision of the copy of the control state that this host decides by."""
+        return self._follower.state.revision
+
     @property
     def drain(self) -> Drain:
         return self._drain
@@ -125,6 +132,10 @@
             state.targets,
             evacuated=state.evacuated,
             service_rule=self._route_index.service,
+            revision=state.revision,
+        )
+        self._target_log.record(
+            state.targets, revision=state.revision, age=self.copy_age
         )
         self._limits.keep_only(
             {instance: view.record for instance, view in self._chooser.views.items()}
--- a/src/chicoryhold/routing/selection.py
+++ b/src/chicoryhold/routing/selection.py
@@ -9,6 +9,7 @@
 
 from chicoryhold.routing.configuration import RouteRule
 from chicoryhold.routing.target_view import TargetView
+from chicoryhold.state.targets import TargetState
 
 
 @attrs.frozen(kw_only=True)
@@ -37,7 +38,8 @@
     target's queue. ``is_affinity_hit`` means that the target is expected to have
     recently handled the affinity key, ``is_cross_region`` that it is in another region,
     ``is_cold`` that it is cold. ``rate`` is the number of requests per second that the
-    target takes from all hosts together, ``None`` for any.
+    target takes from all hosts together, ``None`` for any. ``state`` is the target's
+    state in the copy of the control state at ``revision``, by which it was chosen.
     """
 
     view: TargetView
@@ -48,6 +50,8 @@
     is_cross_region: bool = False
     is_cold: bool = False
     rate: float | None = None
+    state: TargetState = TargetState.READY
+    revision: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -69,6 +69,7 @@
         self._views: dict[str, TargetView] = {}
         self._views_by_service: dict[str, list[TargetView]] = {}
         self._evacuated: frozenset[str] = frozenset()
+        self._revision = 0
         self._views_by_address: dict[str, TargetView] = {}
         self._latency = LatencyEstimator(location=location)
         self._spillover = SpilloverController(clock=clock)
@@ -87,13 +88,17 @@
 
     def update(
         self, records: Iterable[TargetRecord], *, evacuated: frozenset[str],
-        service_rule: Callable[[str], ServiceRule],
+        service_rule: Callable[[str], ServiceRule], revision: int = 0,
     ) -> None:  # fmt: skip
-        """Apply the current targets, evacuated domains and service rules."""
+        """Apply the current targets, evacuated domains and service rules.
+
+        They are those of the control state at ``revision``.
+        """
         now = self._clock.now()
         with self._lock:
             readmitted = self._evacuated - evacuated
             self._evacuated = evacuated
+            self._revision = revision
             views = {}
             for record in records:
                 if record.state is not TargetState.GONE:
@@ -180,7 +185,12 @@
             ):
                 return Overloaded(queue_wait=best.queue_wait, load=load)
             best.view.record_sent()
-            return attrs.evolve(best, rate=self._rate_of(best.view, rates, now))
+            return attrs.evolve(
+                best,
+                rate=self._rate_of(best.view, rates, now),
+                state=best.view.record.state,
+                revision=self._revision,
+            )
 
     def _select_in(
         self, scope: Scope, criteria: SelectionCriteria, allowed: list[TargetView],
--- a/tests/test_cut_off_host.py
+++ b/tests/test_cut_off_host.py
@@ -18,6 +18,7 @@
 from wiring.targets import DIALECT, PlatformHeaders
 
 from chicoryhold.clock import BootClock
+from chicoryhold.gateway.attempt_log import AttemptLog
 from chicoryhold.gateway.delivery import Delivery
 from chicoryhold.gateway.service import GatewayService
 from chicoryhold.http_server import serve_http
@@ -154,6 +155,7 @@
     permits = Permits()
     service = GatewayService(
         copy_age=lambda: 0.0,
+        revision=lambda: 0,
         currency=a_current_copy(clock),
         index=lambda: index,
         permits=permits,
@@ -163,6 +165,7 @@
             header_translator=PlatformHeaders(),
             limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
             crashes=CrashedTargets().watch(clock),
+            log=AttemptLog(clock=clock, metrics=metrics, copy_age=lambda: 0.0),
             guard=a_guard(clock),
             budgets=RetryBudgets(),
             clock=clock,
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from loguru import logger
 from result import Err, Ok
 
 from chicoryhold.callers.refusals import RefusalKind, RunStatus
@@ -13,6 +14,7 @@
     ExchangeTimeout,
     RequestNotSent,
 )
+from chicoryhold.gateway.attempt_log import AttemptLog
 from chicoryhold.gateway.delivery import Delivery
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata, RoutedRequest
 from chicoryhold.limits.retry_budgets import RetryBudgets, RetryTerms
@@ -95,6 +97,9 @@
         header_translator=HeaderTranslator(),
         limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
         crashes=CrashedTargets().watch(clock),
+        log=AttemptLog(
+            clock=clock, metrics=Metrics(process="test"), copy_age=lambda: 0.25
+        ),
         guard=guard,
         budgets=budgets or RetryBudgets(),
         clock=clock,
@@ -316,3 +321,14 @@
         GIVEN_UP_IF_ALLOWED, repeatable=True, attempts=1
     )
     assert outcome.ok_value is OK
+
+
+def test_the_line_of_a_failed_attempt_names_the_state_by_which_it_was_made():
+    lines: list[dict] = []
+    handler = logger.add(lambda line: lines.append(line.record["extra"]))
+    try:
+        run(FAILED, repeatable=False)
+    finally:
+        logger.remove(handler)
+    (line,) = lines
+    assert (line["state"], line["revision"], line["age"]) == ("ready", 41, 0.25)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -18,6 +18,7 @@
 from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
 from chicoryhold.clock import BootClock
 from chicoryhold.errors import ExchangeFailed, ExchangeTimeout, InvalidResponse
+from chicoryhold.gateway.attempt_log import AttemptLog
 from chicoryhold.gateway.delivery import Delivery
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata, RoutedRequest
@@ -386,6 +387,9 @@
         limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
         crashes=CrashedTargets().watch(clock),
         guard=a_guard(clock),
+        log=AttemptLog(
+            clock=clock, metrics=Metrics(process="test"), copy_age=lambda: 0.0
+        ),
         budgets=RetryBudgets(),
         clock=clock,
     )
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -89,6 +89,7 @@
     service = GatewayService(
         index=lambda: index,
         copy_age=lambda: 0.0,
+        revision=lambda: 0,
         currency=currency or a_current_copy(clock),
         permits=None,
         delivery=delivery,
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -88,6 +88,7 @@
         service_rule=lambda name: ServiceRule(
             name=name, cold_seconds=3.0, cold_rate=16.0
         ),
+        revision=41,
     )
 
 
