--- a/src/chicoryhold/errors.py
+++ b/src/chicoryhold/errors.py
@@ -83,7 +83,13 @@
 
 
 class ExchangeFailed(ChicoryholdError):
-    """Raised when an exchange with a target failed after its first byte was sent."""
+    """Raised when an exchange with a target failed after its first byte was sent.
+
+    ``heads`` are the heads of responses that arrived in full and come from the target,
+    the last of them that to the request itself; none if that hasn't arrived.
+    """
+
+    heads: tuple = ()
 
 
 class ExchangeTimeout(ExchangeFailed):
--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -24,8 +24,11 @@
     InvalidResponse,
     RequestNotSent,
 )
+from chicoryhold.gateway.answer_statements import AnswerStatements
+from chicoryhold.gateway.attempt import Attempt
 from chicoryhold.gateway.attempt_log import AttemptLog
 from chicoryhold.gateway.outcomes import (
+    MIN_FAILURE_STATUS,
     MIN_REMAINING_SECONDS,
     NOT_RUN_STATUSES,
     OVERLOAD_RETRY_AFTER_SECONDS,
@@ -42,15 +45,19 @@
 from chicoryhold.quarantine.crash_watch import CrashWatch
 from chicoryhold.quarantine.guard import RequestGuard
 from chicoryhold.routing.selection import Choice, Overloaded, SelectionCriteria
-from chicoryhold.routing.stated_limits import RateStatement, StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
+from chicoryhold.routing.target_statements import TargetStatements
+from chicoryhold.state.targets import process_of
 from chicoryhold.targets.connections import TargetConnections
-from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
+from chicoryhold.targets.exchange import (
+    OutgoingRequest,
+    ResponseHead,
+    TargetResponse,
+)
 
 # A timeout counts as the target's failure if the target had at least this multiple of
 # the expected latency to respond.
 OVERDUE_FACTOR = 4.0
-MIN_FAILURE_STATUS = 500
 
 
 class TargetHeaderTranslator(Protocol):
@@ -58,7 +65,7 @@
 
     def headers(self, call: TargetCall) -> Mapping[str, str]: ...
 
-    def response_metadata(self, response: TargetResponse) -> ResponseMetadata: ...
+    def response_metadata(self, response: ResponseHead) -> ResponseMetadata: ...
 
 
 @attrs.frozen(kw_only=True)
@@ -83,7 +90,8 @@
     def __init__(
         self, *, chooser: TargetChooser, connections: TargetConnections,
         header_translator: TargetHeaderTranslator, budgets: RetryBudgets, clock: Clock,
-        limits: StatedLimits, crashes: CrashWatch, guard: RequestGuard, log: AttemptLog,
+        statements: TargetStatements, crashes: CrashWatch, guard: RequestGuard,
+        log: AttemptLog,
         is_cut_off: Callable[[], bool] = lambda: False,
         may_take: Callable[[float], bool] = lambda deadline: True,
     ) -> None:  # fmt: skip
@@ -93,7 +101,13 @@
         self._header_translator = header_translator
         self._budgets = budgets
         self._clock = clock
-        self._limits = limits
+        self._limits = statements.limits
+        self._answers = AnswerStatements(
+            statements=statements,
+            reader=header_translator,
+            record_at=chooser.record_at,
+            log=log,
+        )
         self._crashes = crashes
         self._guard = guard
         self._is_cut_off = is_cut_off
@@ -111,10 +125,10 @@
         last: _AttemptResult | None = None
         avoid: frozenset[str] = frozenset()
         reserved: Choice | None = None
-        for attempt in range(max(1, routed.route.attempts)):
-            choice = reserved
+        for number in range(max(1, routed.route.attempts)):
+            choice = reserved if reserved and self._chooser.holds(reserved) else None
             if choice is None:
-                if attempt and not self._may_retry(routed, last):
+                if number and not self._may_retry(routed, last):
                     break
                 if not self._may_take(routed.deadline):
                     last = last or _AttemptResult(
@@ -128,19 +142,25 @@
             if choice is None:
                 break
             avoid |= {choice.view.record.instance}
-            retry = self._retry(routed, attempt, avoid)
-            attempt_result = self._run_attempt(routed, choice, attempt, retry)
+            retry = self._retry(routed, number, avoid)
+            attempt = Attempt(
+                routed=routed, choice=choice, number=number, started=self._clock.now()
+            )
+            attempt_result = self._run_attempt(attempt, retry)
             if not attempt_result.failed:
                 return attempt_result.outcome
             last = _decisive_result(last, attempt_result)
             reserved = retry.choice
-        return last.outcome if last else no_target(routed.service)
+        if last is not None:
+            return last.outcome
+        left_out = self._chooser.left_out(routed.service)
+        return no_target(routed.service, leaving=left_out)
 
     def _retry(
-        self, routed: RoutedRequest, attempt: int, avoid: frozenset[str]
+        self, routed: RoutedRequest, number: int, avoid: frozenset[str]
     ) -> ReservedRetry:
         def reserve() -> Choice | None:
-            is_last = attempt + 1 >= routed.route.attempts
+            is_last = number + 1 >= routed.route.attempts
             if is_last or not self._may_take(routed.deadline):
                 return None
             if not self._may_repeat(routed, known_not_run=False):
@@ -204,39 +224,34 @@
             return False
         return known_not_run or self._guard.may_retry(routed.digest)
 
-    def _run_attempt(
-        self, routed: RoutedRequest, choice: Choice, attempt: int, retry: ReservedRetry
-    ) -> _AttemptResult:
-        started = self._clock.now()
-        record = choice.view.record
-        self._limits.record_sent(record.instance)
+    def _run_attempt(self, attempt: Attempt, retry: ReservedRetry) -> _AttemptResult:
+        routed = attempt.routed
+        self._limits.record_sent(attempt.target.instance)
         try:
             response = self._connections.exchange(
-                record.address,
-                self._outgoing_request(routed, choice),
+                attempt.target.address,
+                self._outgoing_request(routed, attempt.choice),
                 deadline=routed.deadline,
-                stale_connection_deadline=self._stale_connection_deadline(
-                    routed, choice, attempt
-                ),
+                stale_connection_deadline=self._stale_connection_deadline(attempt),
                 may_give_up=retry.reserve,
                 cancellation=routed.request.cancellation,
             )
         except ExchangeFailed as error:
-            return self._handle_exchange_error(routed, choice, attempt, error, started)
+            return self._handle_exchange_error(attempt, error)
         except RequestNotSent as error:
-            self._chooser.release(choice)
-            self._log.record_failure(routed, choice, attempt, str(error))
+            self._chooser.release(attempt.choice)
+            self._log.record_failure(attempt, str(error))
             return _AttemptResult(
                 outcome=failure(RefusalKind.NO_TARGET, RunStatus.NOT_RUN, error),
                 known_not_run=True,
             )
         except ConnectFailed as error:
-            self._record_failure(routed, choice, attempt, error, unreachable=True)
+            self._record_failure(attempt, error, unreachable=True)
             return _AttemptResult(
                 outcome=failure(RefusalKind.NO_TARGET, RunStatus.NOT_RUN, error),
                 known_not_run=True,
             )
-        return self._handle_response(routed, choice, attempt, response, started)
+        return self._handle_response(attempt, response)
 
     def _outgoing_request(
         self, routed: RoutedRequest, choice: Choice
@@ -257,101 +272,89 @@
             cross_region=choice.is_cross_region,
         )
 
-    def _stale_connection_deadline(
-        self, routed: RoutedRequest, choice: Choice, attempt: int
-    ) -> float:
+    def _stale_connection_deadline(self, attempt: Attempt) -> float:
         """Return the deadline of an attempt on a connection that may have been lost.
 
         Half of the remaining time is kept for a retry, if there can be one and the
         other half is enough for an attempt. Whether there will be one is asked when
         that time comes.
         """
+        routed = attempt.routed
         now = self._clock.now()
         half = (routed.deadline - now) / 2
         may_retry = (
             routed.route.repeatable
-            and attempt + 1 < routed.route.attempts
+            and attempt.number + 1 < routed.route.attempts
             and self._budgets.allows_retry(routed.service)
         )
-        if not may_retry or half < OVERDUE_FACTOR * choice.expected_latency:
+        if not may_retry or half < OVERDUE_FACTOR * attempt.choice.expected_latency:
             return routed.deadline
         return now + half
 
     def _handle_response(
-        self, routed: RoutedRequest, choice: Choice, attempt: int,
-        response: TargetResponse, started: float,
-    ) -> _AttemptResult:  # fmt: skip
+        self, attempt: Attempt, response: TargetResponse
+    ) -> _AttemptResult:
+        routed = attempt.routed
+        choice = attempt.choice
         metadata = self._header_translator.response_metadata(response)
-        self._record_limit(choice, metadata, response)
+        self._answers.record_response(attempt, metadata, response)
         if metadata.other_instance:
-            self._record_failure(
-                routed, choice, attempt, "another instance has the address"
-            )
+            self._record_failure(attempt, "another instance has the address")
             return _AttemptResult(outcome=rejected_by_target(), known_not_run=True)
+        load = metadata.statement.load
         if metadata.did_not_run:
-            self._chooser.record_rejection(choice, load=metadata.load)
-            self._log.record_failure(
-                routed, choice, attempt, "the target did not run the request"
-            )
+            self._chooser.record_rejection(choice, load=load)
+            self._log.record_failure(attempt, "the target did not run the request")
             return _AttemptResult(outcome=rejected_by_target(), known_not_run=True)
         self._guard.record_success(routed.digest)
+        if metadata.statement.is_leaving:
+            leaving = process_of(attempt.target)
+            response = attrs.evolve(response, leaving=leaving)
         if response.status >= MIN_FAILURE_STATUS or response.status in NOT_RUN_STATUSES:
-            self._record_failure(routed, choice, attempt, f"status {response.status}")
+            self._record_failure(attempt, f"status {response.status}")
             return _AttemptResult(
                 outcome=forwarded_failure(response), known_not_run=False
             )
         self._chooser.record_success(
             choice,
             self._criteria(routed, frozenset()),
-            seconds=self._clock.now() - started,
-            load=metadata.load,
+            seconds=self._clock.now() - attempt.started,
+            load=load,
         )
         return _AttemptResult(outcome=Ok(response), known_not_run=False, failed=False)
 
-    def _record_limit(
-        self, choice: Choice, metadata: ResponseMetadata, response: TargetResponse
-    ) -> None:
-        """Note the target's limit. Its failures don't show that it names none."""
-        is_failure = response.status >= MIN_FAILURE_STATUS or metadata.did_not_run
-        if is_failure and metadata.limit == RateStatement():
-            return
-        if metadata.other_instance:
-            return
-        self._limits.record_answer(choice.view.record, metadata.limit)
-
     def _handle_exchange_error(
-        self, routed: RoutedRequest, choice: Choice, attempt: int,
-        error: ExchangeFailed, started: float,
-    ) -> _AttemptResult:  # fmt: skip
+        self, attempt: Attempt, error: ExchangeFailed
+    ) -> _AttemptResult:
+        choice = attempt.choice
+        self._answers.record_failed(attempt, error.heads)
         if isinstance(error, ExchangeCancelled):
             self._chooser.release(choice)
             outcome = failure(RefusalKind.TIMED_OUT, RunStatus.UNKNOWN, error)
             return _AttemptResult(outcome=outcome, known_not_run=False)
         timed_out = isinstance(error, ExchangeTimeout)
         overdue = (
-            self._clock.now() - started >= OVERDUE_FACTOR * choice.expected_latency
+            self._clock.now() - attempt.started
+            >= OVERDUE_FACTOR * choice.expected_latency
         )
         if timed_out and not overdue:
             # The target had less time than it normally needs, so this is no failure.
             self._chooser.release(choice)
-            self._log.record_failure(routed, choice, attempt, str(error))
+            self._log.record_failure(attempt, str(error))
         else:
-            self._record_failure(routed, choice, attempt, error)
+            self._record_failure(attempt, error)
         if not timed_out and not isinstance(error, InvalidResponse):
-            self._crashes.record_lost(choice.view.record, routed.digest)
+            self._crashes.record_lost(attempt.target, attempt.routed.digest)
         kind = RefusalKind.TIMED_OUT if timed_out else RefusalKind.ANSWER_BROKEN
         return _AttemptResult(
             outcome=failure(kind, RunStatus.UNKNOWN, error), known_not_run=False
         )
 
     def _record_failure(
-        self, routed: RoutedRequest, choice: Choice, attempt: int, error: object,
-        *, unreachable: bool = False,
-    ) -> None:  # fmt: skip
-        ejected = self._chooser.record_failure(choice, unreachable=unreachable)
-        self._log.record_failure(
-            routed, choice, attempt, str(error), left_alone=ejected
-        )
+        self, attempt: Attempt, error: object, *, unreachable: bool = False
+    ) -> None:
+        ejected = self._chooser.record_failure(attempt.choice, unreachable=unreachable)
+        self._log.record_failure(attempt, str(error), left_alone=ejected)
 
 
 def _decisive_result(
--- a/src/chicoryhold/gateway/outcomes.py
+++ b/src/chicoryhold/gateway/outcomes.py
@@ -10,6 +10,7 @@
 NO_TARGET_RETRY_AFTER_SECONDS = 0.3
 OVERLOAD_RETRY_AFTER_SECONDS = 0.2
 MIN_REMAINING_SECONDS = 0.02  # with less time left, a target could not respond
+MIN_FAILURE_STATUS = 500
 # Statuses from which callers conclude that the request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -54,11 +55,19 @@
     return Err(refusal)
 
 
-def no_target(service: str) -> Outcome:
+def no_target(service: str, *, leaving: int) -> Outcome:
+    """Return the refusal of a request that no target may get.
+
+    ``leaving`` targets may not get it only since they have said that they leave.
+    Another entry host may know others.
+    """
+    message = f"no target of {service} may get it now"
+    if leaving:
+        message += f"; {leaving} have said that they leave"
     refusal = Refusal(
         kind=RefusalKind.NO_TARGET,
         ran=RunStatus.NOT_RUN,
-        message=f"no target of {service} may get it now",
+        message=message,
         retry_after=NO_TARGET_RETRY_AFTER_SECONDS,
     )
     return Err(refusal)
--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 import attrs
@@ -25,8 +25,14 @@
 from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
+from chicoryhold.routing.target_statements import TargetStatements
+from chicoryhold.state.targets import TargetProcess
 from chicoryhold.targets.connections import TargetConnections
-from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
+from chicoryhold.targets.exchange import (
+    OutgoingRequest,
+    ResponseHead,
+    TargetResponse,
+)
 
 MAX_PEERS = 2  # to which one request is relayed, one after the other
 # Fewer than the threads for callers. The others stay free for what peers relay here:
@@ -52,6 +58,9 @@
     def refusal_kind(self, response: TargetResponse) -> RefusalKind | None:
         """Return the kind of a peer's own refusal."""
 
+    def leaving_process(self, response: ResponseHead) -> TargetProcess | None:
+        """Return the target that a peer's response says is leaving, if any."""
+
 
 @attrs.frozen(kw_only=True)
 class RelayedRequest:
@@ -100,6 +109,7 @@
         self, *, reachability: TargetReachability, peers: RelayPeers,
         connections: TargetConnections, header_translator: RelayHeaderTranslator,
         budgets: RetryBudgets, clock: Clock, metrics: Metrics,
+        statements: TargetStatements,
         may_take: Callable[[float], bool] = lambda deadline: True,
     ) -> None:  # fmt: skip
         self._may_take = may_take
@@ -110,6 +120,7 @@
         self._budgets = budgets
         self._clock = clock
         self._metrics = metrics
+        self._statements = statements
         self._free = threading.BoundedSemaphore(MAX_IN_FLIGHT)
 
     @property
@@ -190,10 +201,12 @@
                 untried=True,
             )
         except ExchangeFailed as error:
+            self._record_leaving(relayed, peer, error.heads)
             if not isinstance(error, ExchangeCancelled):
                 self._peers.avoid(peer)
                 self._log_failure(relayed, peer, error)
             return _failed_attempt(error)
+        self._record_leaving(relayed, peer, (*response.earlier, response))
         if response.status == REFUSED_STATUS:
             self._peers.avoid(peer)
             kind = self._header_translator.refusal_kind(response)
@@ -236,6 +249,20 @@
             cancellation=request.cancellation,
         )
 
+    def _record_leaving(
+        self, relayed: RelayedRequest, peer: EntryHost, heads: Iterable[ResponseHead]
+    ) -> None:
+        """Note the targets that ``peer`` says are leaving, by their own statement."""
+        for head in heads:
+            target = self._header_translator.leaving_process(head)
+            if target is not None and self._statements.record_leaving(target):
+                logger.bind(
+                    request=relayed.request.request_id,
+                    peer=peer.name,
+                    target=target.instance,
+                    born=target.born_ms,
+                ).info("relay: a target says that it leaves.")
+
     def _log_failure(
         self, relayed: RelayedRequest, peer: EntryHost, error: ExchangeFailed
     ) -> None:
--- a/src/chicoryhold/gateway/request.py
+++ b/src/chicoryhold/gateway/request.py
@@ -7,10 +7,11 @@
 import attrs
 
 from chicoryhold.routing.configuration import RouteRule
-from chicoryhold.routing.stated_limits import RateStatement
-from chicoryhold.routing.target_view import LoadReport
+from chicoryhold.routing.target_statements import TargetStatement
 from chicoryhold.targets.cancellation import Cancellation
 
+NO_STATEMENT = TargetStatement()
+
 
 @attrs.frozen(kw_only=True)
 class RelayTerms:
@@ -81,14 +82,13 @@
     """What a target's response states in addition to its content.
 
     ``did_not_run`` is the target's own statement that it did not run the request.
-    ``other_instance`` means that another process now has the address. ``limit`` is
-    what it says about the requests per second that it takes from all hosts together.
+    ``other_instance`` means that another process now has the address. ``statement`` is
+    what the process that sent it states of itself.
     """
 
     did_not_run: bool = False
     other_instance: bool = False
-    load: LoadReport | None = None
-    limit: RateStatement = RateStatement()
+    statement: TargetStatement = NO_STATEMENT
 
 
 @attrs.frozen(kw_only=True)
--- a/src/chicoryhold/programs/gateway.py
+++ b/src/chicoryhold/programs/gateway.py
@@ -43,6 +43,7 @@
 from chicoryhold.routing.selection import HostLocation
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
+from chicoryhold.routing.target_statements import TargetStatements
 from chicoryhold.targets.dialect import TargetDialect
 
 FOLLOWER_TICK_SECONDS = 0.25
@@ -75,11 +76,12 @@
         )
         metrics = Metrics(process=settings.name)
         limits = StatedLimits(clock=clock, metrics=metrics)
+        statements = TargetStatements(limits=limits, clock=clock, metrics=metrics)
         permit_sources = _permit_sources(settings, control_hosts)
         chooser = TargetChooser(
             location=_host_location(settings),
             clock=clock,
-            limits=limits,
+            statements=statements,
             permits=TargetPermitClient(
                 bus=bus, clock=clock, control_hosts=permit_sources, metrics=metrics
             ),
@@ -119,7 +121,7 @@
             header_translator=header_translator,
             budgets=RetryBudgets(),
             clock=clock,
-            limits=limits,
+            statements=statements,
             crashes=crashes,
             guard=guard,
             log=AttemptLog(
@@ -134,6 +136,7 @@
             peers=lambda: control_hosts.relay_hosts,
             header_translator=header_translator,
             metrics=metrics,
+            statements=statements,
             may_take=drain.may_take,
         )
         gateway.service = _create_service(
--- a/src/chicoryhold/programs/gateway_host.py
+++ b/src/chicoryhold/programs/gateway_host.py
@@ -51,6 +51,9 @@
             "chicoryhold_reaches_targets",
             lambda: int(not links.reachability.is_cut_off),
         )
+        self._metrics.gauge(
+            "chicoryhold_leaving_targets_called_ready", lambda: chooser.left_out_count
+        )
         self._currency = CopyCurrency(
             clock=clock,
             copy_age=lambda: self.copy_age,
--- a/src/chicoryhold/programs/gateway_links.py
+++ b/src/chicoryhold/programs/gateway_links.py
@@ -18,6 +18,7 @@
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
 from chicoryhold.routing.target_choice import TargetChooser
+from chicoryhold.routing.target_statements import TargetStatements
 from chicoryhold.state.targets import TargetRecord, TargetState
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.dialect import TargetDialect
@@ -79,6 +80,7 @@
         connect_timeout=CONNECT_TIMEOUT_SECONDS,
         record_connect_time=record_opened,
         record_link_failure=record_failure,
+        may_preconnect=chooser.is_staying,
     )
     # Their outcomes say nothing about targets, so they aren't reported.
     relay_connections = TargetConnections(
@@ -131,6 +133,7 @@
     links: TargetLinks, *, own: Callable[[], EntryHost],
     peers: Callable[[], tuple[EntryHost, ...]],
     header_translator: RelayHeaderTranslator, metrics: Metrics,
+    statements: TargetStatements,
     may_take: Callable[[float], bool] = lambda deadline: True,
 ) -> Relay:  # fmt: skip
     """Return a relay that uses the relay connections of ``links``."""
@@ -144,5 +147,6 @@
         budgets=RetryBudgets(),
         clock=links.clock,
         metrics=metrics,
+        statements=statements,
         may_take=may_take,
     )
--- a/src/chicoryhold/routing/latency.py
+++ b/src/chicoryhold/routing/latency.py
@@ -4,7 +4,12 @@
 
 from chicoryhold.routing.affinity import rendezvous_score, stable_hash
 from chicoryhold.routing.round_trips import RoundTrips
-from chicoryhold.routing.selection import Choice, HostLocation, SelectionCriteria
+from chicoryhold.routing.selection import (
+    Choice,
+    Estimate,
+    HostLocation,
+    SelectionCriteria,
+)
 from chicoryhold.routing.target_view import TargetView
 from chicoryhold.routing.work_times import ProcessingTimes
 
@@ -42,7 +47,7 @@
 
     def fastest(
         self, criteria: SelectionCriteria, views: list[TargetView], now: float
-    ) -> Choice | None:
+    ) -> Estimate | None:
         """Return the one of ``views`` that is expected to respond first."""
         if not views:
             return None
@@ -56,7 +61,7 @@
 
     def fastest_remote(
         self, criteria: SelectionCriteria, views: list[TargetView], now: float
-    ) -> Choice | None:
+    ) -> Estimate | None:
         """Choose among a few targets of another region, to get affinity hits there."""
         candidates = by_affinity(criteria.affinity_key, views)
         return self.fastest(criteria, candidates[:REMOTE_TARGETS_PER_KEY], now)
@@ -83,7 +88,7 @@
         now: float,
         *,
         is_preferred: bool,
-    ) -> Choice:
+    ) -> Estimate:
         times = self._processing_times_of(criteria)
         cold = view.is_cold(now)
         is_hit = not cold and (
@@ -98,7 +103,7 @@
         queue_wait = queued / slots * times.queued_request_time * slowness
         failure_cost = FAILURE_COST_SECONDS * view.failure_rate
         round_trip = self._round_trips.to(view)
-        return Choice(
+        return Estimate(
             view=view,
             expected_latency=processing_time * slowness
             + queue_wait
--- a/src/chicoryhold/routing/selection.py
+++ b/src/chicoryhold/routing/selection.py
@@ -31,15 +31,13 @@
 
 
 @attrs.frozen(kw_only=True)
-class Choice:
-    """The chosen target and the estimates that led to the choice, in seconds.
+class Estimate:
+    """What is expected of one target for a request; times are in seconds.
 
     ``queue_wait`` is the part of ``expected_latency`` that the request spends in the
     target's queue. ``is_affinity_hit`` means that the target is expected to have
     recently handled the affinity key, ``is_cross_region`` that it is in another region,
-    ``is_cold`` that it is cold. ``rate`` is the number of requests per second that the
-    target takes from all hosts together, ``None`` for any. ``state`` is the target's
-    state in the copy of the control state at ``revision``, by which it was chosen.
+    ``is_cold`` that it is cold.
     """
 
     view: TargetView
@@ -49,10 +47,36 @@
     is_affinity_hit: bool
     is_cross_region: bool = False
     is_cold: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Choice(Estimate):
+    """The chosen target and the estimates that led to the choice.
+
+    ``rate`` is the number of requests per second that the target takes from all hosts
+    together, ``None`` for any. ``state`` is the target's state in the copy of the
+    control state at ``revision``, by which it was chosen.
+    """
+
     rate: float | None = None
     state: TargetState = TargetState.READY
     revision: int = 0
 
+    @classmethod
+    def of(cls, estimate: Estimate, *, rate: float | None, revision: int) -> Choice:
+        return cls(
+            view=estimate.view,
+            expected_latency=estimate.expected_latency,
+            queue_wait=estimate.queue_wait,
+            processing_time=estimate.processing_time,
+            is_affinity_hit=estimate.is_affinity_hit,
+            is_cross_region=estimate.is_cross_region,
+            is_cold=estimate.is_cold,
+            rate=rate,
+            state=estimate.view.record.state,
+            revision=revision,
+        )
+
 
 @attrs.frozen(kw_only=True)
 class Overloaded:
--- a/src/chicoryhold/routing/stated_limits.py
+++ b/src/chicoryhold/routing/stated_limits.py
@@ -6,6 +6,7 @@
 import threading
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from typing import Protocol
 
 import attrs
 from loguru import logger
@@ -32,15 +33,28 @@
     is_readable: bool = True
 
 
+NO_LIMIT = RateStatement()
+
+
 def parse_rate(text: str | None) -> RateStatement:
     """Parse a decimal number of requests per second; ``None`` if none is named."""
     if text is None:
-        return RateStatement()
+        return NO_LIMIT
     if not re.fullmatch(r"[0-9]{1,9}(\.[0-9]{1,9})?", text.strip()):
         return RateStatement(is_readable=False)
     return RateStatement(rate=float(text))
 
 
+class StatingTarget(Protocol):
+    """One process of a target, started at ``born_ms``, in Unix milliseconds."""
+
+    @property
+    def instance(self) -> str: ...
+
+    @property
+    def born_ms(self) -> int: ...
+
+
 @attrs.frozen(kw_only=True)
 class _Known:
     """The latest statement of one target process, made at ``stated_at``.
@@ -85,14 +99,13 @@
         known = self._known.get(instance)
         return known.rate if known is not None else None
 
-    def record_answer(self, target: TargetRecord, statement: RateStatement) -> None:
+    def record_answer(self, target: StatingTarget, statement: RateStatement) -> None:
         """Note what a complete answer of ``target`` says about its limit."""
         if not statement.is_readable:
             return
+        if statement.rate is None and target.instance not in self._known:
+            return
         with self._lock:
-            known = self._known.get(target.instance)
-            if statement.rate is None and known is None:
-                return
             self._set(
                 target.instance, target.born_ms, statement.rate, self._clock.now()
             )
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -15,8 +15,6 @@
 from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
-import attrs
-
 from chicoryhold.clock import Clock
 from chicoryhold.routing.configuration import ServiceRule
 from chicoryhold.routing.health import (
@@ -28,6 +26,7 @@
 from chicoryhold.routing.limited_candidates import LimitedServiceCandidates, Scope
 from chicoryhold.routing.selection import (
     Choice,
+    Estimate,
     HostLocation,
     Overloaded,
     SelectionCriteria,
@@ -35,9 +34,10 @@
     until_next_permit,
 )
 from chicoryhold.routing.spill import SpilloverController, capacity_shortfall
-from chicoryhold.routing.stated_limits import StatedLimits
+from chicoryhold.routing.target_statements import TargetStatements
 from chicoryhold.routing.target_view import LoadReport, TargetView
-from chicoryhold.state.targets import TargetRecord, TargetState
+from chicoryhold.routing.target_views import TargetViews
+from chicoryhold.state.targets import TargetRecord
 
 OVERLOAD_THRESHOLD = 1.15  # requests per slot above which late requests are refused
 # Fraction of the latency objective that a request may queue even if the processing
@@ -46,7 +46,6 @@
 # Less urgent requests are refused at a shorter wait, so before more urgent ones.
 WAIT_FACTOR_PER_RANK = 0.85
 MAX_RANK = 4  # higher ranks are treated like this one
-COLD_RATE_FRACTION = 0.8  # of a service's cold_rate, sent by all hosts together
 # For one request, a permit is asked for at this many targets. Then it goes to a target
 # without a limit.
 MAX_PERMITS_ASKED = 3
@@ -58,34 +57,47 @@
     """Tracks the state of targets and chooses one per request. Thread-safe."""
 
     def __init__(
-        self, *, location: HostLocation, clock: Clock, limits: StatedLimits,
+        self, *, location: HostLocation, clock: Clock, statements: TargetStatements,
         permits: TargetPermits,
     ) -> None:  # fmt: skip
         self._location = location
-        self._limits = limits
+        self._statements = statements
+        self._limits = statements.limits
         self._permits = permits
         self._random = Random(location.host)
         self._clock = clock
-        self._views: dict[str, TargetView] = {}
-        self._views_by_service: dict[str, list[TargetView]] = {}
-        self._evacuated: frozenset[str] = frozenset()
+        self._views = TargetViews(regions=location.regions, statements=statements)
         self._revision = 0
-        self._views_by_address: dict[str, TargetView] = {}
         self._latency = LatencyEstimator(location=location)
         self._spillover = SpilloverController(clock=clock)
         self._regions = len(set(location.regions.values()))
         self._lock = threading.Lock()
+        statements.on_leaving(self._leave_out_leaving)
 
     @property
     def views(self) -> dict[str, TargetView]:
         """The state of each target as seen by this host, by instance."""
-        return self._views
+        return self._views.by_instance
 
     def record_at(self, address: str) -> TargetRecord | None:
         """Return the record of the target at ``address``, if there is one."""
-        view = self._views_by_address.get(address)
+        view = self._views.at(address)
         return view.record if view else None
 
+    def is_staying(self, address: str) -> bool:
+        """Return whether no target at ``address`` has said that it leaves."""
+        record = self.record_at(address)
+        return record is None or not self._statements.is_leaving(record)
+
+    def left_out(self, service: str) -> int:
+        """Return how many targets of ``service`` are left out only since they leave."""
+        return self._views.left_out(service)
+
+    @property
+    def left_out_count(self) -> int:
+        """The number of targets that said they leave and the registry calls ready."""
+        return self._views.left_out_count
+
     def update(
         self, records: Iterable[TargetRecord], *, evacuated: frozenset[str],
         service_rule: Callable[[str], ServiceRule], revision: int = 0,
@@ -94,35 +106,23 @@
 
         They are those of the control state at ``revision``.
         """
-        now = self._clock.now()
         with self._lock:
-            readmitted = self._evacuated - evacuated
-            self._evacuated = evacuated
             self._revision = revision
-            views = {}
-            for record in records:
-                if record.state is not TargetState.GONE:
-                    rule = service_rule(record.service)
-                    view = self._refreshed_view(record, now)
-                    view.cold_rate = COLD_RATE_FRACTION * rule.cold_rate
-                    if record.domain in readmitted:
-                        # The target may have restarted without being reported.
-                        seconds = max(rule.cold_seconds, view.cold_until - now)
-                        view.cold_until = now + seconds
-                        view.recent_keys.clear()
-                    views[record.instance] = view
-            self._views = views
-            self._views_by_address = {
-                view.record.address: view for view in views.values()
-            }
-            self._views_by_service = {}
-            for view in views.values():
-                self._views_by_service.setdefault(view.record.service, []).append(view)
+            self._views.update(
+                records,
+                evacuated=evacuated,
+                service_rule=service_rule,
+                now=self._clock.now(),
+            )
+
+    def _leave_out_leaving(self) -> None:
+        with self._lock:
+            self._views.leave_out_leaving()
 
     def record_connect_time(self, address: str, seconds: float) -> None:
         """Use the time that opening a connection took as the region's round trip."""
         with self._lock:
-            view = self._views_by_address.get(address)
+            view = self._views.at(address)
             if view is not None:
                 self._latency.record_connect_time(view.region, seconds)
 
@@ -133,14 +133,19 @@
         request would be late and only take a slot from requests that can still meet
         their objective, or that all targets get as many requests as they take.
         """
+        if self._views.left_out(criteria.service):
+            self._statements.count_left_out()
         outcome: Overloaded | None = None
         asked = 0
         for scope in self._scopes(criteria):
             choice = self._choose(criteria, scope, may_ask=asked < MAX_PERMITS_ASKED)
             while isinstance(choice, Choice):
-                if choice.rate is None or self._has_permit(choice, criteria):
+                if choice.rate is None:
+                    return choice
+                if not self._has_permit(choice, criteria):
+                    self._record_denial(choice)
+                elif self.holds(choice):
                     return choice
-                self._record_denial(choice)
                 asked += 1
                 choice = self._choose(
                     criteria, scope, may_ask=asked < MAX_PERMITS_ASKED
@@ -148,11 +153,22 @@
             outcome = outcome or choice
         return outcome
 
+    def holds(self, choice: Choice) -> bool:
+        """Return whether the chosen target may still get the request.
+
+        If not, for instance since it has said meanwhile that it leaves, the request no
+        longer counts as in flight there.
+        """
+        if self._views.is_open(choice.view):
+            return True
+        self.release(choice)
+        return False
+
     def _scopes(self, criteria: SelectionCriteria) -> tuple[Scope, ...]:
         rates = self._limits.rates()
         has_limits = any(
             view.record.instance in rates
-            for view in self._views_by_service.get(criteria.service, ())
+            for view in self._views.staying(criteria.service)
         )
         return tuple(Scope) if has_limits else (Scope.USUAL,)
 
@@ -185,17 +201,14 @@
             ):
                 return Overloaded(queue_wait=best.queue_wait, load=load)
             best.view.record_sent()
-            return attrs.evolve(
-                best,
-                rate=self._rate_of(best.view, rates, now),
-                state=best.view.record.state,
-                revision=self._revision,
+            return Choice.of(
+                best, rate=self._rate_of(best.view, rates, now), revision=self._revision
             )
 
     def _select_in(
         self, scope: Scope, criteria: SelectionCriteria, allowed: list[TargetView],
         eligible: list[TargetView], rates: Mapping[str, float],
-    ) -> tuple[list[TargetView], Choice | None]:  # fmt: skip
+    ) -> tuple[list[TargetView], Estimate | None]:  # fmt: skip
         """Return the targets of ``scope`` that were considered, and the best one."""
         now = self._clock.now()
         if scope is Scope.USUAL and not any(
@@ -268,7 +281,7 @@
     def forget_failures(self, *, since: float) -> None:
         """Forget the failures of targets that failed since then, as they were ours."""
         with self._lock:
-            for view in self._views.values():
+            for view in self._views.by_instance.values():
                 if view.failed_at >= since:
                     view.forget_failures()
 
@@ -277,32 +290,13 @@
         with self._lock:
             choice.view.record_end()
 
-    def _refreshed_view(self, record: TargetRecord, now: float) -> TargetView:
-        view = self._views.get(record.instance)
-        if view is None or view.record.born_ms != record.born_ms:
-            view = TargetView(
-                record=record,
-                region=self._location.regions.get(record.domain, ""),
-                cold_until=now,
-            )
-            view.cold_until = now + record.cold_seconds
-        elif record != view.record:
-            if not view.is_cold(now) or record.cold_seconds <= 0:
-                view.cold_until = now + record.cold_seconds
-            if record.cold_seconds > 0:
-                view.recent_keys.clear()
-            view.record = record
-        return view
-
     def _allowed(self, criteria: SelectionCriteria) -> list[TargetView]:
         """Return the targets that may run the request, whatever their load."""
         now = self._clock.now()
         return [
             view
-            for view in self._views_by_service.get(criteria.service, ())
-            if view.record.state in (TargetState.READY, TargetState.SILENT)
-            and view.record.domain not in self._evacuated
-            and view.record.instance not in criteria.avoid
+            for view in self._views.open(criteria.service)
+            if view.record.instance not in criteria.avoid
             and (
                 not criteria.allowed_regions or view.region in criteria.allowed_regions
             )
@@ -311,7 +305,7 @@
 
     def _select(
         self, criteria: SelectionCriteria, eligible: list[TargetView], now: float
-    ) -> tuple[list[TargetView], Choice | None]:
+    ) -> tuple[list[TargetView], Estimate | None]:
         """Return the targets that were considered, and the best of them.
 
         Targets of another region are considered only if the local region has no warm
@@ -345,7 +339,7 @@
         )
         return self._spillover.moves(criteria.service, criteria.affinity_key)
 
-    def _max_wait(self, criteria: SelectionCriteria, choice: Choice) -> float:
+    def _max_wait(self, criteria: SelectionCriteria, choice: Estimate) -> float:
         """Return the longest acceptable queue wait in seconds.
 
         It keeps the request within the latency objective of its route and within its
--- a/src/chicoryhold/state/targets.py
+++ b/src/chicoryhold/state/targets.py
@@ -51,6 +51,18 @@
     version: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class TargetProcess:
+    """Names one process of a target, by the same fields as its record."""
+
+    instance: str
+    born_ms: int
+
+
+def process_of(record: TargetRecord) -> TargetProcess:
+    return TargetProcess(instance=record.instance, born_ms=record.born_ms)
+
+
 @attrs.frozen(kw_only=True)
 class _Index:
     """The records by instance, and the instance at each address. Never changed."""
--- a/src/chicoryhold/targets/checked_connection.py
+++ b/src/chicoryhold/targets/checked_connection.py
@@ -9,6 +9,7 @@
 from urllib3.util.connection import create_connection
 
 from chicoryhold.clock import Clock
+from chicoryhold.targets.exchange import ResponseHead
 from chicoryhold.targets.limited_reader import ExchangeDeadlines, LimitedReader
 from chicoryhold.targets.response_memory import ResponseMemory
 from chicoryhold.targets.response_parser import (
@@ -57,12 +58,19 @@
         self._reader: LimitedReader | None = None
         self._has_body = True
         self._received = b""
+        self._heads: list[ResponseHead] = []
 
     @property
     def may_have_sent(self) -> bool:
         """Whether the kernel may have taken a byte of the current request."""
         return self._may_have_sent
 
+    def take_heads(self) -> tuple[ResponseHead, ...]:
+        """Return the heads that have arrived in this exchange, and forget them."""
+        heads = tuple(self._heads)
+        self._heads.clear()
+        return heads
+
     def connect(self) -> None:
         """Open the connection. Raises ``OSError``."""
         self.sock = create_connection(
@@ -81,6 +89,7 @@
         self._deadlines = deadlines
         self._may_have_sent = False
         self._received = b""
+        self._heads.clear()
         self._reader = LimitedReader(
             sock=self.sock, clock=self._clock, deadlines=deadlines
         )
@@ -116,6 +125,7 @@
             has_body=self._has_body,
             memory=memory,
             received=self._received,
+            on_head=self._heads.append,
         )
         self._received = response.following
         self._reader.start_another_head()
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -20,7 +20,11 @@
 from chicoryhold.targets.cancellation import NEVER_CANCELLED, Cancellation
 from chicoryhold.targets.checked_connection import CheckedConnection
 from chicoryhold.targets.dialect import OWN_DIALECT, TargetDialect
-from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
+from chicoryhold.targets.exchange import (
+    OutgoingRequest,
+    ResponseHead,
+    TargetResponse,
+)
 from chicoryhold.targets.idle_connections import (
     DEFAULT_IDLE_LIMIT_SECONDS,
     IdleConnections,
@@ -45,7 +49,8 @@
     ``record_connect_time`` is called with the address and the seconds that opening
     each new connection took, ``record_link_failure`` with the address and the kind of
     each failure to open one or to get a response over one. While ``may_keep_idle``
-    returns false, connections are closed after their exchange.
+    returns false, connections are closed after their exchange. None is opened in
+    advance to an address for which ``may_preconnect`` returns false.
     """
 
     def __init__(
@@ -58,11 +63,13 @@
             lambda address, failure: None
         ),
         may_keep_idle: Callable[[], bool] = lambda: True,
+        may_preconnect: Callable[[str], bool] = lambda address: True,
     ) -> None:  # fmt: skip
         self._record_connect_time = record_connect_time
         self._record_link_failure = record_link_failure
         self._clock = clock
         self._connect_timeout = connect_timeout
+        self._may_preconnect = may_preconnect
         self._dialect = dialect
         self._memory = ResponseMemory()
         self._idle = IdleConnections(clock=clock, may_keep=may_keep_idle)
@@ -115,18 +122,25 @@
         try:
             with cancellation.closing(connection.sock):
                 response = self._send(connection, request, deadlines)
-        except (InvalidResponse, RequestNotSent):
+        except RequestNotSent:
+            connection.close()
+            raise
+        except InvalidResponse as error:
             connection.close()
+            error.heads = self._known_heads(connection, request)
             raise
         except OSError as e:
             connection.close()
             if cancellation.is_set:
-                raise ExchangeCancelled("the caller left: nobody waits for this") from e
+                cancelled = ExchangeCancelled("the caller left: nobody waits for this")
+                cancelled.heads = self._known_heads(connection, request)
+                raise cancelled from e
             # The other connections to this address may have been lost as well.
             self._idle.close(address)
             if idle is not None and self._clock.now() - started < LOST_SECONDS:
                 self._idle.record_lost()
             failure = self._exchange_error(address, deadlines, e)
+            failure.heads = self._known_heads(connection, request)
             if not isinstance(failure, ExchangeTimeout):
                 self._record_link_failure(address, LinkFailure.LOST)
             if not connection.may_have_sent:
@@ -137,9 +151,24 @@
             address, connection, idle_limit_seconds(response.header("keep-alive"))
         )
         return TargetResponse(
-            status=response.status, headers=response.headers, body=response.body
+            status=response.status,
+            headers=response.headers,
+            body=response.body,
+            earlier=connection.take_heads()[:-1],
         )
 
+    def _known_heads(
+        self, connection: CheckedConnection, request: OutgoingRequest
+    ) -> tuple[ResponseHead, ...]:
+        """Return the heads of an exchange that has failed, for its error.
+
+        Only a valid head of the response to ``request`` shows whom they come from.
+        """
+        heads = connection.take_heads()
+        if not heads or self._fault_of_head(request, heads[-1]):
+            return ()
+        return heads
+
     def _exchange_error(
         self, address: str, deadlines: ExchangeDeadlines, error: Exception
     ) -> ExchangeFailed:
@@ -171,6 +200,8 @@
 
     def _preconnect(self, address: str) -> None:
         try:
+            if not self._may_preconnect(address):
+                return
             connection = self._connect(
                 address, self._clock.now() + CONNECT_TIMEOUT_SECONDS
             )
@@ -259,20 +290,27 @@
                 "the answer has no length, so it can't be known to be whole: make the "
                 "target send Content-Length or chunks"
             )
+        fault = self._fault_of_head(request, response)
+        if fault:
+            raise InvalidResponse(fault)
+
+    def _fault_of_head(self, request: OutgoingRequest, head: ResponseHead) -> str:
+        """Return why ``head`` isn't one of the target's response, or ``""``."""
         id_header = self._dialect.request_id_header
-        echoed_id = response.header(id_header)
+        echoed_id = head.header(id_header)
         if echoed_id != request.request_id:
-            raise InvalidResponse(
+            return (
                 f"the answer is for request {echoed_id!r}, not {request.request_id!r}: "
                 f"make the target return {id_header}"
             )
         proof_header = self._dialect.proof_header
-        is_success = 200 <= response.status < 300
-        if is_success and proof_header and not response.header(proof_header):
-            raise InvalidResponse(
+        is_success = 200 <= head.status < 300
+        if is_success and proof_header and not head.header(proof_header):
+            return (
                 f"the answer is a success without {proof_header}, so it isn't known to "
                 "come from the target: look at what is between"
             )
+        return ""
 
 
 def _log_failure(done: Future, address: str) -> None:
--- a/src/chicoryhold/targets/exchange.py
+++ b/src/chicoryhold/targets/exchange.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from chicoryhold.state.targets import TargetProcess
+
 
 @attrs.frozen(kw_only=True)
 class OutgoingRequest:
@@ -26,9 +28,27 @@
 
 
 @attrs.frozen(kw_only=True)
-class TargetResponse:
-    """A complete response, verified to belong to its request."""
+class ResponseHead:
+    """The head of a response, which has arrived in full."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
+
+    def header(self, name: str) -> str:
+        """Return the first value of the header ``name``, or ``""``."""
+        lower = name.lower()
+        return next((v for k, v in self.headers if k.lower() == lower), "")
+
+
+@attrs.frozen(kw_only=True)
+class TargetResponse(ResponseHead):
+    """A complete response, verified to belong to its request.
+
+    ``earlier`` are the heads of responses to earlier requests that came before it on
+    the same connection. ``leaving`` is the target that it comes from, if that states in
+    it that it leaves.
+    """
+
     body: bytes
+    earlier: tuple[ResponseHead, ...] = ()
+    leaving: TargetProcess | None = None
--- a/src/chicoryhold/targets/response_parser.py
+++ b/src/chicoryhold/targets/response_parser.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 import http
+from collections.abc import Callable
 
 import attrs
 import h11
 
 from chicoryhold.errors import InvalidResponse, RequestNotSent
+from chicoryhold.targets.exchange import ResponseHead
 from chicoryhold.targets.limited_reader import MAX_HEAD_BYTES, LimitedReader
 from chicoryhold.targets.response_memory import (
     MAX_RESPONSE_BYTES,
@@ -24,7 +26,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class ParsedResponse:
+class ParsedResponse(ResponseHead):
     """A response whose end was seen.
 
     ``states_its_end`` is false if the end of the connection was the end of the body.
@@ -32,18 +34,11 @@
     are the bytes after it that have been read.
     """
 
-    status: int
-    headers: tuple[tuple[str, str], ...]
     body: bytes
     states_its_end: bool
     keeps_connection: bool
     following: bytes
 
-    def header(self, name: str) -> str:
-        """Return the first value of the header ``name``, or ``""``."""
-        lower = name.lower()
-        return next((v for k, v in self.headers if k.lower() == lower), "")
-
 
 def request_bytes(
     method: str, target: str, headers: list[tuple[str, str]], body: bytes
@@ -71,11 +66,13 @@
 
 
 def read_response(
-    reader: LimitedReader, *, has_body: bool, memory: ResponseMemory, received: bytes
-) -> ParsedResponse:
+    reader: LimitedReader, *, has_body: bool, memory: ResponseMemory, received: bytes,
+    on_head: Callable[[ResponseHead], None],
+) -> ParsedResponse:  # fmt: skip
     """Read one response, of which ``received`` has been read already.
 
-    Without ``has_body`` it answers a HEAD request. Raises ``InvalidResponse`` if it
+    Without ``has_body`` it answers a HEAD request. ``on_head`` is called with its head
+    once that has arrived in full. Raises ``InvalidResponse`` if it
     isn't a response, or an ``OSError`` if the connection ends before it does.
     """
     parser = _parser(has_body=has_body)
@@ -84,6 +81,8 @@
     with memory.buffer() as body:
         try:
             head = _read_head(parser, reader)
+            response_head = _response_head(head)
+            on_head(response_head)
             _read_body(parser, reader, body)
         except h11.RemoteProtocolError as error:
             raise InvalidResponse(
@@ -91,11 +90,8 @@
             ) from error
         names = {name for name, _ in head.headers}
         return ParsedResponse(
-            status=head.status_code,
-            headers=tuple(
-                (name.decode("ascii"), value.decode("latin-1"))
-                for name, value in head.headers.raw_items()
-            ),
+            status=response_head.status,
+            headers=response_head.headers,
             body=body.to_bytes(),
             states_its_end=(
                 not has_body
@@ -107,6 +103,16 @@
         )
 
 
+def _response_head(head: h11.Response) -> ResponseHead:
+    return ResponseHead(
+        status=head.status_code,
+        headers=tuple(
+            (name.decode("ascii"), value.decode("latin-1"))
+            for name, value in head.headers.raw_items()
+        ),
+    )
+
+
 _STATUSES_WITHOUT_BODY = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 
 
--- a/tests/links.py
+++ b/tests/links.py
@@ -31,13 +31,17 @@
 class StandInTarget:
     """Responds to every request and counts how often each request id ran.
 
-    While ``may_respond`` is cleared, requests run and get no response.
+    While ``may_respond`` is cleared, requests run and get no response. ``status`` and
+    ``extra_headers`` are those of the responses from now on.
     """
 
     def __init__(self) -> None:
         self.runs: Counter[str] = Counter()
         self.may_respond = threading.Event()
         self.may_respond.set()
+        self.status = 200
+        self.extra_headers: dict[str, str] = {}
+        target = self
         runs, may_respond = self.runs, self.may_respond
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -49,8 +53,10 @@
                 runs[request_id] += 1
                 time.sleep(RUN_SECONDS)
                 may_respond.wait()
-                self.send_response(200)
+                self.send_response(target.status)
                 self.send_header("Request-Id", request_id)
+                for name, value in target.extra_headers.items():
+                    self.send_header(name, value)
                 self.send_header("Server-Seal", "s1")
                 self.send_header("Content-Length", "2")
                 self.end_headers()
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -45,6 +45,7 @@
 from chicoryhold.targets.dialect import OWN_DIALECT
 from tests.conftest import FakeClock
 from tests.crash_fakes import CrashedTargets, a_guard
+from tests.statement_fakes import a_statements
 from tests.test_control_state import HEADING, change
 from tests.test_target_choice import FakePermits
 
@@ -163,7 +164,7 @@
     chooser = TargetChooser(
         location=location,
         clock=clock,
-        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+        statements=a_statements(clock),
         permits=FakePermits(),
     )
     metrics = Metrics(process="h")
--- a/tests/test_cut_off_host.py
+++ b/tests/test_cut_off_host.py
@@ -41,12 +41,12 @@
 )
 from chicoryhold.routing.route_index import RouteIndex
 from chicoryhold.routing.selection import HostLocation
-from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.trial.fleet import wait_until
 from tests.crash_fakes import CrashedTargets, a_guard
 from tests.currency_fakes import a_current_copy
 from tests.links import IP, Cut, Link, StandInTarget
+from tests.statement_fakes import a_statements
 from tests.test_target_choice import FakePermits
 from tests.test_targets_state import a_record
 
@@ -131,10 +131,11 @@
         domain_round_trip=0.001,
         region_round_trip=0.1,
     )
+    statements = a_statements(clock)
     chooser = TargetChooser(
         location=location,
         clock=clock,
-        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+        statements=statements,
         permits=FakePermits(),
     )
     target_links = [Link(target) for target in targets]
@@ -163,7 +164,7 @@
             chooser=chooser,
             connections=links.connections,
             header_translator=PlatformHeaders(),
-            limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+            statements=statements,
             crashes=CrashedTargets().watch(clock),
             log=AttemptLog(clock=clock, metrics=metrics, copy_age=lambda: 0.0),
             guard=a_guard(clock),
@@ -178,6 +179,7 @@
             peers=peers,
             header_translator=PlatformHeaders(),
             metrics=metrics,
+            statements=statements,
         ),
         clock=clock,
         random=Random(name),
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
+import attrs
 import pytest
 from loguru import logger
 from result import Err, Ok
@@ -14,6 +17,8 @@
     ExchangeTimeout,
     RequestNotSent,
 )
+from chicoryhold.gateway.answer_statements import AnswerStatements
+from chicoryhold.gateway.attempt import Attempt
 from chicoryhold.gateway.attempt_log import AttemptLog
 from chicoryhold.gateway.delivery import Delivery
 from chicoryhold.gateway.request import GatewayRequest, ResponseMetadata, RoutedRequest
@@ -22,12 +27,14 @@
 from chicoryhold.quarantine.evidence import AMBIGUOUS_CRASHES
 from chicoryhold.quarantine.messages import CrashReport, RequestSucceeded
 from chicoryhold.routing.configuration import RouteRule, WeightedService
-from chicoryhold.routing.stated_limits import StatedLimits
+from chicoryhold.routing.target_statements import TargetStatement, TargetStatements
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.exchange import TargetResponse
 from tests.conftest import FakeClock
 from tests.crash_fakes import CrashedTargets, a_guard
-from tests.test_target_choice import a_chooser, report_full
+from tests.statement_fakes import a_statements
+from tests.test_target_choice import a_chooser, criteria, report_full
+from tests.test_targets_state import a_record
 
 OK = TargetResponse(status=200, headers=(), body=b"whole")
 NOT_RUN = TargetResponse(status=503, headers=(("shed", "1"),), body=b"")
@@ -39,7 +46,10 @@
 
 
 class Connections:
-    """Returns or raises the given results in order and records the addresses."""
+    """Returns or raises the given results in order and records the addresses.
+
+    A result that can be called is called with ``may_give_up`` and returns another.
+    """
 
     def __init__(self, clock: FakeClock, *results: object) -> None:
         self.clock = clock
@@ -55,6 +65,8 @@
         self.seconds_for_a_retry.append(deadline - stale_connection_deadline)
         self.clock.advance(0.1)
         result = self.results.pop(0)
+        if callable(result):
+            result = result(may_give_up)
         if result is GIVEN_UP_IF_ALLOWED:
             result = ExchangeTimeout("late") if may_give_up() else OK
         if isinstance(result, Exception):
@@ -79,7 +91,7 @@
     *results: object, repeatable: bool, attempts: int = 2, cancelled: bool = False,
     waiting: int = 0, crashes_before: int = 0, told: list[object] | None = None,
     budgets: RetryBudgets | None = None, is_ending: bool = False,
-    seconds_left: float = 2.0,
+    seconds_left: float = 2.0, statements: TargetStatements | None = None,
 ):  # fmt: skip
     clock = FakeClock()
     guard = a_guard(clock, told=told)
@@ -88,14 +100,17 @@
             CrashReport(instance=f"i-{number}", born_ms=1, requests=(b"digest",))
         )
     connections = Connections(clock, *results)
-    chooser = a_chooser("north-a", "north-a", "north-b", clock=clock)
+    statements = statements or a_statements(clock)
+    chooser = a_chooser(
+        "north-a", "north-a", "north-b", clock=clock, statements=statements
+    )
     if waiting:
         report_full(chooser, 3, waiting=waiting)
     delivery = Delivery(
         chooser=chooser,
         connections=connections,
         header_translator=HeaderTranslator(),
-        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+        statements=statements,
         crashes=CrashedTargets().watch(clock),
         log=AttemptLog(
             clock=clock, metrics=Metrics(process="test"), copy_age=lambda: 0.25
@@ -332,3 +347,71 @@
         logger.remove(handler)
     (line,) = lines
     assert (line["state"], line["revision"], line["age"]) == ("ready", 41, 0.25)
+
+
+@pytest.mark.parametrize("do_others_stay", [True, False])
+def test_a_reserved_retry_is_given_up_if_its_target_says_it_leaves(do_others_stay):
+    statements = a_statements(FakeClock())
+    leaving = set()
+
+    def reserve_then_hear_it(may_give_up):
+        assert may_give_up()
+        reserved = may_give_up.__self__.choice.view.record.instance
+        leaving.update([reserved] if do_others_stay else ["i-0", "i-1", "i-2"])
+        for instance in leaving:
+            statements.record_leaving(a_record(instance=instance))
+        return ExchangeTimeout("late")
+
+    _, connections = run_recorded(
+        reserve_then_hear_it, OK, repeatable=True, statements=statements
+    )
+    retried = {
+        address.replace("10.0.0.", "i-")[:3] for address in connections.addresses[1:]
+    }
+    assert len(retried) == do_others_stay
+    assert not retried & leaving
+
+
+def an_attempt(clock: FakeClock, statements: TargetStatements) -> Attempt:
+    chooser = a_chooser("north-a", clock=clock, statements=statements)
+    request = SimpleNamespace(request_id="r1")
+    return Attempt(
+        routed=SimpleNamespace(request=request, service="menu"),
+        choice=chooser.choose(criteria()),
+        number=0,
+        started=clock.now(),
+    )
+
+
+def test_lines_tell_by_which_state_a_target_got_a_request_before_and_after_the_word():
+    clock = FakeClock()
+    statements = a_statements(clock)
+    attempt = an_attempt(clock, statements)
+    says = ResponseMetadata(statement=TargetStatement(is_leaving=True))
+    answers = AnswerStatements(
+        statements=statements,
+        reader=HeaderTranslator(),
+        record_at=lambda address: None,
+        log=AttemptLog(
+            clock=clock, metrics=Metrics(process="test"), copy_age=lambda: 7.5
+        ),
+    )
+    lines: list[dict] = []
+    handler = logger.add(lambda line: lines.append(line.record))
+    try:
+        answers.record_response(attempt, says, OK)
+        answers.record_response(attempt, says, OK)
+        clock.advance(3.0)
+        late = attrs.evolve(attempt, started=clock.now())
+        answers.record_response(late, says, OK)
+    finally:
+        logger.remove(handler)
+    assert [line["message"] for line in lines] == [
+        "delivery: a target says that it leaves.",
+        "delivery: a target that had said that it leaves got a request.",
+    ]
+    first, second = (line["extra"] for line in lines)
+    assert (first["request"], first["target"], first["born"]) == ("r1", "i-0", 1_000)
+    assert (first["state"], first["state_now"]) == ("ready", "ready")
+    assert (first["revision"], first["age"]) == (41, 7.5)
+    assert second["seconds"] == 3.0
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -25,7 +25,6 @@
 from chicoryhold.hosts.messages import Admitted
 from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.metrics import Metrics
-from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.connections import (
@@ -46,6 +45,7 @@
     head,
     sick_target,
 )
+from tests.statement_fakes import a_statements
 from tests.test_target_choice import ROUTE, a_chooser, apply, chosen, criteria
 from tests.test_targets_state import a_record
 
@@ -369,7 +369,8 @@
 ) -> tuple[Outcome, TargetChooser]:
     """Deliver a request that the gateway sends to ``sick`` first."""
     clock = BootClock()
-    chooser = a_chooser(clock=clock)
+    statements = a_statements(clock)
+    chooser = a_chooser(clock=clock, statements=statements)
     apply(
         chooser,
         [
@@ -384,7 +385,7 @@
         chooser=chooser,
         connections=TargetConnections(clock=clock, dialect=LENIENT),
         header_translator=HeaderTranslator(),
-        limits=StatedLimits(clock=clock, metrics=Metrics(process="test")),
+        statements=statements,
         crashes=CrashedTargets().watch(clock),
         guard=a_guard(clock),
         log=AttemptLog(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,19 +3,22 @@
 from __future__ import annotations
 
 from functools import partial
+from types import SimpleNamespace
 
 import msgspec
 import pytest
+from result import Ok
 from wiring.client_app import ClientApp
 from wiring.configuration import InvalidConfiguration, read_configuration
 from wiring.settings import control_settings, read_settings
-from wiring.targets import PlatformHeaders, read_report
+from wiring.targets import PlatformHeaders, leaving_process_text, read_report
 
 from chicoryhold.callers.refusals import RefusalKind
 from chicoryhold.errors import SettingsError
 from chicoryhold.gateway.request import RelayCall, RelayTerms, TargetCall
+from chicoryhold.gateway.service import ServeResult
 from chicoryhold.http_channel import ARRIVED_AT, CANCELLATION
-from chicoryhold.state.targets import TargetState
+from chicoryhold.state.targets import TargetProcess, TargetState
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.exchange import TargetResponse
 
@@ -182,13 +185,59 @@
             TargetResponse(status=status, headers=headers, body=b"")
         )
 
-    assert response_metadata(200, ("Server-Load", "3,1,8")).load.waiting == 1
-    assert response_metadata(200, ("Server-Load", "many")).load is None
+    assert response_metadata(200, ("Server-Load", "3,1,8")).statement.load.waiting == 1
+    assert response_metadata(200, ("Server-Load", "many")).statement.load is None
     assert response_metadata(503, ("Not-Executed", "1")).did_not_run
     assert not response_metadata(503).did_not_run
     assert response_metadata(421).other_instance
 
 
+@pytest.mark.parametrize(
+    ("text", "process"),
+    [
+        ("1700,i-1", TargetProcess(instance="i-1", born_ms=1700)),
+        ("-5,i,1", TargetProcess(instance="i,1", born_ms=-5)),
+        ("", None),
+        ("1700,", None),
+        ("i-1", None),
+        ("1.5,i-1", None),
+        ("\u0661,i-1", None),
+        ("9" * 5000 + ",i-1", None),
+    ],
+)
+def test_the_process_that_a_peer_says_is_leaving_is_read(text, process):
+    headers = (("chicoryhold-leaving", text),)
+    response = TargetResponse(status=200, headers=headers, body=b"")
+    assert PlatformHeaders().leaving_process(response) == process
+    if process:
+        assert leaving_process_text(process) == text
+
+
+@pytest.mark.parametrize("relayed", ["12,1", ""])
+def test_only_a_relaying_host_is_told_which_process_leaves(relayed):
+    response = TargetResponse(
+        status=200,
+        headers=(("Server-Leaving", "1"), ("Chicoryhold-Leaving", "9,i-forged")),
+        body=b"",
+        leaving=TargetProcess(instance="i-1", born_ms=1700),
+    )
+    gateway = SimpleNamespace(serve=lambda request: ServeResult(outcome=Ok(response)))
+    gateway.service = gateway
+    environ = {
+        "REQUEST_METHOD": "GET",
+        "REQUEST_URI": "/a/",
+        "HTTP_CHICORYHOLD_RELAYED": relayed,
+        "wsgi.input": _EmptyBody(),
+        ARRIVED_AT: 100.0,
+        CANCELLATION: Cancellation(),
+    }
+    sent = []
+    ClientApp(gateway)(environ, lambda status, headers: sent.extend(headers))
+    internal = [value for name, value in sent if name == "Chicoryhold-Leaving"]
+    assert internal == (["1700,i-1"] if relayed else [])
+    assert ("Server-Leaving", "1") in sent
+
+
 def test_target_call_is_sent_as_headers():
     call = TargetCall(instance="i-1", organisation="o", remaining=0.25)
     assert PlatformHeaders().headers(call) == {
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,6 +6,7 @@
 from contextlib import ExitStack
 from random import Random
 
+import attrs
 import pytest
 from hypothesis import given, strategies as st
 from result import Err, Ok
@@ -24,9 +25,12 @@
 from chicoryhold.limits.retry_budgets import FLEET_TERMS, RetryBudgets
 from chicoryhold.membership.messages import EntryHost
 from chicoryhold.metrics import Metrics
+from chicoryhold.routing.target_statements import TargetStatements
+from chicoryhold.state.targets import TargetProcess
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.exchange import TargetResponse
 from tests.conftest import FakeClock
+from tests.statement_fakes import a_statements
 
 OK = TargetResponse(status=200, headers=(), body=b"whole")
 OVERLOADED = TargetResponse(status=503, headers=(), body=b"overloaded")
@@ -76,6 +80,10 @@
             return RefusalKind.STOPPING
         return RefusalKind.OVERLOADED if response is OVERLOADED else None
 
+    def leaving_process(self, response):
+        named = dict(response.headers).get("Leaving")
+        return named and TargetProcess(instance=named, born_ms=1_000)
+
     def relay_headers(self, call):
         return {
             "Host": call.host,
@@ -104,8 +112,9 @@
 
 
 def create_relay(
-    connections: Connections, clock: FakeClock, *, peers=PEERS, is_ending=False
-) -> Relay:
+    connections: Connections, clock: FakeClock, *, peers=PEERS, is_ending=False,
+    statements: TargetStatements | None = None,
+) -> Relay:  # fmt: skip
     return Relay(
         reachability=TargetReachability(clock=clock),
         peers=RelayPeers(
@@ -116,6 +125,7 @@
         budgets=RetryBudgets(),
         clock=clock,
         metrics=Metrics(process="own"),
+        statements=statements or a_statements(clock),
         may_take=lambda deadline: not is_ending,
     )
 
@@ -382,3 +392,32 @@
     with peers.in_flight(first):
         second = peers.choose(allowed_regions=frozenset(), tried=frozenset())
     assert first.name != second.name
+
+
+LEAVING = TargetResponse(status=200, headers=(("Leaving", "i-1"),), body=b"whole")
+
+
+def cut_short() -> ExchangeFailed:
+    error = ExchangeFailed("cut")
+    error.heads = (LEAVING,)
+    return error
+
+
+@pytest.mark.parametrize(
+    "result",
+    [
+        LEAVING,
+        attrs.evolve(OK, earlier=(LEAVING,)),
+        attrs.evolve(LEAVING, status=503),
+        cut_short(),
+    ],
+    ids=["response", "skipped response", "refusal", "response cut short"],
+)
+def test_a_relaying_host_remembers_the_target_that_a_peer_says_is_leaving(result):
+    clock = FakeClock()
+    statements = a_statements(clock)
+    connections = Connections(clock, result, OK)
+    relay = create_relay(connections, clock, statements=statements)
+    relay.deliver(a_relayed_request(clock))
+    assert statements.is_leaving(TargetProcess(instance="i-1", born_ms=1_000))
+    assert not statements.is_leaving(TargetProcess(instance="i-1", born_ms=1_001))
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -61,4 +61,4 @@
 def test_the_platforms_header_is_decoded(value, statement):
     headers = () if value is None else (("Server-Limit", value),)
     response = TargetResponse(status=200, headers=headers, body=b"")
-    assert PlatformHeaders().response_metadata(response).limit == statement
+    assert PlatformHeaders().response_metadata(response).statement.limit == statement
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -7,7 +7,6 @@
 import attrs
 import pytest
 
-from chicoryhold.metrics import Metrics
 from chicoryhold.routing.configuration import (
     RouteRule,
     ServiceRule,
@@ -23,10 +22,12 @@
 from chicoryhold.routing.spill import SpilloverController
 from chicoryhold.routing.stated_limits import StatedLimits
 from chicoryhold.routing.target_choice import TargetChooser
+from chicoryhold.routing.target_statements import TargetStatements
 from chicoryhold.routing.target_view import LoadReport
 from chicoryhold.state.targets import TargetState
 from tests.conftest import FakeClock
 from tests.fleet_permits import FleetPermits
+from tests.statement_fakes import a_statements
 from tests.test_targets_state import a_record
 
 REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south"}
@@ -56,6 +57,7 @@
 def a_chooser(
     *domains: str, clock: FakeClock | None = None, host: str = "own",
     limits: StatedLimits | None = None, permits: TargetPermits | None = None,
+    statements: TargetStatements | None = None,
 ) -> TargetChooser:  # fmt: skip
     clock = clock or FakeClock()
     chooser = TargetChooser(
@@ -68,7 +70,7 @@
             region_round_trip=0.11,
         ),
         clock=clock,
-        limits=limits or StatedLimits(clock=clock, metrics=Metrics(process="test")),
+        statements=statements or a_statements(clock, limits=limits),
         permits=permits or FakePermits(),
     )
     apply(chooser, [target(n, domain) for n, domain in enumerate(domains)])
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -16,8 +16,9 @@
 from chicoryhold.routing.latency import by_affinity
 from chicoryhold.routing.selection import Choice, Overloaded
 from chicoryhold.routing.stated_limits import RateStatement, StatedLimits
-from chicoryhold.routing.target_choice import COLD_RATE_FRACTION, TargetChooser
+from chicoryhold.routing.target_choice import TargetChooser
 from chicoryhold.routing.target_view import EJECT_AFTER_FAILURES
+from chicoryhold.routing.target_views import COLD_RATE_FRACTION
 from chicoryhold.state.targets import TargetState
 from tests.conftest import FakeClock
 from tests.fleet_permits import FleetPermits
