Own interface: use no target that has said in an answer that it leaves

A target now says "Chicoryhold-Leaving: 1". A host keeps that in the same component as on the platform path, by the process that the grant names: from a whole answer, a failure, a refused request, a late answer to an earlier request, and the head of an answer that broke off. A slot granted on such a process is given back unused, which tells the coordinator, and another one is asked for that avoids its address. If none is left, the caller is refused as not run. Other values are ignored and logged at a bounded rate. Where a coordinator of an older build doesn't name the process, nothing is kept, as the address is used again.

Asking for slots (and for those of a shift) is a class of its own now, and what headers of answers mean is a module.

Not done: a request that is refused since all targets leave has used a token of its organisation's rate limit, as after a failed attempt.

--- a/features/steps/steering.py
+++ b/features/steps/steering.py
@@ -263,6 +263,12 @@
     context.terminated_at = time.monotonic()
 
 
+@when("the other target says in its answers alone that it leaves")
+def step_leave_by_answers(context):
+    context.fleet.leave_by_answers(context.added_target)
+    context.terminated_at = time.monotonic()
+
+
 @when("the other target is killed")
 def step_kill_target(context):
     context.added_target.kill()
--- a/src/chicoryhold/callers/forwarding.py
+++ b/src/chicoryhold/callers/forwarding.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 import attrs
-from result import Err, Ok, Result
+from result import Err, Result
 
 from chicoryhold.callers.granted_targets import GrantedTargets
 from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
+from chicoryhold.callers.slots import Slots, process_of
+from chicoryhold.callers.target_answers import (
+    is_shed,
+    refusal_if_shed,
+    stated_limit,
+)
 from chicoryhold.clock import Clock
 from chicoryhold.errors import (
     ConnectFailed,
@@ -19,17 +25,12 @@
 from chicoryhold.limits.retry_budgets import RetryBudget, RetryTerms
 from chicoryhold.quarantine.crash_watch import CrashWatch
 from chicoryhold.quarantine.guard import RequestGuard
-from chicoryhold.routing.stated_limits import RateStatement, parse_rate
-from chicoryhold.steering.admission_client import AdmissionClient
-from chicoryhold.steering.shifts import ShiftChooser
+from chicoryhold.routing.stated_limits import RateStatement
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
 
 MAX_ATTEMPTS = 3
 RETRY_TERMS = RetryTerms(earned_per_request=0.1, initial=10.0, max_saved=10.0)
-RAN_HEADER = "Chicoryhold-Ran"
-SHED_STATUS = 503
-LIMIT_HEADER = "Chicoryhold-Limit"  # requests a second from all hosts together
 CUT_OFF_RETRY_AFTER_SECONDS = 1.0
 # While cut off, one request in this time is sent to a target all the same: the known
 # targets may have been replaced, and a grant names a current one.
@@ -52,13 +53,6 @@
     digest: bytes
 
 
-@attrs.frozen(kw_only=True)
-class _GrantedProcess:
-    instance: str
-    address: str
-    born_ms: int = 0
-
-
 @attrs.define(kw_only=True)
 class _RetryState:
     attempts: int = 0
@@ -76,18 +70,17 @@
     """
 
     def __init__(
-        self, *, admission: AdmissionClient, connections: TargetConnections,
-        shifts: ShiftChooser, reachability: TargetReachability,
-        granted: GrantedTargets, crashes: CrashWatch, guard: RequestGuard, clock: Clock,
+        self, *, slots: Slots, connections: TargetConnections,
+        reachability: TargetReachability, granted: GrantedTargets, crashes: CrashWatch,
+        guard: RequestGuard, clock: Clock,
     ) -> None:  # fmt: skip
         self._crashes = crashes
         self._guard = guard
         self._reachability = reachability
         self._granted = granted
         self._next_trial_at = float("-inf")
-        self._admission = admission
+        self._slots = slots
         self._connections = connections
-        self._shifts = shifts
         self._clock = clock
         self._retry_budget = RetryBudget(terms=RETRY_TERMS)
 
@@ -127,9 +120,9 @@
             avoid=state.tried_addresses,
             has_token=state.attempts > 0,
         )
-        reply = self._admit_shifted(forwarded, admit, state)
-        if reply is None:
-            reply = self._admission.admit(admit, deadline=forwarded.deadline)
+        reply = self._slots.take(
+            admit, deadline=forwarded.deadline, may_shift=state.attempts == 0
+        )
         if isinstance(reply, NotAdmitted):
             state.is_final = True
             # The failure at the last target tells the caller more than this reply.
@@ -137,22 +130,9 @@
         state.attempts += 1
         state.tried_addresses += (reply.address,)
         self._granted.add(reply.address, service=forwarded.service)
-        self._crashes.record_targets((_process_of(reply),))
+        self._crashes.record_targets((process_of(reply),))
         return self._exchange(forwarded, reply, state)
 
-    def _admit_shifted(
-        self, forwarded: ForwardedRequest, admit: Admit, state: _RetryState
-    ) -> Admitted | None:
-        """Ask the destination domain of a traffic shift, on the first attempt only."""
-        shift = self._shifts.choose(forwarded.service) if state.attempts == 0 else None
-        if shift is None:
-            return None
-        shifted = attrs.evolve(admit, shift=shift.name)
-        reply = self._admission.admit_in_domain(shift.destination, shifted)
-        if reply is None:
-            self._shifts.back_off(shift)
-        return reply
-
     def _exchange(
         self, forwarded: ForwardedRequest, admitted: Admitted, state: _RetryState
     ) -> Result[TargetResponse, Refusal]:
@@ -172,26 +152,29 @@
             )
             latency = self._clock.now() - started
             ok = response.status < 500
-            limit = _stated_limit(response)
-            if not _is_shed(response):
+            limit = stated_limit(response)
+            self._slots.record_heads(admitted, (response, *response.earlier))
+            if not is_shed(response):
                 self._guard.record_success(forwarded.digest)
         except ConnectFailed as error:
             latency = self._failure_latency(started)
             return Err(_failure(RefusalKind.NO_TARGET, RunStatus.NOT_RUN, error))
         except InvalidResponse as error:
             latency = self._clock.now() - started
+            self._slots.record_heads(admitted, error.heads)
             return Err(_failure(RefusalKind.ANSWER_BROKEN, RunStatus.UNKNOWN, error))
         except ExchangeFailed as error:
             latency = self._failure_latency(started)
+            self._slots.record_heads(admitted, error.heads)
             if not isinstance(error, ExchangeTimeout):
                 self._record_lost(forwarded, admitted)
             return Err(_failure(RefusalKind.TIMED_OUT, RunStatus.UNKNOWN, error))
         finally:
-            self._admission.release(admitted.grant, ok=ok, latency=latency, limit=limit)
-        return _refusal_if_shed(response)
+            self._slots.release(admitted, ok=ok, latency=latency, limit=limit)
+        return refusal_if_shed(response)
 
     def _record_lost(self, forwarded: ForwardedRequest, admitted: Admitted) -> None:
-        self._crashes.record_lost(_process_of(admitted), forwarded.digest)
+        self._crashes.record_lost(process_of(admitted), forwarded.digest)
 
     def _failure_latency(self, started: float) -> float | None:
         """Return the latency of a failure, or ``None`` if it may be this host's own."""
@@ -239,38 +222,6 @@
         return self._retry_budget.spend()
 
 
-def _process_of(admitted: Admitted) -> _GrantedProcess:
-    # A coordinator of an older build doesn't name the process.
-    instance = admitted.instance or admitted.address
-    return _GrantedProcess(instance=instance, address=admitted.address)
-
-
-def _stated_limit(response: TargetResponse) -> RateStatement | None:
-    """Return what the answer says of the target's limit; ``None`` for nothing.
-
-    A failure that names no limit doesn't show that there is none.
-    """
-    headers = {name.lower(): value for name, value in response.headers}
-    statement = parse_rate(headers.get(LIMIT_HEADER.lower()))
-    is_failure = response.status >= 500
-    return None if is_failure and statement == RateStatement() else statement
-
-
-def _is_shed(response: TargetResponse) -> bool:
-    """Whether the target shed the request and says that it did not run."""
-    headers = {name.lower(): value for name, value in response.headers}
-    return response.status == SHED_STATUS and headers.get(RAN_HEADER.lower()) == "no"
-
-
-def _refusal_if_shed(response: TargetResponse) -> Result[TargetResponse, Refusal]:
-    if not _is_shed(response):
-        return Ok(response)
-    message = "the target is overloaded: send the request again later"
-    return Err(
-        Refusal(kind=RefusalKind.OVERLOADED, ran=RunStatus.NOT_RUN, message=message)
-    )
-
-
 def _cut_off_refusal() -> Refusal:
     return Refusal(
         kind=RefusalKind.NOT_READY,
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -19,6 +19,8 @@
 from chicoryhold.callers.forwarding import Forwarder
 from chicoryhold.callers.observations import RequestMetrics
 from chicoryhold.callers.service import CallerService
+from chicoryhold.callers.slots import Slots
+from chicoryhold.callers.target_answers import CoordinatedLimits
 from chicoryhold.claims.client import ClaimClient
 from chicoryhold.claims.replica import ClaimReplica
 from chicoryhold.clock import BootClock
@@ -56,6 +58,7 @@
 from chicoryhold.programs.entry_quarantine import EntryQuarantine, running_quarantine
 from chicoryhold.programs.running import run_program
 from chicoryhold.programs.signals import ignore_sighup, stop_signals
+from chicoryhold.routing.target_statements import TargetStatements
 from chicoryhold.settings import EntrySettings, load_settings
 from chicoryhold.steering.admission_client import AdmissionClient
 from chicoryhold.steering.coordinator import Coordinator
@@ -283,6 +286,21 @@
     )
 
 
+def _create_slots(context: HostContext, admission: AdmissionClient) -> Slots:
+    return Slots(
+        admission=admission,
+        shifts=ShiftChooser(
+            domain=context.settings.domain,
+            clock=context.clock,
+            random=Random(),
+            shifts=lambda: context.follower.state.shifts,
+        ),
+        statements=TargetStatements(
+            limits=CoordinatedLimits(), clock=context.clock, metrics=context.metrics
+        ),
+    )
+
+
 def _create_app(
     context: HostContext, admission: AdmissionClient, quarantine: EntryQuarantine,
     drain: Drain,
@@ -291,7 +309,7 @@
         follower=context.follower, view=context.view, clock=context.clock
     )
     forwarder = Forwarder(
-        admission=admission,
+        slots=_create_slots(context, admission),
         connections=TargetConnections(
             clock=context.clock,
             record_connect_time=lambda *_: context.reachability.record_opened(),
@@ -299,12 +317,6 @@
                 address
             ),
         ),
-        shifts=ShiftChooser(
-            domain=context.settings.domain,
-            clock=context.clock,
-            random=Random(),
-            shifts=lambda: context.follower.state.shifts,
-        ),
         reachability=context.reachability,
         granted=context.granted,
         crashes=quarantine.crashes,
--- a/src/chicoryhold/trial/fleet.py
+++ b/src/chicoryhold/trial/fleet.py
@@ -234,6 +234,11 @@
         url = f"http://{target.addresses['target']}/trial/limit/{rate}"
         self._pool.request("GET", url, timeout=5.0)
 
+    def leave_by_answers(self, target: Member) -> None:
+        """Let a simulated target say in its answers alone that it leaves."""
+        url = f"http://{target.addresses['target']}/trial/leave"
+        self._pool.request("GET", url, timeout=5.0)
+
     def wait_target_listening(self, target: Member) -> None:
         """Wait until a simulated target accepts requests."""
 
--- a/src/chicoryhold/trial/target.py
+++ b/src/chicoryhold/trial/target.py
@@ -7,7 +7,8 @@
 (refused, not run), ``error`` (status 500) or ``slow SECONDS``. ``GET /trial/seen``,
 sent directly to the target, returns all requests that ran here, also those before a
 crash. ``GET /trial/limit/RATE`` makes each later answer name this limit, and without a
-rate none again.
+rate none again. ``GET /trial/leave`` makes each later answer say that the target
+leaves, while it goes on to announce itself as before.
 """
 
 from __future__ import annotations
@@ -25,7 +26,11 @@
 import urllib3
 from absl import flags
 
-from chicoryhold.callers.forwarding import LIMIT_HEADER
+from chicoryhold.callers.target_answers import (
+    LEAVING_HEADER,
+    LEAVING_VALUE,
+    LIMIT_HEADER,
+)
 from chicoryhold.programs.running import run_program
 
 USAGE = """Runs a simulated target.
@@ -33,6 +38,7 @@
 usage: %s --service=NAME --address=IP:PORT --entry=IP:PORT,... --token=TOKEN
 """
 LIMIT_PATH = "/trial/limit/"
+LEAVE_PATH = "/trial/leave"
 ANNOUNCE_INTERVAL_SECONDS = 0.5
 ANNOUNCE_TIMEOUT_SECONDS = 3.0
 CRASH_CHECK_INTERVAL_SECONDS = 0.02
@@ -59,6 +65,7 @@
         self.concurrent = 0
         self.max_concurrent = 0
         self.limit: str | None = None
+        self.is_leaving = False
         self.lock = threading.Lock()
 
 
@@ -81,6 +88,9 @@
         elif self.path.startswith(LIMIT_PATH):
             _REQUEST_LOG.limit = self.path.removeprefix(LIMIT_PATH) or None
             self._respond(200, b"")
+        elif self.path == LEAVE_PATH:
+            _REQUEST_LOG.is_leaving = True
+            self._respond(200, b"")
         else:
             self._handle_request()
 
@@ -161,6 +171,8 @@
         self.send_header("Chicoryhold-Request-Id", request_id or own_request_id)
         if _REQUEST_LOG.limit is not None:
             self.send_header(LIMIT_HEADER, _REQUEST_LOG.limit)
+        if _REQUEST_LOG.is_leaving:
+            self.send_header(LEAVING_HEADER, LEAVING_VALUE)
         for name, text in (extra or {}).items():
             self.send_header(name, text)
         self.end_headers()
@@ -262,6 +274,7 @@
     address = (host, int(port))
     while not stopping.is_set():
         server = _Server(address)
+        _REQUEST_LOG.is_leaving = False
         address = server.server_address
         threading.Thread(target=server.serve_forever, daemon=True).start()
         _announce_until_end(server, stopping)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -16,6 +16,7 @@
 from chicoryhold.callers.forwarding import ForwardedRequest, Forwarder
 from chicoryhold.callers.granted_targets import GrantedTargets
 from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
+from chicoryhold.callers.slots import Slots
 from chicoryhold.clock import BootClock
 from chicoryhold.errors import ExchangeFailed, ExchangeTimeout, InvalidResponse
 from chicoryhold.gateway.attempt_log import AttemptLog
@@ -467,7 +468,7 @@
     def admit(self, admit, *, deadline):
         return Admitted(grant="g", address=self._addresses.pop(0), waited=0.0)
 
-    def release(self, grant, *, ok, latency, limit=None):
+    def release(self, grant, *, ok, latency, limit=None, is_leaving=False):
         self.released.append(ok)
 
 
@@ -485,9 +486,10 @@
     forwarder = Forwarder(
         crashes=CrashedTargets().watch(clock),
         guard=a_guard(clock),
-        admission=admission,
+        slots=Slots(
+            admission=admission, shifts=NoShifts(), statements=a_statements(clock)
+        ),
         connections=TargetConnections(clock=clock),
-        shifts=NoShifts(),
         reachability=TargetReachability(clock=clock),
         granted=GrantedTargets(clock=clock),
         clock=clock,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -11,6 +11,7 @@
 from chicoryhold.callers.forwarding import ForwardedRequest, Forwarder
 from chicoryhold.callers.granted_targets import GrantedTargets
 from chicoryhold.callers.refusals import RunStatus
+from chicoryhold.callers.slots import Slots
 from chicoryhold.errors import ConnectFailed, ExchangeFailed, ExchangeTimeout
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.target_prober import TargetProber
@@ -22,6 +23,7 @@
 from chicoryhold.targets.probe import ProbeOutcome
 from tests.conftest import FakeClock
 from tests.crash_fakes import CrashedTargets, a_guard
+from tests.statement_fakes import a_statements
 
 OK = TargetResponse(status=200, headers=(), body=b"whole")
 ADDRESSES = tuple(f"10.0.0.{number}:80" for number in range(8))
@@ -39,7 +41,7 @@
         self.granted += 1
         return Admitted(grant=str(self.granted), address=address, waited=0.0)
 
-    def release(self, grant, *, ok, latency, limit=None):
+    def release(self, grant, *, ok, latency, limit=None, is_leaving=False):
         self.reported_failures += not ok and latency is not None
 
 
@@ -75,11 +77,14 @@
         self.forwarder = Forwarder(
             crashes=self.crashes.watch(self.clock),
             guard=self.guard,
-            admission=self.admission,
-            connections=self,
-            shifts=ShiftChooser(
-                domain="north-a", clock=self.clock, random=Random(1), shifts=tuple
+            slots=Slots(
+                admission=self.admission,
+                shifts=ShiftChooser(
+                    domain="north-a", clock=self.clock, random=Random(1), shifts=tuple
+                ),
+                statements=a_statements(self.clock),
             ),
+            connections=self,
             reachability=self.reachability,
             granted=granted,
             clock=self.clock,
