Acknowledge what a leader sends before applying it

A control host that had just started applied its whole log as soon as the leader told it how far that was committed, and only then sent its reply; a new leader did the same before it told the others.

Replies and the next broadcast are now sent before the entries are applied; that the entries are stored is all that they say. The new test failed before: with 20 changes, replies came after all of them had been applied.

--- a/src/chicoryhold/consensus/committed_log.py
+++ b/src/chicoryhold/consensus/committed_log.py
@@ -19,6 +19,7 @@
         self._log = log
         self._request = request
         self._commit_index = log.snapshot.index
+        self._applied_index = log.snapshot.index
 
     @property
     def commit_index(self) -> int:
@@ -42,16 +43,25 @@
                 return
 
     def commit_to(self, index: int) -> None:
-        """Commit and apply the entries up to ``index``."""
-        while self._commit_index < index:
-            self._commit_index += 1
-            self._request(Apply(entry=self._log.entry(self._commit_index)))
+        """Note that the entries up to ``index`` are committed.
+
+        Call :meth:`apply` after requesting the messages that depend on it: a replica
+        that has just started may have its whole log to apply.
+        """
+        self._commit_index = max(self._commit_index, index)
+
+    def apply(self) -> None:
+        """Apply the committed entries that aren't applied yet."""
+        while self._applied_index < self._commit_index:
+            self._applied_index += 1
+            self._request(Apply(entry=self._log.entry(self._applied_index)))
 
     def install(self, snapshot: Snapshot) -> None:
         """Replace the log by a leader's ``snapshot``, unless the log is further."""
         if snapshot.index > self._commit_index:
             self._log.compact(snapshot)
             self._commit_index = snapshot.index
+            self._applied_index = snapshot.index
             remaining = self._log.slice(
                 self._log.first_index, limit=self._log.last_index
             )
--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -291,6 +291,7 @@
         self._committed.store([attrs.evolve(entry, index=index, term=self.term)])
         self._leadership.broadcast()
         self._leadership.advance_commit()
+        self._committed.apply()
         return index
 
     def _on_append_reply(self, reply: AppendReply) -> None:
@@ -298,6 +299,7 @@
             self._become_follower(reply.term, leader=None)
         elif self._role is Role.LEADER and reply.term == self.term:
             self._leadership.on_reply(reply)
+            self._committed.apply()
 
     # Replication at a follower
 
@@ -325,6 +327,7 @@
             confirmed_at = self._sent_at(request) - request.confirmed_age
             self._copy_confirmed_at = max(self._copy_confirmed_at, confirmed_at)
         self._reply_append(request.leader, True, match_index, request.round)
+        self._committed.apply()
 
     def _sent_at(self, request: AppendRequest) -> float:
         """Return a time before which the leader didn't send ``request``."""
--- a/tests/test_late_replication.py
+++ b/tests/test_late_replication.py
@@ -6,8 +6,9 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from chicoryhold.consensus.effects import Send
-from chicoryhold.consensus.messages import AppendRequest
+from chicoryhold.consensus.effects import Apply, Send
+from chicoryhold.consensus.messages import AppendRequest, Members
+from chicoryhold.consensus.replica import Replica
 from tests.fakes import Group
 
 VOTERS = ("c1.founder", "c2.founder", "c3.founder")
@@ -132,3 +133,63 @@
 
     group._deliver_one = record
     return sent
+
+
+def restarted_replicas(group: Group, changes: int) -> None:
+    """Restart all replicas with that many committed changes, none of them applied."""
+    leader = group.wait_for_leader()
+    for number in range(changes):
+        group.propose(leader, f"change {number}".encode())
+        group.run(0.1)
+    for name in VOTERS:
+        group.crash(name)
+        group.start(name, founders=Members(voters=VOTERS))
+
+
+def test_restarted_control_hosts_reply_and_lead_before_they_apply_their_logs():
+    """Guards against CONFIG: no heartbeat was answered while a log was applied."""
+    group = PausingGroup(seed=1)
+    restarted_replicas(group, changes=20)
+    kinds: dict[str, list[type]] = {name: [] for name in VOTERS}
+    run_effect = group._run_effect
+
+    def record(name: str, effect: object) -> None:
+        kinds[name].append(type(effect))
+        run_effect(name, effect)
+
+    group._run_effect = record
+    for name in VOTERS:
+        watch_handling(group.replicas[name], kinds[name])
+    group.wait_for_leader()
+    group.run(1.0)
+    assert all(kinds[name].count(Apply) > 20 for name in VOTERS)
+    for name in VOTERS:
+        assert_sent_before_applied(kinds[name])
+
+
+def watch_handling(replica: Replica, kinds: list[type]) -> None:
+    """Mark in ``kinds`` where the effects of each message and each tick begin."""
+    receive, tick = replica.receive, replica.tick
+
+    def marked_receive(message: object) -> None:
+        kinds.append(type(None))
+        receive(message)
+
+    def marked_tick() -> None:
+        kinds.append(type(None))
+        tick()
+
+    replica.receive = marked_receive
+    replica.tick = marked_tick
+
+
+def assert_sent_before_applied(kinds: list[type]) -> None:
+    handled: list[list[type]] = [[]]
+    for kind in kinds:
+        if kind is type(None):
+            handled.append([])
+        else:
+            handled[-1].append(kind)
+    for effects in handled:
+        if Apply in effects:
+            assert Send not in effects[effects.index(Apply) :]
