Storms soak: send the last version once all hosts are in touch again

The trace: that host got SIGTERM at 32.2 s, stopped at 36.9 s and was started at once; the last version was acknowledged at 38.5 s and the soak gave up at 41.0 s. The new process had written nothing by then; in the same run starts took 3.1 to 3.3 s until "gateway: started.". So the host had no open socket, and gave no wrong answer.

The last version is now sent contact_s after the last event; the bound from its acknowledgement stays, and the probes go on judging every answer meanwhile, as strictly as before.

--- a/bench/storms/run.py
+++ b/bench/storms/run.py
@@ -22,7 +22,7 @@
 from bench.storms.event_log import EventLog
 from bench.storms.installation import Installation, running_installation
 from bench.storms.load import running_load
-from bench.storms.probes import Fault, Probe, running_probes
+from bench.storms.probes import CONTACT_SECONDS, Fault, Probe, running_probes
 from bench.storms.schedule import run_events
 from chicoryhold.trial.fleet import FleetError, wait_until
 
@@ -59,10 +59,10 @@
 class Outcome:
     """The result of a run.
 
-    ``slowest_end`` is after how many seconds without events the last host served the
-    newest version, or ``None`` if one didn't within the bound. ``bound_pairs`` counts
-    the processes and targets that had said they leave, for which a request could have
-    been late; ``late_requests`` were.
+    ``slowest_end`` is after how many seconds the last host served a version that was
+    acknowledged ``contact_s`` after the last event, or ``None`` if one didn't within
+    the bound. ``bound_pairs`` counts the processes and targets that had said they
+    leave, for which a request could have been late; ``late_requests`` were.
     """
 
     seed: int
@@ -189,7 +189,12 @@
     def _wait_for_newest(
         self, operator: StormOperator, probes: list[Probe], log: EventLog
     ) -> float | None:
-        """Send one more version, and wait until all hosts serve it."""
+        """Send one more version, and wait until all hosts serve it.
+
+        Until ``contact_s`` after the last event its host isn't in touch, and a process
+        that was started last may not listen yet. Probes judge all answers meanwhile.
+        """
+        time.sleep(max(0.0, log.newest_at + CONTACT_SECONDS - time.monotonic()))
         wait_until(operator.put, what="the last version", timeout=10.0)
         acknowledged_at = time.monotonic()
         log.write(INSTALLATION, "the last version is acknowledged")
