Storms soak: tell a process that goes back from one that was started again

The soak judged a host in touch by its links alone and didn't look at the users' rule of regressions, which holds in and out of touch: in one incarnation, a request sent more than rollback_slack_s after a version showed (eight times that on a slowed machine) may not be handled as an older one says. The probes now remember which version each process has shown, and report such an answer as a fault whatever was done to its links. This adds a check; the others are as strict as before.

--- a/bench/storms/probes.py
+++ b/bench/storms/probes.py
@@ -24,18 +24,33 @@
 PROBE_PAUSE_SECONDS = 0.03
 # A host whose links changed their speed is judged again after that time.
 CONTACT_SECONDS = 4.0
+ROLLBACK_SLACK_SECONDS = 0.25
+SLOWED_FACTOR = 8
 MILLISECONDS_PER_SECOND = 1000
 
 
 @attrs.frozen(kw_only=True)
 class Fault:
-    """A host decided by a configuration that a newer one had replaced for too long."""
+    """A host decided by a configuration that a newer one had replaced for too long.
+
+    ``regressed`` is whether the same process had shown before that it had a newer one.
+    """
 
     host: str
     path: str
     status: int
     version: int
     seconds_since_start: float
+    regressed: bool
+
+
+@attrs.frozen(kw_only=True)
+class _Shown:
+    """A process has answered at ``at`` as ``version`` or a later one says."""
+
+    life: int
+    version: int
+    at: float
 
 
 class Probe:
@@ -53,6 +68,7 @@
         self.faults: list[Fault] = []
         self.statuses: Counter[str] = Counter()
         self.last_status = 0
+        self._shown = _Shown(life=0, version=0, at=0.0)
 
     @property
     def host(self) -> str:
@@ -80,25 +96,46 @@
             version = self._operator.newest_before(now - self._apply_seconds)
             if version == 0:
                 continue
-            self._judge(added_path(version), wrong=404, version=version, sent_at=now)
+            self._judge(added_path(version), (200, 404), version=version, sent_at=now)
             now = time.monotonic()
-            self._judge(dropped_path(version), wrong=200, version=version, sent_at=now)
-
-    def _judge(self, path: str, *, wrong: int, version: int, sent_at: float) -> None:
+            self._judge(dropped_path(version), (404, 200), version=version, sent_at=now)
+
+    def _judge(
+        self, path: str, statuses: tuple[int, int], *, version: int, sent_at: float
+    ) -> None:
+        """Ask for ``path``; ``statuses`` are the right one and the old one."""
+        right, wrong = statuses
+        life = self._linked.host.life.number
         status = self._ask(path)
+        is_same_life = life == self._linked.host.life.number
         kind = path.split("-")[0].strip("/")
         self.statuses[f"{kind} {status or 'none'}"] += 1
         is_in_touch = sent_at - self._linked.links_changed_at > CONTACT_SECONDS
-        if status == wrong and is_in_touch:
+        regressed = is_same_life and self._has_shown(version, life, sent_at=sent_at)
+        if status == right and is_same_life:
+            self._note_shown(version, life)
+        if status == wrong and (is_in_touch or regressed):
             fault = Fault(
                 host=self._linked.host.name,
                 path=path,
                 status=status,
                 version=version,
                 seconds_since_start=round(sent_at - self._started_at, 3),
+                regressed=regressed,
             )
             self.faults.append(fault)
 
+    def _note_shown(self, version: int, life: int) -> None:
+        if life != self._shown.life or version > self._shown.version:
+            self._shown = _Shown(life=life, version=version, at=time.monotonic())
+
+    def _has_shown(self, version: int, life: int, *, sent_at: float) -> bool:
+        """Whether this process had ``version`` in force well before ``sent_at``."""
+        slack = ROLLBACK_SLACK_SECONDS * SLOWED_FACTOR
+        shown = self._shown
+        has_version = life == shown.life and version <= shown.version
+        return has_version and sent_at - shown.at > slack
+
     def _ask(self, path: str) -> int:
         """Return the status, or 0 if there is no answer."""
         headers = {
