Find the route of a configured host that has a port

A configuration with a host such as shop.example:80 was acknowledged, and each request to that host got 404, though the route was there.

Cause: the port of a request's host was always cut off, that of a configured host never. An address in brackets without a port lost its last group.

A request's host is looked up as it is first, and without its port if no route has it.

--- a/src/chicoryhold/routing/route_index.py
+++ b/src/chicoryhold/routing/route_index.py
@@ -39,9 +39,15 @@
         return self._configuration.version
 
     def route(self, *, host: str, path: str) -> RouteRule | None:
-        """Return the route of ``host`` with the longest prefix that ``path`` has."""
-        hostname = host.rpartition(":")[0] if ":" in host else host
-        for route in self._routes_by_host.get(hostname.lower(), ()):
+        """Return the route of ``host`` with the longest prefix that ``path`` has.
+
+        A port in ``host`` counts only if a configured host has the same.
+        """
+        name = host.lower()
+        routes = self._routes_by_host.get(name)
+        if routes is None and ":" in name:
+            routes = self._routes_by_host.get(name.rpartition(":")[0])
+        for route in routes or ():
             if path.startswith(route.prefix):
                 return route
         return None
--- a/tests/test_routing_configuration.py
+++ b/tests/test_routing_configuration.py
@@ -58,6 +58,15 @@
     assert index.route(host="shop.example", path="/b/") is None
 
 
+@pytest.mark.parametrize("host", ["shop.example:80", "[::1]", "[::1]:80", "a.b:c"])
+def test_a_route_whose_host_has_a_port_or_a_colon_is_found(host):
+    index = RouteIndex(a_configuration(routes=(route(host=host), route())))
+    found = index.route(host=host.upper(), path="/a/x")
+    assert found.host == host
+    assert index.route(host="shop.example", path="/a/x").host == "shop.example"
+    assert index.route(host="[::2]:80", path="/a/x") is None
+
+
 @pytest.mark.parametrize(
     ("invalid_route", "message"),
     [
