--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -247,6 +247,13 @@
     }
 
 
+@pytest.mark.parametrize("name", ["sese880", "Zoë", "株"])
+def test_an_organisation_of_any_name_is_sent_as_its_utf_8_bytes(name):
+    call = TargetCall(instance="i-1", organisation=name, remaining=1.0)
+    value = PlatformHeaders().headers(call)["Tenant"]
+    assert value.encode("latin-1") == name.encode()
+
+
 def test_relayed_request_is_sent_with_the_callers_host_and_key():
     terms = RelayTerms(version=12, attempts=1)
     call = RelayCall(host="shop.example", key="k", remaining=0.25, terms=terms)
