Confirm the copy of a control host whose machine was restarted

What callers saw: nothing yet; found by review. After a restart of its machine, a control host's clock (time since boot) shows less than before. The leader kept the greatest time at which that host had sent a reply, so it kept one of before the restart for as long as it led. The host took each message for one of unknown age, so its copy was never confirmed, and the entry hosts that fetch there asked others.

The leader now takes a reply to a later broadcast for a later reply, whatever the time in it. Any reply that has been handled is a lower bound of when the leader's message was sent, so the age of a copy can't come out too small by it.

--- a/src/chicoryhold/consensus/progress.py
+++ b/src/chicoryhold/consensus/progress.py
@@ -14,8 +14,10 @@
 
     ``acknowledged_at`` is when the latest broadcast that the follower has replied to
     was sent. ``reply_sent_at`` is when the follower sent its newest reply, by its own
-    clock, and ``reply_handled_at`` when it was handled here, by this one's. Rejections
-    of broadcasts before ``restarted_round`` were sent before the leader went back.
+    clock, which starts again with its machine; ``reply_handled_at`` is when it was
+    handled here, by this one's, and ``reply_round`` the broadcast that it replies to.
+    Rejections of broadcasts before ``restarted_round`` were sent before the leader went
+    back.
     """
 
     next_index: int
@@ -23,9 +25,17 @@
     acknowledged_at: float = float("-inf")
     reply_sent_at: float = 0.0
     reply_handled_at: float = 0.0
+    reply_round: int = 0
     restarted_round: int = 0
     in_flight: InFlight = attrs.field(factory=InFlight)
 
+    def record_sending(self, reply: AppendReply, *, now: float) -> None:
+        """Note when ``reply``, handled at ``now``, was sent, unless a later one is."""
+        if reply.round > self.reply_round or reply.sent_at > self.reply_sent_at:
+            self.reply_sent_at = reply.sent_at
+            self.reply_handled_at = now
+            self.reply_round = reply.round
+
 
 class Progress:
     """The progress of each follower during one term of leadership.
@@ -80,9 +90,7 @@
         progress = self.of(reply.follower, last_index=last_index)
         sent_at = self._round_sent_at.get(reply.round, float("-inf"))
         progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
-        if reply.sent_at > progress.reply_sent_at:
-            progress.reply_sent_at = reply.sent_at
-            progress.reply_handled_at = now
+        progress.record_sending(reply, now=now)
         if reply.accepted:
             progress.match_index = max(progress.match_index, reply.match)
             progress.next_index = max(progress.next_index, reply.match + 1)
--- a/tests/test_late_replication.py
+++ b/tests/test_late_replication.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from chicoryhold.clock import Clock
 from chicoryhold.consensus.effects import Apply, Send
 from chicoryhold.consensus.messages import AppendRequest, Members
 from chicoryhold.consensus.replica import Replica
@@ -193,3 +194,30 @@
     for effects in handled:
         if Apply in effects:
             assert Send not in effects[effects.index(Apply) :]
+
+
+def test_a_control_host_whose_machine_was_restarted_has_a_recent_copy_again():
+    """Guards against CONFIG: its copy stayed unconfirmed while that leader led."""
+    group = PausingGroup(seed=1)
+    follower = a_follower(group)
+    term = group.replicas[group.leader()].term
+    group.crash(follower)
+    clock_of_network, group.clock = group.clock, ShiftedClock(group.clock, -90.0)
+    group.start(follower, founders=Members(voters=VOTERS))
+    restarted_clock, group.clock = group.clock, clock_of_network
+    group.run(1.0)
+    replica = group.replicas[follower]
+    assert replica.term == term
+    age = restarted_clock.now() - replica.copy_confirmed_at
+    assert age <= 4 * group.timing.heartbeat
+
+
+@attrs.frozen
+class ShiftedClock:
+    """Another clock of the same rate."""
+
+    _clock: Clock
+    _offset: float
+
+    def now(self) -> float:
+        return self._clock.now() + self._offset
