--- a/src/chicoryhold/control/storage.py
+++ b/src/chicoryhold/control/storage.py
@@ -113,14 +113,13 @@
 
     If the process ended after a snapshot was stored and before the log was replaced,
     the file has the entries that the snapshot covers, and later ones may have been
-    replaced with it.
+    replaced with it: their terms are lower than that of the snapshot, since no later
+    leader lacks what is committed. Older builds append to such a file.
     """
 
     def __init__(self, *, snapshot: Snapshot) -> None:
         self._snapshot = snapshot
         self._log = Log(snapshot=snapshot)
-        self._last_index = snapshot.index
-        self._matches = True
         self._is_from_before_snapshot = False
 
     @property
@@ -133,15 +132,16 @@
 
     def add(self, entry: Entry) -> bool:
         """Add the next entry; return whether the log has all that come before it."""
-        if entry.index > self._last_index + 1:
-            return False
-        self._last_index = entry.index
         if entry.index <= self._snapshot.index:
             self._log = Log(snapshot=self._snapshot)
             self._is_from_before_snapshot = True
-            self._matches = entry.term == self._snapshot.term
-        elif self._matches:
-            self._log.write([entry])
+            return True
+        if entry.term < self._snapshot.term:
+            # The snapshot replaced what came before this entry.
+            return True
+        if entry.index > self._log.last_index + 1:
+            return False
+        self._log.write([entry])
         return True
 
 
--- a/tests/test_installed_snapshot.py
+++ b/tests/test_installed_snapshot.py
@@ -142,3 +142,25 @@
     (tmp_path / "log").write_bytes(old_log)
     with open_storage(tmp_path) as storage:
         assert storage.load_log(MEMBERS).last_index == 3
+
+
+def interrupted_by_an_older_build(folder: Path, before: tuple[Entry, ...], index: int):
+    """Leave a stored snapshot beside the log before it, as an ended process does."""
+    with open_storage(folder) as storage:
+        storage.append(before)
+        old_log = (folder / "log").read_bytes()
+        taken = Snapshot(index=index, term=2, members=MEMBERS, data=b"")
+        storage.save_snapshot(taken, ())
+    (folder / "log").write_bytes(old_log)
+
+
+@pytest.mark.parametrize("last_before", [2, 4, 5])
+def test_entries_that_an_older_build_stored_after_that_crash_are_read(
+    tmp_path, last_before
+):
+    interrupted_by_an_older_build(tmp_path, entries(1, last_before), index=4)
+    stored_later = (Entry(index=5, term=3), Entry(index=6, term=3))
+    with open_storage(tmp_path) as storage:
+        storage.append(stored_later)
+    with open_storage(tmp_path) as storage:
+        assert storage.load_log(MEMBERS).slice(5, limit=100) == stored_later
