Call a control host's copy fresh once what is committed is applied

What callers saw: nothing yet; found by review. A replica notes that its copy is confirmed when it handles the leader's message, and applies the committed entries after that. The threads that answer targets and entry hosts read the first and then the state. So a control host that had just started, with a whole log to apply, called its copy fresh while the state was still old: it answered 400 to reports of targets whose service it hadn't applied yet, told entry hosts that it was current, and gave out permits before it knew the limits.

Those threads now read the time as of which the applied state was confirmed. It is noted when the driver has run all effects.

--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -78,6 +78,7 @@
             request=self._request,
         )
         self._copy_confirmed_at = float("-inf")
+        self._applied_confirmed_at = float("-inf")
 
     @property
     def identity(self) -> str:
@@ -137,6 +138,15 @@
             return max(self.confirmed_at, self._copy_confirmed_at)
         return self._copy_confirmed_at
 
+    @property
+    def applied_confirmed_at(self) -> float:
+        """The latest time at which the state that is applied was known to be current.
+
+        Other threads than the driver's decide by this one: what is committed may not be
+        applied yet.
+        """
+        return self._applied_confirmed_at
+
     def silent_members(self, *, longer_than: float) -> tuple[str, ...]:
         """Return members that haven't replied for ``longer_than`` seconds.
 
@@ -148,9 +158,14 @@
         return self._leadership.silent_members(longer_than=longer_than)
 
     def take_effects(self) -> list[Effect]:
-        """Return the effects requested since the last call, oldest first."""
+        """Return the effects requested since the last call, oldest first.
+
+        The driver has run those that earlier calls returned.
+        """
         effects = self._effects
         self._effects = []
+        if not effects:
+            self._applied_confirmed_at = self.copy_confirmed_at
         return effects
 
     def tick(self) -> None:
--- a/src/chicoryhold/control/plane.py
+++ b/src/chicoryhold/control/plane.py
@@ -100,7 +100,7 @@
 
         This requires a leader that a majority follows.
         """
-        age = self._clock.now() - self._replica.copy_confirmed_at
+        age = self._clock.now() - self._replica.applied_confirmed_at
         return age <= MAX_COPY_AGE_SECONDS
 
     def put_configuration(self, change: PutConfiguration) -> Result[None, Unavailable]:
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -145,7 +145,7 @@
                 evidence=CrashEvidence(clock=clock),
                 quarantine=Quarantine(clock=clock, metrics=metrics),
             ),
-            confirmed_age=lambda: clock.now() - replica.copy_confirmed_at,
+            confirmed_age=lambda: clock.now() - replica.applied_confirmed_at,
         )
         stack.enter_context(
             running_actor(registry_actor, interval=REGISTRY_TICK_SECONDS)
@@ -243,7 +243,7 @@
         bus=bus,
         clock=clock,
         peers=lambda: lenders(registry.control_hosts, domain=settings.domain),
-        knows_limits=lambda: replica.copy_confirmed_at > float("-inf"),
+        knows_limits=lambda: replica.applied_confirmed_at > float("-inf"),
     )
 
 
