Take no target to leave that took an address over after the request

What callers saw: nothing yet; found by review. With a 421, the process at the address isn't the one that the request was for, and its statement that it leaves was taken for that of the target which the copy names there when the answer is handled. A host that was frozen in between, while the address was used again, took the new target to leave, and since that is final, it never used it again.

It now counts only for a target that the copy already named there when the request was sent. Then the sender is that target or one after it, and in the latter case that target is gone. Less is remembered, but nothing that is owed: a 421 isn't passed on to callers.

Evidence: the new test failed before (the successor counted as leaving) and passes now, with the other 76 tests of statements on the wire, delivery and leaving targets.

--- a/src/chicoryhold/gateway/answer_statements.py
+++ b/src/chicoryhold/gateway/answer_statements.py
@@ -10,7 +10,7 @@
 from chicoryhold.gateway.outcomes import MIN_FAILURE_STATUS
 from chicoryhold.gateway.request import ResponseMetadata
 from chicoryhold.routing.target_statements import TargetStatements
-from chicoryhold.state.targets import TargetRecord
+from chicoryhold.state.targets import TargetRecord, process_of
 from chicoryhold.targets.exchange import ResponseHead, TargetResponse
 
 # A request that is sent this long after its target said that it leaves is late. An
@@ -69,7 +69,8 @@
         """Return the target that a response comes from, ``None`` if it isn't known.
 
         If another instance has the address, it can only be the one that the control
-        state names there.
+        state names there. One that it has named only since may have taken the address
+        over from the sender.
         """
         expected = attempt.target
         if not metadata.other_instance:
@@ -77,6 +78,9 @@
         other = self._record_at(expected.address)
         if other is None or other.instance == expected.instance:
             return None
+        before = attempt.named_there
+        if before is None or process_of(before) != process_of(other):
+            return None
         return other
 
     def _record_heads(
--- a/src/chicoryhold/gateway/attempt.py
+++ b/src/chicoryhold/gateway/attempt.py
@@ -13,14 +13,16 @@
 class Attempt:
     """A request on its way to the target of ``choice``.
 
-    ``number`` counts from 0. It was sent at ``started``, on the local clock. It never
-    changes; it isn't frozen, since each request creates one.
+    ``number`` counts from 0. It was sent at ``started``, on the local clock, when the
+    control state named ``named_there`` at the target's address. It never changes; it
+    isn't frozen, since each request creates one.
     """
 
     routed: RoutedRequest
     choice: Choice
     number: int
     started: float
+    named_there: TargetRecord | None = None
 
     @property
     def target(self) -> TargetRecord:
--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -143,8 +143,13 @@
                 break
             avoid |= {choice.view.record.instance}
             retry = self._retry(routed, number, avoid)
+            address = choice.view.record.address
             attempt = Attempt(
-                routed=routed, choice=choice, number=number, started=self._clock.now()
+                routed=routed,
+                choice=choice,
+                number=number,
+                started=self._clock.now(),
+                named_there=self._chooser.record_at(address),
             )
             attempt_result = self._run_attempt(attempt, retry)
             if not attempt_result.failed:
--- a/tests/test_statements_on_the_wire.py
+++ b/tests/test_statements_on_the_wire.py
@@ -22,6 +22,7 @@
 from chicoryhold.routing.target_statements import TargetStatements
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.connections import TargetConnections
+from chicoryhold.targets.exchange import TargetResponse
 from chicoryhold.trial.fleet import wait_until
 from tests.crash_fakes import CrashedTargets, a_guard
 from tests.statement_fakes import a_statements
@@ -197,6 +198,24 @@
         assert not host.is_leaving("i-1")
 
 
+def test_a_target_that_took_the_address_after_the_request_is_not_taken_to_leave(
+    monkeypatch,
+):
+    """Guards against wrong refusals: an answer to a paused host bound a new target."""
+    with target(answer(b"421 Misdirected Request", LEAVING)) as address:
+        host = a_host(address)
+        exchange = host.connections.exchange
+
+        def exchange_and_replace(*args: object, **options: object) -> TargetResponse:
+            response = exchange(*args, **options)
+            apply(host.chooser, [a_record(address=address, instance="i-9")])
+            return response
+
+        monkeypatch.setattr(host.connections, "exchange", exchange_and_replace)
+        host.send()
+        assert not host.is_leaving("i-9")
+
+
 def test_the_answer_of_an_unknown_instance_binds_none():
     with target(answer(b"421 Misdirected Request", LEAVING)) as address:
         host = a_host(address)
