--- a/bench/storms/run.py
+++ b/bench/storms/run.py
@@ -40,6 +40,9 @@
 IPS_PER_BLOCK = 13
 # Of the processes of the installation, in fresh checkouts compiled at their start.
 FIRST_ANSWER_TIMEOUT_SECONDS = 20.0
+ENOUGH_VERSIONS = 10  # acknowledged ones
+EVIDENCE_TIMEOUT_SECONDS = 20.0
+EVIDENCE_PAUSE_SECONDS = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -137,6 +140,7 @@
                     seconds=self._plan.seconds,
                     log=log,
                 )
+                self._wait_for_evidence(operator)
             slowest_end = self._wait_for_newest(operator, probes, log)
         rule = LeavingRule(self._ledger)
         return Outcome(
@@ -186,6 +190,19 @@
             timeout=FIRST_ANSWER_TIMEOUT_SECONDS,
         )
 
+    def _wait_for_evidence(self, operator: StormOperator) -> None:
+        """Go on without events until the run shows something, or for a bounded time.
+
+        A busy machine acknowledges few versions, and asks a host late for a target that
+        it has to avoid.
+        """
+        end_at = time.monotonic() + EVIDENCE_TIMEOUT_SECONDS
+        while time.monotonic() < end_at:
+            has_bound = LeavingRule(self._ledger).bound_pairs > 0
+            if has_bound and len(operator.acknowledged) >= ENOUGH_VERSIONS:
+                return
+            time.sleep(EVIDENCE_PAUSE_SECONDS)
+
     def _wait_for_newest(
         self, operator: StormOperator, probes: list[Probe], log: EventLog
     ) -> float | None:
