Keep the vote of a voter that may come back with its disk

Now a silent voter keeps its vote. It is taken for lost only if its process runs a newer replica, or if a host of another name has joined since, which stands for the silent member of its domain or the last that fell silent. Members say so in two new fields, whose absence means that nothing is known, as in messages of the build before.

--- a/src/chicoryhold/consensus/leadership.py
+++ b/src/chicoryhold/consensus/leadership.py
@@ -99,13 +99,21 @@
         self._watch.advance(self._log.members.identities)
 
     def silent_members(self, *, longer_than: float) -> tuple[str, ...]:
-        """Return members that haven't replied for ``longer_than`` seconds."""
-        return tuple(
+        """Return members that haven't replied for ``longer_than`` seconds.
+
+        The one that has been silent for the longest time comes first.
+        """
+        silent = [
             member
             for member in self._log.members.identities
             if member != self._identity
             and self._watch.silent_seconds(member) > longer_than
-        )
+        ]
+        return tuple(sorted(silent, key=self._watch.silent_seconds, reverse=True))
+
+    def watched_seconds(self, member: str) -> float:
+        """Return for how many seconds of this term ``member`` could have replied."""
+        return self._watch.watched_seconds(member)
 
     def broadcast(self) -> None:
         """Send every member the entries that it lacks, or a heartbeat."""
--- a/src/chicoryhold/consensus/messages.py
+++ b/src/chicoryhold/consensus/messages.py
@@ -9,10 +9,17 @@
 
 @message
 class Members:
-    """Identities of the replicas. Learners receive entries but don't vote."""
+    """Identities of the replicas. Learners receive entries but don't vote.
+
+    ``settled`` are the learners known not to stand for a member of another process that
+    was lost, ``lost`` the voters that another process stands for. The build before
+    knows none of both.
+    """
 
     voters: tuple[str, ...]
     learners: tuple[str, ...] = ()
+    settled: tuple[str, ...] = ()
+    lost: tuple[str, ...] = ()
 
     @property
     def majority(self) -> int:
--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -157,6 +157,12 @@
             return ()
         return self._leadership.silent_members(longer_than=longer_than)
 
+    def watched_seconds(self, member: str) -> float:
+        """Return for how many seconds ``member`` could have replied to this leader."""
+        if self._role is not Role.LEADER:
+            return 0.0
+        return self._leadership.watched_seconds(member)
+
     def take_effects(self) -> list[Effect]:
         """Return the effects requested since the last call, oldest first.
 
--- a/src/chicoryhold/consensus/reply_watch.py
+++ b/src/chicoryhold/consensus/reply_watch.py
@@ -25,6 +25,7 @@
         self._watched = 0.0
         self._advanced_at = self._clock.now()
         self._heard: dict[str, float] = {}
+        self._watched_since: dict[str, float] = {}
 
     def advance(self, members: Iterable[str]) -> None:
         """Count the time since the last call; watch new ``members`` from now on."""
@@ -33,10 +34,15 @@
         self._advanced_at = now
         for member in members:
             self._heard.setdefault(member, self._watched)
+            self._watched_since.setdefault(member, self._watched)
 
     def record_reply(self, member: str) -> None:
         self._heard[member] = self._watched
 
+    def watched_seconds(self, member: str) -> float:
+        """Return for how many seconds ``member`` could have replied."""
+        return self._watched - self._watched_since.get(member, self._watched)
+
     def silent_seconds(self, member: str) -> float:
         """Return for how many seconds ``member`` could have replied and didn't."""
         return self._watched - self._heard.get(member, self._watched)
--- a/src/chicoryhold/control/membership.py
+++ b/src/chicoryhold/control/membership.py
@@ -1,12 +1,23 @@
 """Decides which replicas vote: the one rule by which the members of a group change.
 
-Those vote that reply, up to a limit, spread over regions and failure domains. A silent
-voter becomes a learner: to count it on would make the group bear no loss more, and when
-it returns it votes again. No change lowers the number of losses that the group bears:
+The newest commit is on the disks of a majority of the voters, and nobody knows which
+ones. Once all hosts are back, a majority of the voters has to have its disks, whichever
+``tolerated_losses`` disks are lost. So a voter that could come back with its disk keeps
+its vote, however few reply:
 
-- Removing a silent voter needs no more replies than before.
+- A voter whose process runs a newer replica has lost its disk.
+- A silent voter is replaced if a replica has joined that stands for nobody else.
+- Any other silent voter may come back. It is only left out of an even number of voters,
+  where the majority that it leaves is no smaller a part of the rest.
+
+Those vote that reply, up to a limit, spread over regions and failure domains. No change
+lowers the number of losses that the group bears:
+
+- Removing a voter of an even number needs no more replies than before.
 - Adding a voter to an even number needs no more replies than before, even if the new
   voter is lost at once. To an odd number, one is added only if a loss is borne.
+- A voter that has lost its disk is removed before its successor is added: both are one
+  loss. For any other, the successor is added first.
 
 Membership changes one voter at a time (Ongaro's dissertation, section 4.3).
 """
@@ -14,45 +25,19 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable
-
-import attrs
 
 from chicoryhold.consensus.messages import Members
+from chicoryhold.control.member_states import MemberStates, is_replaced, same_process
+from chicoryhold.control.replaced_members import (
+    create_members,
+    has_lost_disk,
+    with_replaced,
+)
 
 DEFAULT_TOLERATED_LOSSES = 2
 MIN_VOTERS = 3  # with fewer, nothing is gained by removing a lost one
 
 
-@attrs.frozen(kw_only=True)
-class Place:
-    """Where a replica runs. ``None`` if it isn't known."""
-
-    region: str | None = None
-    domain: str | None = None
-
-
-UNKNOWN_PLACE = Place()
-
-
-@attrs.frozen(kw_only=True)
-class MemberStates:
-    """What the leader knows of the replicas.
-
-    ``joining`` are identities that ask to be members, the newest of each process.
-    ``silent`` are members that haven't replied for some heartbeats, ``forgotten`` those
-    that are unlikely to return. ``caught_up`` returns whether a replica has nearly the
-    whole log.
-    """
-
-    leader: str = ""
-    joining: Collection[str] = ()
-    silent: Collection[str] = ()
-    forgotten: Collection[str] = ()
-    caught_up: Callable[[str], bool] = lambda identity: True
-    place_of: Callable[[str], Place] = lambda identity: UNKNOWN_PLACE
-
-
 def next_members(
     members: Members, states: MemberStates,
     *, tolerated_losses: int = DEFAULT_TOLERATED_LOSSES,
@@ -67,17 +52,30 @@
     with_learners = _with_new_learners(members, states)
     if with_learners is not None:
         return with_learners
+    size = max(MIN_VOTERS, 2 * tolerated_losses + 1)
+    resolved = with_replaced(members, states, size)
+    changed = _with_next_voters(resolved, states, tolerated_losses)
+    if changed is None and resolved != members:
+        return resolved
+    return changed or _without_forgotten_learners(members, states)
+
+
+def _with_next_voters(
+    members: Members, states: MemberStates, tolerated_losses: int
+) -> Members | None:
     target = _target_voters(members, states, tolerated_losses)
     surplus = [v for v in members.voters if v not in target]
     missing = [t for t in target if t not in members.voters]
     lost = [v for v in surplus if _is_lost(v, members, states)]
-    if lost:
-        return _without_voter(members, lost[0])
+    lost.sort(key=lambda voter: not has_lost_disk(voter, members, states))
+    is_even = len(members.voters) % 2 == 0
+    if lost and (is_even or not missing or has_lost_disk(lost[0], members, states)):
+        return _without_voter(members, lost[0], states)
     if surplus and len(members.voters) > len(target):
-        return _without_voter(members, surplus[-1])
+        return _without_voter(members, surplus[-1], states)
     if missing:
         return _with_voter(members, missing[0], states)
-    return _without_forgotten_learners(members, states)
+    return None
 
 
 def _target_voters(
@@ -85,14 +83,24 @@
 ) -> tuple[str, ...]:
     """Return the voters that the group should have.
 
-    They are the replicas that reply, and lost voters only where too few do. If there
-    are enough elsewhere, no region and no failure domain gets more of them than the
-    group can lose.
+    They are the voters that may come back, replicas that reply, and lost voters only
+    where too few do. If there are enough elsewhere, no region and no failure domain
+    gets more of them than the group can lose.
     """
+    size = max(MIN_VOTERS, 2 * tolerated_losses + 1)
     replying = _replying(members, states)
-    lost = [v for v in members.voters if _is_lost(v, members, states)]
-    fill = max(0, MIN_VOTERS - len(replying))
-    return (*_spread(replying, members, states, tolerated_losses), *lost[:fill])
+    absent, lost = [], []
+    for voter in members.voters:
+        if has_lost_disk(voter, members, states):
+            lost.append(voter)
+        elif voter in states.silent:
+            absent.append(voter)
+    absent = absent[: (size - 1) // 2]  # those that reply are a majority
+    chosen = _spread(replying, tuple(absent), members, states, tolerated_losses)
+    kept = [*absent, *lost[: max(0, size - len(chosen) - len(absent))]]
+    if (len(chosen) + len(kept)) % 2 == 0:
+        kept = kept[:-1]
+    return (*chosen, *kept)
 
 
 def _replying(members: Members, states: MemberStates) -> tuple[str, ...]:
@@ -101,20 +109,24 @@
     learners = [
         identity
         for identity in members.learners
-        if identity not in states.silent and states.caught_up(identity)
+        if identity not in states.silent
+        and states.caught_up(identity)
+        and (identity in members.settled or states.is_watched(identity))
     ]
     return (*voters, *learners)
 
 
 def _spread(
-    candidates: tuple[str, ...], members: Members, states: MemberStates,
-    tolerated_losses: int,
+    candidates: tuple[str, ...], absent: tuple[str, ...], members: Members,
+    states: MemberStates, tolerated_losses: int,
 ) -> tuple[str, ...]:  # fmt: skip
-    """Return as many candidates as are needed, the leader among them."""
-    count = min(len(candidates), max(MIN_VOTERS, 2 * tolerated_losses + 1))
-    bearable = (count - 1) // 2
-    regions: Counter[str] = Counter()
-    domains: Counter[str] = Counter()
+    """Return as many candidates as are needed beside ``absent``, the leader first."""
+    size = max(MIN_VOTERS, 2 * tolerated_losses + 1)
+    count = min(len(candidates), size - len(absent))
+    total = count + len(absent)
+    bearable = (total - 1) // 2
+    regions: Counter[str] = Counter(states.place_of(a).region for a in absent)
+    domains: Counter[str] = Counter(states.place_of(a).domain for a in absent)
 
     def is_crowded(identity: str) -> tuple[bool, bool]:
         place = states.place_of(identity)
@@ -143,7 +155,7 @@
         place = states.place_of(best)
         regions[place.region] += 1
         domains[place.domain] += 1
-    is_even = count % 2 == 0 and count > MIN_VOTERS
+    is_even = total % 2 == 0 and total > MIN_VOTERS
     if is_even and crowded == chosen[-1:] and bearable >= tolerated_losses:
         # Without it, the group bears as much, and the loss of any one region.
         chosen.pop()
@@ -152,18 +164,7 @@
 
 def _is_lost(identity: str, members: Members, states: MemberStates) -> bool:
     """Whether a member is silent, or its process has lost this replica's disk."""
-    return identity in states.silent or _is_replaced(
-        identity, members.learners, members
-    )
-
-
-def _is_replaced(identity: str, learners: Iterable[str], members: Members) -> bool:
-    """Whether the process of a voter runs a newer replica that is a member."""
-    if identity not in members.voters:
-        return False
-    position = members.voters.index(identity)
-    newer = (*members.voters[position + 1 :], *learners)
-    return any(_same_process(identity, other) for other in newer)
+    return identity in states.silent or is_replaced(identity, members)
 
 
 def _with_new_learners(members: Members, states: MemberStates) -> Members | None:
@@ -174,31 +175,49 @@
     kept = [
         learner
         for learner in members.learners
-        if not any(_same_process(learner, new) for new in joining)
+        if not any(same_process(learner, new) for new in joining)
     ]
-    return Members(voters=members.voters, learners=(*kept, *joining))
+    known = (*members.voters, *members.settled)
+    settled = [n for n in joining if any(same_process(n, other) for other in known)]
+    lost = [v for v in members.voters if any(same_process(v, n) for n in joining)]
+    return create_members(
+        members.voters,
+        (*kept, *joining),
+        (*members.settled, *settled),
+        (*members.lost, *lost),
+    )
 
 
 def _with_voter(
     members: Members, identity: str, states: MemberStates
 ) -> Members | None:
-    """Add a voter; first remove a silent one if no loss is borne at present."""
+    """Add a voter; first remove a lost one if no loss is borne at present."""
     replies = [v for v in members.voters if not _is_lost(v, members, states)]
     bears_a_loss = len(replies) > members.majority
     is_even = len(members.voters) % 2 == 0
-    lost = [v for v in members.voters if v not in replies]
+    is_settled = identity in members.settled
+    lost = [
+        v
+        for v in members.voters
+        if has_lost_disk(v, members, states) or (v in states.silent and not is_settled)
+    ]
     if lost and not (is_even or bears_a_loss):
-        return _without_voter(members, lost[0])
+        return _without_voter(members, lost[0], states)
     learners = tuple(i for i in members.learners if i != identity)
-    return Members(voters=(*members.voters, identity), learners=learners)
+    return create_members(
+        (*members.voters, identity), learners, members.settled, members.lost
+    )
 
 
-def _without_voter(members: Members, identity: str) -> Members:
+def _without_voter(members: Members, identity: str, states: MemberStates) -> Members:
     """Make a voter a learner, or remove it if its process has a newer replica."""
     voters = tuple(v for v in members.voters if v != identity)
-    if _is_replaced(identity, members.learners, members):
-        return Members(voters=voters, learners=members.learners)
-    return Members(voters=voters, learners=(*members.learners, identity))
+    if is_replaced(identity, members):
+        return create_members(voters, members.learners, members.settled, members.lost)
+    settled = members.settled
+    if identity not in states.silent:
+        settled = (*settled, identity)
+    return create_members(voters, (*members.learners, identity), settled, members.lost)
 
 
 def _without_forgotten_learners(
@@ -207,8 +226,4 @@
     learners = tuple(i for i in members.learners if i not in states.forgotten)
     if len(learners) == len(members.learners):
         return None
-    return Members(voters=members.voters, learners=learners)
-
-
-def _same_process(first: str, second: str) -> bool:
-    return first.rpartition(".")[0] == second.rpartition(".")[0]
+    return create_members(members.voters, learners, members.settled, members.lost)
--- a/src/chicoryhold/control/membership_keeper.py
+++ b/src/chicoryhold/control/membership_keeper.py
@@ -7,7 +7,8 @@
 
 from chicoryhold.clock import Clock
 from chicoryhold.consensus.replica import Replica, Role
-from chicoryhold.control.membership import MemberStates, next_members
+from chicoryhold.control.member_states import MemberStates
+from chicoryhold.control.membership import next_members
 from chicoryhold.control.messages import JoinRequest
 from chicoryhold.control.replica_policy import ReplicaPolicy
 from chicoryhold.control.replica_requests import process_name
@@ -57,6 +58,7 @@
                 voters=list(members.voters),
                 learners=list(members.learners),
                 silent=list(states.silent),
+                lost=list(members.lost),
             ).info("control: proposed other members.")
 
     def _member_states(self) -> MemberStates:
@@ -69,6 +71,9 @@
             silent=replica.silent_members(longer_than=policy.silent_seconds),
             forgotten=replica.silent_members(longer_than=policy.forget_seconds),
             caught_up=self._is_caught_up,
+            is_watched=lambda identity: (
+                replica.watched_seconds(identity) > policy.silent_seconds
+            ),
             place_of=policy.place_of,
         )
 
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -14,10 +14,7 @@
 from chicoryhold.consensus.election_timer import Timing
 from chicoryhold.consensus.messages import Members
 from chicoryhold.consensus.replica import Replica
-from chicoryhold.control.membership import (
-    UNKNOWN_PLACE,
-    Place,
-)
+from chicoryhold.control.member_states import UNKNOWN_PLACE, Place
 from chicoryhold.control.messages import (
     FetchChanges,
     FetchImage,
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -16,7 +16,8 @@
     VoteRequest,
 )
 from chicoryhold.consensus.replica import Role
-from chicoryhold.control.membership import MemberStates, next_members
+from chicoryhold.control.member_states import MemberStates
+from chicoryhold.control.membership import next_members
 from chicoryhold.errors import NotLeader
 from tests.fakes import Group
 
