Pass a new replica's request to join on to the leader

Now a host that follows a leader passes on to it what a replica asks for itself; the leader takes such a request from a member too.

--- a/src/chicoryhold/control/membership_keeper.py
+++ b/src/chicoryhold/control/membership_keeper.py
@@ -37,9 +37,11 @@
         self._join_requests: dict[str, _JoinRequested] = {}
 
     def record_join(self, sender: str, request: JoinRequest) -> None:
-        """Note that ``sender`` asks for its replica to be a member."""
-        if sender == process_name(request.identity):
-            self._join_requests[sender] = _JoinRequested(
+        """Note that a replica asks to be a member, itself or through a member."""
+        process = process_name(request.identity)
+        members = map(process_name, self._replica.members.identities)
+        if sender == process or sender in members:
+            self._join_requests[process] = _JoinRequested(
                 identity=request.identity, at=self._clock.now()
             )
 
--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -194,7 +194,7 @@
             case ReplicaMessage():
                 self._on_replica_message(received.sender, received.message)
             case JoinRequest():
-                self._membership.record_join(received.sender, received.message)
+                self._on_join_request(received.sender, received.message)
             case FetchChanges():
                 self._on_fetch(received)
             case FetchImage():
@@ -370,6 +370,17 @@
 
     # Membership
 
+    def _on_join_request(self, sender: str, request: JoinRequest) -> None:
+        """Note the request; if it is the replica's own, pass it on to the leader.
+
+        A new replica may know few others, and none that leads.
+        """
+        self._membership.record_join(sender, request)
+        leader = process_name(self._replica.leader or "")
+        is_own = sender == process_name(request.identity)
+        if is_own and leader not in ("", self._bus.name):
+            self._bus.tell(leader, request)
+
     def _ask_to_join(self) -> None:
         now = self._clock.now()
         is_voter = self._replica.identity in self._replica.members.voters
