Keep to a limit that the control host hasn't heard of

Cause: an old copy that lacks an organisation was taken for one that knows that there is no limit, and the request for permits didn't say what the entry host knows. A lowered limit, one put on an organisation that had none, and an organisation that a newer copy no longer has went the same way.

Change: an entry host states the limit it decides by, with its version. A control host with an older copy grants its domain's share of the lower of both, or of the stated one if it has none; so a new organisation is served before the control host hears of it. One that neither knows gets no permits (PermitsUnavailable: another one is asked). The field is left out by the build in production, and ignored there: the upgrade test names the new nested kind.

FleetPermits has such a rule too, so that the message whose handling fails fails as before.

--- a/src/chicoryhold/gateway/service.py
+++ b/src/chicoryhold/gateway/service.py
@@ -22,6 +22,7 @@
 from chicoryhold.gateway.relay import Relay, RelayedRequest
 from chicoryhold.gateway.request import GatewayRequest, RoutedRequest
 from chicoryhold.keys import key_digest
+from chicoryhold.limits.messages import StatedLimit
 from chicoryhold.limits.permit_client import Permission, PermitClient
 from chicoryhold.metrics import Metrics
 from chicoryhold.quarantine.digest import request_digest
@@ -168,7 +169,7 @@
         relayed = _relayed_request(request, route, organisation, version)
         if self._relay.is_needed:
             return self._relay.deliver(relayed)
-        refused = self._permit_refusal(request, route, organisation)
+        refused = self._permit_refusal(request, route, organisation, version)
         if refused is not None:
             return refused
         routed = self._routed_request(request, route, organisation, digest)
@@ -179,13 +180,18 @@
 
     def _permit_refusal(
         self, request: GatewayRequest, route: RouteRule,
-        organisation: OrganisationRule | None,
+        organisation: OrganisationRule | None, version: int,
     ) -> Outcome | None:  # fmt: skip
         """Return a refusal if the rate limit doesn't permit the request."""
         if organisation is None or organisation.rate <= 0:
             return None
         deadline = _deadline(request, route)
-        permission = self._permits.permit(organisation.name, deadline=deadline)
+        limit = StatedLimit(
+            version=version, rate=organisation.rate, burst=organisation.burst
+        )
+        permission = self._permits.permit(
+            organisation.name, deadline=deadline, limit=limit
+        )
         if permission is Permission.GRANTED:
             return None
         if permission is Permission.DENIED:
--- a/src/chicoryhold/limits/messages.py
+++ b/src/chicoryhold/limits/messages.py
@@ -7,18 +7,32 @@
 UNLIMITED = -1
 
 
+@message
+class StatedLimit:
+    """The limit of an organisation by one version of the configuration.
+
+    ``rate`` is in requests per second, ``burst`` in requests.
+    """
+
+    version: int
+    rate: float
+    burst: float
+
+
 @message
 class PermitWant:
     """Asks for up to ``wanted`` permits of one organisation.
 
     ``needed`` of them are for requests that are waiting. ``unused`` permits of earlier
-    grants have expired before they were used.
+    grants have expired before they were used. ``limit`` is the one that the entry host
+    decides by. Builds that don't state it leave it out.
     """
 
     name: str
     wanted: int
     needed: int
     unused: int = 0
+    limit: StatedLimit | None = None
 
 
 @message
@@ -57,7 +71,7 @@
 
 @message
 class PermitsUnavailable:
-    """The control host doesn't know the current limits yet: ask another one."""
+    """The control host doesn't know the current limits: ask another one."""
 
 
 @message
--- a/src/chicoryhold/limits/permit_actor.py
+++ b/src/chicoryhold/limits/permit_actor.py
@@ -13,6 +13,7 @@
     dropping_bad_messages,
 )
 from chicoryhold.hosts.bus import Bus
+from chicoryhold.limits.known_limits import KnownLimits
 from chicoryhold.limits.messages import (
     UNLIMITED,
     PermitGrant,
@@ -34,7 +35,8 @@
     """Owns the allocators. ``peers`` names the control hosts of other domains.
 
     While ``knows_limits`` returns false, every request is answered with
-    ``PermitsUnavailable``: an organisation without a known limit has no limit.
+    ``PermitsUnavailable``. So are later requests for an organisation that isn't in this
+    copy and whose limit the entry host doesn't state: it may have one.
 
     Loans are requested before the bucket is empty, from two peers at a time, in
     rotation. If a loan is lost on the way, its permits are lost, never duplicated.
@@ -43,10 +45,11 @@
     def __init__(
         self, *, allocator: PermitAllocator, target_allocator: TargetPermitAllocator,
         bus: Bus, clock: Clock, peers: Callable[[], tuple[str, ...]],
-        knows_limits: Callable[[], bool],
+        knows_limits: Callable[[], bool], limits: KnownLimits,
     ) -> None:  # fmt: skip
         super().__init__()
         self._knows_limits = knows_limits
+        self._limits = limits
         self._allocator = allocator
         self._target_allocator = target_allocator
         self._bus = bus
@@ -65,6 +68,10 @@
             case PeerRequest(message=PermitRequest()) if not self._knows_limits():
                 message.reply.set_result(PermitsUnavailable())
             case PeerRequest(message=PermitRequest() as request):
+                self._note_limits(request)
+                if self._lacks_needed(request):
+                    message.reply.set_result(PermitsUnavailable())
+                    return
                 message.reply.set_result(self._grant_all(request))
                 for want in request.wants:
                     self._borrow(want.name)
@@ -78,6 +85,17 @@
                 else:
                     self._allocator.receive(loan.name, loan.count)
 
+    def _note_limits(self, request: PermitRequest) -> None:
+        for want in request.wants:
+            if want.limit is not None:
+                self._limits.state(want.name, want.limit)
+
+    def _lacks_needed(self, request: PermitRequest) -> bool:
+        return any(
+            want.needed and not self._limits.is_known(want.name)
+            for want in request.wants
+        )
+
     def _grant_all(self, request: PermitRequest) -> PermitGrant:
         return PermitGrant(
             counts=tuple(self._grant(want) for want in request.wants),
@@ -88,6 +106,8 @@
         )
 
     def _grant(self, want: PermitWant) -> int:
+        if not self._limits.is_known(want.name):
+            return 0
         if want.unused:
             self._allocator.give_back(want.name, want.unused)
         granted = self._allocator.take(
--- a/src/chicoryhold/limits/permit_client.py
+++ b/src/chicoryhold/limits/permit_client.py
@@ -16,6 +16,7 @@
     PermitGrant,
     PermitRequest,
     PermitWant,
+    StatedLimit,
 )
 from chicoryhold.limits.permits import PermitCache
 
@@ -75,13 +76,21 @@
         self._usual_rates: dict[str, _Rate] = {}
         self._denied_until: dict[str, float] = {}
         self._isolated_levels: dict[str, tuple[float, float]] = {}
+        self._limits: dict[str, StatedLimit] = {}
         self._is_prefetching = False
         self._lock = threading.Lock()
 
-    def permit(self, name: str, *, deadline: float) -> Permission:
-        """Use one permit of ``name``; asks for more if none is left."""
+    def permit(
+        self, name: str, *, deadline: float, limit: StatedLimit | None = None
+    ) -> Permission:
+        """Use one permit of ``name``, whose limit here is ``limit``.
+
+        Asks for more permits if none is left.
+        """
         now = self._clock.now()
         with self._lock:
+            if limit is not None:
+                self._limits[name] = limit
             if self._cache.take(name):
                 self._count(name, now)
                 return Permission.GRANTED
@@ -117,6 +126,7 @@
             wanted=max(0, needed + round(soon) - self._cache.count(name)),
             needed=needed,
             unused=self._cache.take_expired_count(name),
+            limit=self._limits.get(name),
         )
 
     def _take_grant(
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -29,6 +29,7 @@
 from chicoryhold.control.storage import Storage, open_storage, read_identity
 from chicoryhold.hosts.actors import forward_to, running_actor
 from chicoryhold.hosts.bus import Bus, running_bus
+from chicoryhold.limits.known_limits import KnownLimits
 from chicoryhold.limits.lenders import lenders
 from chicoryhold.limits.messages import PermitLoan, PermitLoanRequest, PermitRequest
 from chicoryhold.limits.permit_actor import PermitActor
@@ -226,12 +227,13 @@
     settings: ControlHostSettings, replica: Replica, state: ControlState,
     registry: HostRegistry, bus: Bus, clock: BootClock,
 ) -> pykka.ActorRef:  # fmt: skip
+    limits = KnownLimits(
+        configuration=lambda: state.configuration,
+        allowance_for=lambda rule: allowance_for(rule, settings.tolerance),
+    )
     allocator = PermitAllocator(
-        domains=len(settings.regions),
-        allowance_of=allowance_lookup(state, settings.tolerance),
-        clock=clock,
+        domains=len(settings.regions), allowance_of=limits.allowance_of, clock=clock
     )
-
     return PermitActor.start(
         allocator=allocator,
         target_allocator=TargetPermitAllocator(
@@ -241,23 +243,10 @@
         clock=clock,
         peers=lambda: lenders(registry.control_hosts, domain=settings.domain),
         knows_limits=lambda: replica.applied_confirmed_at > float("-inf"),
+        limits=limits,
     )
 
 
-def allowance_lookup(
-    state: ControlState, tolerance: RateTolerance
-) -> Callable[[str], Allowance | None]:
-    """Return a function from an organisation's name to its current allowance."""
-
-    def allowance_of(name: str) -> Allowance | None:
-        for rule in state.configuration.organisations:
-            if rule.name == name and rule.rate > 0:
-                return allowance_for(rule, tolerance)
-        return None
-
-    return allowance_of
-
-
 def allowance_for(rule: OrganisationRule, tolerance: RateTolerance) -> Allowance:
     """Return a rate and a burst that keep each window within the rule's limit.
 
--- a/tests/fleet_permits.py
+++ b/tests/fleet_permits.py
@@ -8,16 +8,26 @@
 
 from chicoryhold.hosts.actors import PeerRequest
 from chicoryhold.limits.control_host_calls import PermitSources
+from chicoryhold.limits.known_limits import KnownLimits
 from chicoryhold.limits.lenders import lenders
 from chicoryhold.limits.permit_actor import PermitActor
-from chicoryhold.limits.permits import PermitAllocator
+from chicoryhold.limits.permits import Allowance, PermitAllocator
 from chicoryhold.limits.target_permit_client import TargetPermitClient
 from chicoryhold.limits.target_permits import TargetPermitAllocator
 from chicoryhold.membership.messages import ControlHost
 from chicoryhold.metrics import Metrics
+from chicoryhold.routing.configuration import Configuration, OrganisationRule
 from tests.conftest import FakeClock
 
 
+def known_limits(configuration: Configuration) -> KnownLimits:
+    """Return the limits of a control host whose copy is ``configuration``."""
+    return KnownLimits(
+        configuration=lambda: configuration,
+        allowance_for=lambda rule: Allowance(rate=rule.rate, burst=rule.burst),
+    )
+
+
 class FleetPermits:
     """Control hosts of each domain. Messages to those in ``down`` are lost.
 
@@ -57,6 +67,9 @@
             clock=self.clock,
             peers=lambda: lenders(self.control_hosts, domain=domain),
             knows_limits=lambda: True,
+            limits=known_limits(
+                Configuration(version=1, organisations=(OrganisationRule(name="o"),))
+            ),
         )
 
     def deliver(self, sender: str, receiver: str, message: object) -> Future:
--- a/tests/test_cut_off_host.py
+++ b/tests/test_cut_off_host.py
@@ -22,6 +22,7 @@
 from chicoryhold.gateway.delivery import Delivery
 from chicoryhold.gateway.service import GatewayService
 from chicoryhold.http_server import serve_http
+from chicoryhold.limits.messages import StatedLimit
 from chicoryhold.limits.permit_client import Permission
 from chicoryhold.limits.retry_budgets import RetryBudgets
 from chicoryhold.membership.messages import EntryHost
@@ -84,7 +85,9 @@
     def __init__(self) -> None:
         self.granted = 0
 
-    def permit(self, name: str, *, deadline: float) -> Permission:
+    def permit(
+        self, name: str, *, deadline: float, limit: StatedLimit | None = None
+    ) -> Permission:
         self.granted += 1
         return Permission.GRANTED
 
--- a/tests/test_permit_actor.py
+++ b/tests/test_permit_actor.py
@@ -17,8 +17,9 @@
 from chicoryhold.limits.permit_actor import PermitActor
 from chicoryhold.limits.permits import PermitAllocator
 from chicoryhold.limits.target_permits import TargetPermitAllocator
+from chicoryhold.routing.configuration import Configuration, OrganisationRule
 from tests.conftest import FakeClock
-from tests.fleet_permits import FleetPermits
+from tests.fleet_permits import FleetPermits, known_limits
 
 
 def test_restarted_control_host_gives_no_unlimited_permits_before_it_knows_the_limits():
@@ -33,6 +34,9 @@
         clock=clock,
         peers=lambda: (),
         knows_limits=lambda: bool(known),
+        limits=known_limits(
+            Configuration(version=1, organisations=(OrganisationRule(name="o"),))
+        ),
     )
 
     def ask() -> object:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -26,7 +26,7 @@
 NEW_KINDS: set[str] = set()
 # These are only sent inside messages of other kinds, in fields that are ignored, or
 # inside those of new kinds.
-NEW_NESTED_KINDS: set[str] = set()
+NEW_NESTED_KINDS = {"StatedLimit"}
 START_TIMEOUT_SECONDS = 20.0
 CONTROL_IP, OLD_IP, NEW_IP = "127.0.9.1", "127.0.9.2", "127.0.9.3"
 PORTS = {"front": 0, "ready": 1, "control": 2, "directory": 3}
