Look up an organisation's rule without a walk through all, when permits are granted

Callers saw nothing of it. Each grant walked through all organisations several times, and stated limits added more walks.

Permit and limit tests pass.

--- a/src/chicoryhold/limits/known_limits.py
+++ b/src/chicoryhold/limits/known_limits.py
@@ -33,6 +33,8 @@
         self._allowance_for = allowance_for
         self._stated: dict[str, StatedLimit] = {}
         self._pruned_for = 0
+        self._indexed: Configuration | None = None
+        self._rules: dict[str, OrganisationRule] = {}
 
     def state(self, name: str, limit: StatedLimit) -> None:
         """Keep what an entry host decides by if this copy doesn't say more."""
@@ -80,10 +82,11 @@
         )
 
     def _rule(self, name: str) -> OrganisationRule | None:
-        for rule in self._configuration().organisations:
-            if rule.name == name:
-                return rule
-        return None
+        configuration = self._configuration()
+        if configuration is not self._indexed:
+            self._rules = _rules_by_name(configuration)
+            self._indexed = configuration
+        return self._rules.get(name)
 
     def _forget_older(self, version: int) -> None:
         if version == self._pruned_for:
@@ -94,6 +97,15 @@
                 del self._stated[name]
 
 
+def _rules_by_name(configuration: Configuration) -> dict[str, OrganisationRule]:
+    """Return the first rule of each name, of those with a limit if there is one."""
+    rules: dict[str, OrganisationRule] = {}
+    limited_first = sorted(configuration.organisations, key=lambda rule: rule.rate <= 0)
+    for rule in limited_first:
+        rules.setdefault(rule.name, rule)
+    return rules
+
+
 def _makes_sense(limit: StatedLimit) -> bool:
     return (
         isfinite(limit.rate)
--- a/tests/test_known_limits.py
+++ b/tests/test_known_limits.py
@@ -204,6 +204,11 @@
     assert 0 < host.ask(want(stated(2, 3.0))).counts[0] < 10
 
 
+def test_two_rules_of_one_name_do_not_hide_the_limit_that_one_of_them_has():
+    host = create(configuration(1, rule(0.0), rule(3.0), rule(0.0)))
+    assert 0 < host.ask(want(None)).counts[0] < 10
+
+
 def test_an_old_build_states_no_limit_and_is_read():
     request = PermitRequest(wants=(PermitWant(name="o", wanted=1, needed=1),))
     assert decode(encode(request)).wants[0].limit is None
