Bound the memory of request bodies at an entry host

A body of known length gets its room before it is read, a chunked one as it grows; 64 KiB are guaranteed to each. A long body has a mapping of its own, which goes to the target without a copy, and whose room is given back when the mapping is freed.

--- a/src/chicoryhold/gateway/request.py
+++ b/src/chicoryhold/gateway/request.py
@@ -41,7 +41,7 @@
     path: str
     target: str
     headers: Mapping[str, str]
-    body: bytes
+    body: bytes | memoryview
     key: str | None = attrs.field(repr=False)
     affinity_key: str
     arrived_at: float
--- a/src/chicoryhold/http_channel.py
+++ b/src/chicoryhold/http_channel.py
@@ -9,6 +9,7 @@
 from contextlib import contextmanager
 
 import attrs
+from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
@@ -32,12 +33,14 @@
     overlaps_none,
 )
 from chicoryhold.open_requests import Departures, OpenRequest, RequestState
+from chicoryhold.shared_memory import SharedMemory
 from chicoryhold.targets.cancellation import Cancellation
 
 QUEUED_REQUESTS = "chicoryhold.queued_requests"
 ARRIVED_AT = "chicoryhold.arrived_at"
 CANCELLATION = "chicoryhold.cancellation"
 HAS_LEFT = "chicoryhold.has_left"
+BODY_REFUSED = "chicoryhold.body_refused"
 # With more left to send, the thread that sends may itself wait until it is sent.
 MAX_UNPOLLED_BYTES = 1_048_576
 UNUSED_SECONDS = 2.0  # a new connection without a request counts as idle then
@@ -54,7 +57,8 @@
     the boot-clock time at which the request was received in full; and under
     ``CANCELLATION`` a ``Cancellation`` that is set when the caller disconnects; and
     under ``HAS_LEFT`` a function that returns whether the caller has disconnected by
-    now, for a host that may have been paused since it read the request.
+    now, for a host that may have been paused since it read the request. Under
+    ``BODY_REFUSED`` is whether there was no room for its body.
 
     WSGI forbids an application to send the Connection header, and waitress responds
     with 500 if one does, so the task sets it instead.
@@ -70,6 +74,7 @@
         environ[ARRIVED_AT] = self.request.arrived_at
         environ[CANCELLATION] = channel.new_cancellation(self.request)
         environ[HAS_LEFT] = lambda: channel.has_left
+        environ[BODY_REFUSED] = self.request.is_body_refused
         return environ
 
     def write(self, data: bytes) -> None:
@@ -92,7 +97,8 @@
     ``refuses`` is set, the application refuses every request, so the rest of a request
     that is still being received isn't waited for. ``request_id_header`` is the name
     under which waitress keeps that header. Requests of one connection for which
-    ``may_overlap`` is true are handled side by side. ``room`` limits the connections.
+    ``may_overlap`` is true are handled side by side. ``room`` limits the connections,
+    ``body_memory`` what the bodies of all requests hold.
 
     ``running`` has the requests that are being handled and their channels, also if
     their caller has left. ``lingering`` are sockets that are closed once their peer has
@@ -107,6 +113,7 @@
     refuses: bool = False
     may_overlap: OverlapRule = overlaps_none
     drops_departed: bool = False
+    body_memory: SharedMemory = attrs.field(factory=SharedMemory)
     running: dict[ReceivedRequest, Channel] = attrs.field(factory=dict)
     lingering: set[socket.socket] = attrs.field(factory=set)
     departures: Departures = attrs.field(factory=lambda: Departures(clock=_CLOCK))
@@ -120,7 +127,6 @@
     """
 
     task_class = Task
-    parser_class = ReceivedRequest
     _has_stopped_reading = False
     _last_answered: ReceivedRequest | None = None
     _gathered: list[bytes] | None = None
@@ -130,6 +136,9 @@
         self._cancellable: set[ReceivedRequest] = set()
         super().__init__(*args, **kwargs)
 
+    def parser_class(self, adj: Adjustments) -> ReceivedRequest:
+        return ReceivedRequest(adj, self.server.state.body_memory)
+
     @property
     def is_idle(self) -> bool:
         """Whether each request that was read is answered in full."""
@@ -218,6 +227,8 @@
             self.handle_close()
             return False
         result = super().received(data)
+        if any(r.is_body_refused and r.is_last for r in tuple(self.requests)):
+            self._has_stopped_reading = True
         self._begin_early_runs()
         return result
 
@@ -340,6 +351,8 @@
         if self._has_stopped_reading and self.connected:
             self._linger_if_needed()
         super().handle_close()
+        if self.request is not None:
+            self.request.release_body()
         self._cancel_all()
 
     def _linger_if_needed(self) -> None:
--- a/src/chicoryhold/http_pipeline.py
+++ b/src/chicoryhold/http_pipeline.py
@@ -11,9 +11,12 @@
 from typing import Protocol
 
 import attrs
+from waitress.adjustments import Adjustments
 from waitress.parser import HTTPRequestParser
 
+from chicoryhold.body_buffers import DroppingBuffer, MappedBuffer
 from chicoryhold.clock import BootClock
+from chicoryhold.shared_memory import GUARANTEED_BYTES, Reservation, SharedMemory
 from chicoryhold.targets.cancellation import Cancellation
 
 MAX_PIPELINED_REQUESTS = 32  # read from one connection and not answered yet
@@ -42,15 +45,63 @@
     ``arrived_at`` is the boot-clock time at which its last byte so far was read.
     ``cancellation`` is set when nobody waits for its response any more.
     ``early_run`` handles it if that began, or is to begin, before its turn.
+    ``is_body_refused`` means that there was no room in ``memory`` for its body, which
+    is read and dropped, as most callers read no response before they have sent all. If
+    the caller waits for leave to send the body, the request is complete without it. A
+    body of known length gets its room before it is read, a chunked one as it grows.
     """
 
     arrived_at = 0.0
     cancellation: Cancellation | None = None
     early_run: EarlyRun | None = None
+    is_body_refused = False
+    _is_mapped = False
+
+    def __init__(self, adj: Adjustments, memory: SharedMemory | None = None) -> None:
+        super().__init__(adj)
+        self._reservation = Reservation(memory or SharedMemory())
 
     def received(self, data: bytes) -> int:
         self.arrived_at = _CLOCK.now()
-        return super().received(data)
+        count = super().received(data)
+        if self.body_rcv is None or self.error or self.is_body_refused:
+            return count
+        size = self.body_bytes_received if self.chunked else self.content_length
+        if not self._reservation.try_grow(size):
+            self._refuse_body()
+        elif size > GUARANTEED_BYTES:
+            self._hold_in_mapping(size)
+        return count
+
+    def _hold_in_mapping(self, size: int) -> None:
+        buffer = self.body_rcv.getbuf()
+        if isinstance(buffer, MappedBuffer):
+            return
+        self.body_rcv.buf = MappedBuffer(size, on_free=self._reservation.end)
+        self._is_mapped = True
+        self.body_rcv.buf.append(buffer.getfile().read())
+        buffer.close()
+
+    def _refuse_body(self) -> None:
+        self.is_body_refused = True
+        self.release_body()
+        self._is_mapped = False
+        self.body_rcv.buf = DroppingBuffer()
+        if self.expect_continue:
+            self.completed = True
+            self.expect_continue = False
+            self.headers["CONNECTION"] = "close"
+
+    def release_body(self) -> None:
+        """Give back the room of the body; that of a mapping when it is freed."""
+        if self._is_mapped:
+            self.body_rcv.getbuf().close()
+        else:
+            self._reservation.end()
+
+    def close(self) -> None:
+        super().close()
+        self.release_body()
 
     @property
     def host(self) -> str:
--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -25,6 +25,7 @@
 )
 from chicoryhold.open_requests import OpenRequest
 from chicoryhold.request_threads import RequestThreads
+from chicoryhold.shared_memory import SharedMemory
 
 DEFAULT_MAX_CONNECTIONS = 1_000
 # Beyond the limit, connections are accepted while idle ones are closed for them.
@@ -156,6 +157,7 @@
     may_overlap: OverlapRule = overlaps_none,
     max_connections: int = DEFAULT_MAX_CONNECTIONS,
     drops_departed: bool = False,
+    body_memory: SharedMemory | None = None,
 ) -> Iterator[HttpServer]:  # fmt: skip
     """Serve a WSGI application in a background thread and yield the server.
 
@@ -166,8 +168,11 @@
     of one connection for which ``may_overlap`` is true are handled side by side. With
     more than ``max_connections``, the longest idle ones are closed. With
     ``drops_departed``, requests whose callers left before they were read aren't
-    handled: for callers that have no use for one without its response.
+    handled: for callers that have no use for one without its response. With
+    ``body_memory``, a request whose body has no room there is handled without it (see
+    ``BODY_REFUSED``).
     """
+    memory = body_memory or SharedMemory()
     host, _, port = address.rpartition(":")
     request_threads = RequestThreads(limit=threads, clock=BootClock())
     try:
@@ -203,6 +208,7 @@
         request_id_header=request_id_header.upper().replace("-", "_"),
         may_overlap=may_overlap,
         drops_departed=drops_departed,
+        body_memory=memory,
     )
     server.state = state
     server.adj.socket_options = _CALLER_SOCKET_OPTIONS
--- a/src/chicoryhold/targets/response_memory.py
+++ b/src/chicoryhold/targets/response_memory.py
@@ -2,38 +2,25 @@
 
 from __future__ import annotations
 
-import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 from chicoryhold.errors import InvalidResponse
+from chicoryhold.shared_memory import GUARANTEED_BYTES, SharedMemory
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # A single response may take half of what is free, so twice its limit.
 TOTAL_BYTES = 2 * MAX_RESPONSE_BYTES
-GUARANTEED_BYTES = 64 * 1024  # for each response, whatever the others hold
 
 
-class ResponseMemory:
-    """Memory shared by the response bodies that are being received. Thread-safe.
-
-    A body may grow to ``guaranteed_bytes`` in any case, and beyond that as long as it
-    is no larger than the part of ``total_bytes`` that is free. The longest bodies
-    therefore reach their limit first, and there is always room left for short ones.
-    """
+class ResponseMemory(SharedMemory):
+    """Memory shared by the response bodies that are being received."""
 
     def __init__(
         self, *, total_bytes: int = TOTAL_BYTES,
         guaranteed_bytes: int = GUARANTEED_BYTES,
     ) -> None:  # fmt: skip
-        self._total_bytes = total_bytes
-        self._guaranteed_bytes = guaranteed_bytes
-        self._used_bytes = 0
-        self._lock = threading.Lock()
-
-    @property
-    def used_bytes(self) -> int:
-        return self._used_bytes
+        super().__init__(total_bytes=total_bytes, guaranteed_bytes=guaranteed_bytes)
 
     @contextmanager
     def buffer(self) -> Iterator[BodyBuffer]:
@@ -45,23 +32,18 @@
             size = buffer.size
             # Tracebacks may keep the buffer itself alive.
             buffer.clear()
-            with self._lock:
-                self._used_bytes -= size
+            self.release(size)
 
     def reserve(self, count: int, *, size: int) -> None:
         """Reserve ``count`` bytes for a body that already has ``size``.
 
         Raises ``InvalidResponse`` if the body would be longer than it may be now.
         """
-        with self._lock:
-            limit = max(self._guaranteed_bytes, self._total_bytes - self._used_bytes)
-            if size + count <= limit:
-                self._used_bytes += count
-                return
-        raise InvalidResponse(
-            f"the answer is longer than the {limit} bytes that are free: send less, "
-            "or look for targets that send without end"
-        )
+        if not self.try_reserve(count, size=size):
+            raise InvalidResponse(
+                f"the answer is longer than the {self.limit_bytes} bytes that are "
+                "free: send less, or look for targets that send without end"
+            )
 
 
 class BodyBuffer:
--- a/src/chicoryhold/targets/response_parser.py
+++ b/src/chicoryhold/targets/response_parser.py
@@ -56,7 +56,7 @@
         )
         parts = [connection.send(request)]
         if body:
-            parts.append(connection.send(h11.Data(data=body)))
+            parts += connection.send_with_data_passthrough(h11.Data(data=body))
         connection.send(h11.EndOfMessage())
     except (h11.LocalProtocolError, UnicodeError) as error:
         raise RequestNotSent(
