Let the end of a request body interrupt its accounting; part the server's state off

Cause: the room of a long body is given back when its mapping is freed, which may happen in the middle of any allocation, also while the same thread holds the lock of that accounting: with a lock that isn't reentrant it would then wait for itself. Change: both locks are reentrant. ServerState is a module of its own; no behaviour is changed by that.

--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http_server.py
@@ -16,7 +16,7 @@
 from chicoryhold.connection_room import ConnectionRoom
 from chicoryhold.crash import create_critical_thread
 from chicoryhold.errors import AddressInUse
-from chicoryhold.http_channel import Channel, ServerState
+from chicoryhold.http_channel import Channel
 from chicoryhold.http_pipeline import (
     MAX_PIPELINED_REQUESTS,
     OverlapRule,
@@ -25,6 +25,7 @@
 )
 from chicoryhold.open_requests import OpenRequest
 from chicoryhold.request_threads import RequestThreads
+from chicoryhold.server_state import ServerState
 from chicoryhold.shared_memory import SharedMemory
 
 DEFAULT_MAX_CONNECTIONS = 1_000
--- a/src/chicoryhold/shared_memory.py
+++ b/src/chicoryhold/shared_memory.py
@@ -24,7 +24,8 @@
         self._guaranteed_bytes = guaranteed_bytes
         self._used_bytes = 0
         self._refusal_count = 0
-        self._lock = threading.Lock()
+        # Reentrant: the end of a body that is no longer used may interrupt its thread.
+        self._lock = threading.RLock()
 
     @property
     def used_bytes(self) -> int:
@@ -62,7 +63,7 @@
         self._memory = memory
         self._size = 0
         self._has_ended = False
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
 
     def try_grow(self, size: int) -> bool:
         """Reserve up to ``size`` bytes, if there is room and it has not ended."""
