Soaks: run loops in the background in one way

Cause: five classes of the soaks had the same block that starts a thread and ends it with the block. Change: one context manager, bench/background.py; no behaviour is changed.

--- a/bench/stops/control_pauses.py
+++ b/bench/stops/control_pauses.py
@@ -8,6 +8,7 @@
 from contextlib import contextmanager
 from random import Random
 
+from bench.background import in_background
 from bench.stops.hosts import PlatformProcess
 
 QUIET_SECONDS = (1.0, 5.0)
@@ -24,13 +25,8 @@
 
     @contextmanager
     def running(self) -> Iterator[None]:
-        thread = threading.Thread(target=self._run, daemon=True)
-        thread.start()
-        try:
+        with in_background(self._run, closing=self._closing):
             yield
-        finally:
-            self._closing.set()
-            thread.join()
 
     def _run(self) -> None:
         draw = self._random.uniform
--- a/bench/stops/operator.py
+++ b/bench/stops/operator.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from bench.background import in_background
 from bench.calls import call
 from chicoryhold.trial.fleet import wait_until
 
@@ -65,13 +66,8 @@
     @contextmanager
     def running(self) -> Iterator[None]:
         """Put new versions until the block ends."""
-        thread = threading.Thread(target=self._run, daemon=True)
-        thread.start()
-        try:
+        with in_background(self._run, closing=self._closing):
             yield
-        finally:
-            self._closing.set()
-            thread.join()
 
     def _run(self) -> None:
         draw = self._random.uniform
--- a/bench/stops/reports.py
+++ b/bench/stops/reports.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from bench.background import in_background
 from bench.calls import call
 from bench.stops.targets import StopTarget
 
@@ -81,13 +82,8 @@
 
     @contextmanager
     def running(self) -> Iterator[None]:
-        thread = threading.Thread(target=self._run, daemon=True)
-        thread.start()
-        try:
+        with in_background(self._run, closing=self._closing):
             yield
-        finally:
-            self._closing.set()
-            thread.join()
 
     def _run(self) -> None:
         while True:
--- a/bench/storms/changes.py
+++ b/bench/storms/changes.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from bench.background import in_background
 from bench.calls import call
 from bench.stops.operator import HOST_NAME, SAFE_PREFIX, UNSAFE_PREFIX
 from chicoryhold.trial.fleet import wait_until
@@ -81,13 +82,8 @@
     @contextmanager
     def running(self) -> Iterator[None]:
         """Send storms of versions until the block ends."""
-        thread = threading.Thread(target=self._run, daemon=True)
-        thread.start()
-        try:
+        with in_background(self._run, closing=self._closing):
             yield
-        finally:
-            self._closing.set()
-            thread.join()
 
     def _run(self) -> None:
         draw = self._random.uniform
--- a/bench/storms/probes.py
+++ b/bench/storms/probes.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from bench.background import in_background
 from bench.calls import call
 from bench.stops.operator import HOST_NAME
 from bench.storms.changes import (
@@ -76,13 +77,8 @@
 
     @contextmanager
     def running(self) -> Iterator[None]:
-        thread = threading.Thread(target=self._run, daemon=True)
-        thread.start()
-        try:
+        with in_background(self._run, closing=self._closing):
             yield
-        finally:
-            self._closing.set()
-            thread.join()
 
     def serves_newest(self) -> bool:
         """Return whether the host serves the route that was added last."""
