--- a/bench/storms/run.py
+++ b/bench/storms/run.py
@@ -5,7 +5,8 @@
 import os
 import time
 from collections import Counter
-from contextlib import ExitStack
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from random import Random
 
@@ -97,6 +98,7 @@
         self._random = Random(plan.seed)
 
     def run(self) -> Outcome:
+        """Run the installation through its events, and judge what was seen."""
         clients = self._random.randint(*LOAD_CLIENTS)
         log = EventLog(self._plan.folder)
         with ExitStack() as stack:
@@ -119,27 +121,8 @@
             )
             self._wait_for_answers(probes)
             successions.begin()
-            hosts = installation.hosts[:-STEADY_HOSTS]
-            with (
-                running_load(
-                    [linked.host.address for linked in hosts], clients=clients
-                ),
-                running_clients(
-                    groups=RECORDED_GROUPS,
-                    hosts=[linked.host for linked in installation.hosts],
-                    ledger=self._ledger,
-                    seed=self._plan.seed,
-                ),
-                operator.running(),
-            ):
-                events = run_events(
-                    hosts=hosts,
-                    steady_host=installation.hosts[-1],
-                    controls=installation.controls,
-                    seed=self._plan.seed,
-                    seconds=self._plan.seconds,
-                    log=log,
-                )
+            with self._running_load(installation, clients), operator.running():
+                events = self._run_events(installation, log)
                 self._wait_for_evidence(operator)
             slowest_end = self._wait_for_newest(operator, probes, log)
         rule = LeavingRule(self._ledger)
@@ -157,6 +140,33 @@
             late_requests=list(rule.late_requests),
         )
 
+    @contextmanager
+    def _running_load(self, installation: Installation, clients: int) -> Iterator[None]:
+        """Send requests to all hosts; of some it is recorded what became of them."""
+        hosts = [linked.host for linked in installation.hosts]
+        with (
+            running_load(
+                [host.address for host in hosts[:-STEADY_HOSTS]], clients=clients
+            ),
+            running_clients(
+                groups=RECORDED_GROUPS,
+                hosts=hosts,
+                ledger=self._ledger,
+                seed=self._plan.seed,
+            ),
+        ):
+            yield
+
+    def _run_events(self, installation: Installation, log: EventLog) -> Counter:
+        return run_events(
+            hosts=installation.hosts[:-STEADY_HOSTS],
+            steady_host=installation.hosts[-1],
+            controls=installation.controls,
+            seed=self._plan.seed,
+            seconds=self._plan.seconds,
+            log=log,
+        )
+
     def _start(self, stack: ExitStack) -> Installation:
         first = 1 + IPS_PER_BLOCK * (os.getpid() % IP_BLOCKS)
         count = CONTROLS + self._plan.hosts + STEADY_HOSTS
