--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -17,10 +17,10 @@
 from chicoryhold.consensus.effects import Effect, LeadershipLost, Send
 from chicoryhold.consensus.election import Election
 from chicoryhold.consensus.election_timer import Timing
+from chicoryhold.consensus.followership import Followership
 from chicoryhold.consensus.leadership import Leadership
 from chicoryhold.consensus.log import Log
 from chicoryhold.consensus.messages import (
-    UNCONFIRMED_AGE_SECONDS,
     AppendReply,
     AppendRequest,
     Entry,
@@ -77,7 +77,14 @@
             timing=self._timing,
             request=self._request,
         )
-        self._copy_confirmed_at = float("-inf")
+        self._followership = Followership(
+            identity=identity,
+            log=log,
+            committed=self._committed,
+            clock=clock,
+            term=lambda: self.term,
+            send=self._send,
+        )
         self._applied_confirmed_at = float("-inf")
 
     @property
@@ -128,15 +135,8 @@
 
     @property
     def copy_confirmed_at(self) -> float:
-        """The latest time at which the committed state here was known to be current.
-
-        A follower computes it from the age in the leader's message, and from when it
-        sent the reply that the leader had handled before: the message may be handled
-        long after it was sent.
-        """
-        if self._role is Role.LEADER:
-            return max(self.confirmed_at, self._copy_confirmed_at)
-        return self._copy_confirmed_at
+        """The latest time at which the committed state here was known to be current."""
+        return max(self.confirmed_at, self._followership.copy_confirmed_at)
 
     @property
     def applied_confirmed_at(self) -> float:
@@ -281,7 +281,7 @@
 
     def _become_follower(self, term: int, *, leader: str | None) -> None:
         if self._role is Role.LEADER:
-            self._copy_confirmed_at = self.copy_confirmed_at
+            self._followership.confirm_copy(self.confirmed_at)
             self._request(LeadershipLost())
         self._role = Role.FOLLOWER
         self._leader = leader
@@ -325,71 +325,25 @@
     # Replication at a follower
 
     def _on_append(self, request: AppendRequest) -> None:
-        if not self._accept_leader(request.term, request.leader):
-            self._reply_append(request.leader, False, self._log.last_index, 0)
-            return
-        local_term = self._log.term_at(request.previous_index)
-        if request.previous_index < self._log.snapshot.index:
-            # Entries covered by the snapshot are committed, so they match the leader's.
-            match_index = self._log.snapshot.index
-            self._reply_append(request.leader, True, match_index, request.round)
-            return
-        if local_term != request.previous_term:
-            match_index = min(self._log.last_index, request.previous_index - 1)
-            self._reply_append(request.leader, False, match_index, request.round)
-            return
-        self._committed.store_missing(request.entries)
-        match_index = request.previous_index + len(request.entries)
-        self._committed.commit_to(min(request.commit, match_index))
-        if (
-            request.commit <= match_index
-            and request.confirmed_age < UNCONFIRMED_AGE_SECONDS
-        ):
-            confirmed_at = self._sent_at(request) - request.confirmed_age
-            self._copy_confirmed_at = max(self._copy_confirmed_at, confirmed_at)
-        self._reply_append(request.leader, True, match_index, request.round)
-        self._committed.apply()
-
-    def _sent_at(self, request: AppendRequest) -> float:
-        """Return a time before which the leader didn't send ``request``."""
-        now = self._clock.now()
-        if request.reply_sent_at is None:
-            return now  # an older build doesn't tell
-        if not 0 < request.reply_sent_at <= now:
-            # The leader has no reply yet, or only of before this machine was restarted.
-            return float("-inf")
-        return min(now, request.reply_sent_at + request.reply_held)
+        if self._accept_leader(request):
+            self._followership.on_append(request)
+            self._committed.apply()
 
     def _on_snapshot(self, request: SnapshotRequest) -> None:
-        if not self._accept_leader(request.term, request.leader):
-            self._reply_append(request.leader, False, self._log.last_index, 0)
-            return
-        self._committed.install(request.snapshot)
-        match_index = request.snapshot.index
-        self._reply_append(request.leader, True, match_index, request.round)
+        if self._accept_leader(request):
+            self._followership.on_snapshot(request)
 
-    def _accept_leader(self, term: int, leader: str) -> bool:
-        if term < self.term:
+    def _accept_leader(self, request: AppendRequest | SnapshotRequest) -> bool:
+        """Follow the sender of ``request``, unless its term has ended."""
+        if request.term < self.term:
+            self._followership.reject(request)
             return False
-        if term > self.term or self._role is not Role.FOLLOWER:
-            self._become_follower(term, leader=leader)
-        self._leader = leader
+        if request.term > self.term or self._role is not Role.FOLLOWER:
+            self._become_follower(request.term, leader=request.leader)
+        self._leader = request.leader
         self._election.record_leader_contact()
         return True
 
-    def _reply_append(
-        self, to: str, accepted: bool, match_index: int, round: int
-    ) -> None:
-        reply = AppendReply(
-            term=self.term,
-            follower=self._identity,
-            accepted=accepted,
-            match=match_index,
-            round=round,
-            sent_at=self._clock.now(),
-        )
-        self._send(to, reply)
-
     # Helpers
 
     def _send(self, to: str, message: object) -> None:
