--- a/src/chicoryhold/consensus/followership.py
+++ b/src/chicoryhold/consensus/followership.py
@@ -11,8 +11,13 @@
     UNCONFIRMED_AGE_SECONDS,
     AppendReply,
     AppendRequest,
+    SnapshotPieceReply,
+    SnapshotPieceRequest,
     SnapshotRequest,
 )
+from chicoryhold.consensus.snapshot_transfer import IncomingSnapshot
+
+LeaderRequest = AppendRequest | SnapshotRequest | SnapshotPieceRequest
 
 
 class Followership:
@@ -32,6 +37,7 @@
         self._term = term
         self._send = send
         self._copy_confirmed_at = float("-inf")
+        self._incoming = IncomingSnapshot()
 
     @property
     def copy_confirmed_at(self) -> float:
@@ -47,7 +53,7 @@
         """Note that the committed state was known to be current ``at`` a time."""
         self._copy_confirmed_at = max(self._copy_confirmed_at, at)
 
-    def reject(self, request: AppendRequest | SnapshotRequest) -> None:
+    def reject(self, request: LeaderRequest) -> None:
         """Tell the leader of an earlier term that it has ended."""
         self._reply(request, accepted=False, match=self._log.last_index, round=0)
 
@@ -61,6 +67,7 @@
             match_index = min(self._log.last_index, request.previous_index - 1)
             self._reply(request, accepted=False, match=match_index)
             return
+        self._incoming.clear()
         self._committed.store_missing(request.entries)
         match_index = request.previous_index + len(request.entries)
         self._committed.commit_to(min(request.commit, match_index))
@@ -76,6 +83,31 @@
         self._committed.install(request.snapshot)
         self._reply(request, accepted=True, match=request.snapshot.index)
 
+    def on_piece(self, request: SnapshotPieceRequest) -> None:
+        """Add a piece of a snapshot; the last one replaces the log by it."""
+        if request.index <= self._committed.commit_index:
+            self._incoming.clear()
+            self._reply(request, accepted=True, match=request.index)
+            return
+        self._incoming.add(request)
+        snapshot = self._incoming.take_whole(request)
+        if snapshot is None:
+            self._reply_to_piece(request)
+            return
+        self._committed.install(snapshot)
+        self._reply(request, accepted=True, match=snapshot.index)
+
+    def _reply_to_piece(self, request: SnapshotPieceRequest) -> None:
+        reply = SnapshotPieceReply(
+            term=self._term(),
+            follower=self._identity,
+            index=request.index,
+            held=self._incoming.held,
+            round=request.round,
+            sent_at=self._clock.now(),
+        )
+        self._send(request.leader, reply)
+
     def _sent_at(self, request: AppendRequest) -> float:
         """Return a time before which the leader didn't send ``request``."""
         now = self._clock.now()
@@ -87,7 +119,7 @@
         return min(now, request.reply_sent_at + request.reply_held)
 
     def _reply(
-        self, request: AppendRequest | SnapshotRequest,
+        self, request: LeaderRequest,
         *, accepted: bool, match: int, round: int | None = None,
     ) -> None:  # fmt: skip
         reply = AppendReply(
@@ -97,5 +129,6 @@
             match=match,
             round=request.round if round is None else round,
             sent_at=self._clock.now(),
+            takes_pieces=True,
         )
         self._send(request.leader, reply)
--- a/src/chicoryhold/consensus/in_flight.py
+++ b/src/chicoryhold/consensus/in_flight.py
@@ -25,7 +25,7 @@
 
 
 class InFlight:
-    """The entries, or the snapshot, that a member hasn't acknowledged yet.
+    """The entries, or the part of a snapshot, that a member hasn't acknowledged yet.
 
     Heartbeats wait behind them, on the link and for the member to handle them. So the
     window grows while acknowledgements are prompt, and is halved when they are late.
@@ -37,6 +37,11 @@
         self._size = 0
         self._window = INITIAL_WINDOW_BYTES
 
+    @property
+    def window(self) -> int:
+        """How many bytes may be in flight."""
+        return self._window
+
     @property
     def has_room(self) -> bool:
         return self._size < self._window
--- a/src/chicoryhold/consensus/leadership.py
+++ b/src/chicoryhold/consensus/leadership.py
@@ -14,10 +14,13 @@
     AppendReply,
     AppendRequest,
     Entry,
+    SnapshotPieceReply,
+    SnapshotPieceRequest,
     SnapshotRequest,
 )
 from chicoryhold.consensus.progress import MemberProgress, Progress
 from chicoryhold.consensus.reply_watch import ReplyWatch
+from chicoryhold.consensus.snapshot_transfer import OutgoingSnapshot
 
 MAX_ENTRIES_PER_REQUEST = 256
 # Replies to older broadcasts don't count; in minimum election timeouts.
@@ -41,8 +44,9 @@
         self._clock = clock
         self._timing = timing
         self._send = send
+        self._round_lifetime = ROUND_LIFETIME_FACTOR * timing.election
         self._progress = Progress(
-            identity=identity, round_lifetime=ROUND_LIFETIME_FACTOR * timing.election
+            identity=identity, round_lifetime=self._round_lifetime
         )
         self._watch = ReplyWatch(clock=clock, longest_step=timing.heartbeat)
         self._term = 0
@@ -142,6 +146,14 @@
         if behind:
             self._replicate_to(reply.follower)
 
+    def on_piece_reply(self, reply: SnapshotPieceReply) -> None:
+        """Handle the reply of a member that gets a snapshot in this term."""
+        self._watch.record_reply(reply.follower)
+        self._progress.record_piece_reply(
+            reply, last_index=self._log.last_index, now=self._clock.now()
+        )
+        self._replicate_to(reply.follower)
+
     def advance_commit(self) -> None:
         """Commit what a majority has stored."""
         index = self._progress.quorum_match_index(
@@ -160,8 +172,12 @@
         """Send entries while there is room for them; a heartbeat is sent without."""
         progress = self._progress.of(peer, last_index=self._log.last_index)
         if self._log.term_at(progress.next_index - 1) is None:
-            self._send_snapshot(peer, progress)
-            return
+            if progress.has_replied_since(self._clock.now() - self._round_lifetime):
+                self._replicate_snapshot(peer, progress, is_heartbeat=is_heartbeat)
+                return
+            # Its reply to a heartbeat will tell what it lacks, and in which form.
+            progress.next_index = self._log.last_index + 1
+        progress.outgoing = None
         entries = self._next_entries(progress)
         if not entries and not is_heartbeat:
             return
@@ -202,16 +218,58 @@
         )
         self._send(peer, request)
 
-    def _send_snapshot(self, peer: str, progress: MemberProgress) -> None:
+    def _replicate_snapshot(
+        self, peer: str, progress: MemberProgress, *, is_heartbeat: bool
+    ) -> None:
+        if not progress.takes_pieces:
+            self._send_whole_snapshot(peer, progress)
+            return
+        snapshot, outgoing = self._log.snapshot, progress.outgoing
+        if outgoing is None or outgoing.snapshot is not snapshot:
+            outgoing = progress.outgoing = OutgoingSnapshot(snapshot=snapshot)
+            progress.in_flight.clear()
+        if outgoing.is_piece_due:
+            self._send_next_piece(peer, progress, outgoing)
+        elif is_heartbeat:
+            self._send_piece(peer, outgoing, b"")
+
+    def _send_next_piece(
+        self, peer: str, progress: MemberProgress, outgoing: OutgoingSnapshot
+    ) -> None:
+        now = self._clock.now()
+        self._progress.start_round(now)
+        data = outgoing.next_piece(size=progress.in_flight.window)
+        progress.in_flight.add(
+            last_index=outgoing.snapshot.index, size=len(data), at=now
+        )
+        outgoing.record_sending(round=self._progress.round)
+        self._send_piece(peer, outgoing, data)
+
+    def _send_piece(self, peer: str, outgoing: OutgoingSnapshot, data: bytes) -> None:
+        snapshot = outgoing.snapshot
+        request = SnapshotPieceRequest(
+            term=self._term,
+            leader=self._identity,
+            index=snapshot.index,
+            snapshot_term=snapshot.term,
+            members=snapshot.members,
+            offset=outgoing.held,
+            total=len(snapshot.data),
+            data=data,
+            round=self._progress.round,
+        )
+        self._send(peer, request)
+
+    def _send_whole_snapshot(self, peer: str, progress: MemberProgress) -> None:
         """Send the snapshot; what follows it is sent as if it had arrived."""
+        snapshot = self._log.snapshot
         request = SnapshotRequest(
             term=self._term,
             leader=self._identity,
-            snapshot=self._log.snapshot,
+            snapshot=snapshot,
             round=self._progress.round,
         )
         self._send(peer, request)
-        snapshot = self._log.snapshot
         progress.next_index = snapshot.index + 1
         progress.in_flight.clear()
         progress.in_flight.add(
--- a/src/chicoryhold/consensus/messages.py
+++ b/src/chicoryhold/consensus/messages.py
@@ -120,7 +120,11 @@
 
 @message
 class AppendReply:
-    """``sent_at`` is by the follower's clock; 0 from an older build."""
+    """``sent_at`` is by the follower's clock; 0 from an older build.
+
+    ``takes_pieces`` is whether the follower's build knows
+    :class:`SnapshotPieceRequest`.
+    """
 
     term: int
     follower: str
@@ -128,13 +132,46 @@
     match: int
     round: int
     sent_at: float = 0.0
+    takes_pieces: bool = False
 
 
 @message
 class SnapshotRequest:
-    """Sends a snapshot to a follower that needs entries the leader has discarded."""
+    """Sends a whole snapshot to a follower of a build that takes no pieces."""
 
     term: int
     leader: str
     snapshot: Snapshot
     round: int
+
+
+@message
+class SnapshotPieceRequest:
+    """Sends part of a snapshot to a follower that needs entries the leader discarded.
+
+    ``data`` are the bytes at ``offset`` of the snapshot's data, which has ``total``
+    bytes. Without data it is a heartbeat, whose reply says what has arrived. ``term``
+    is the leader's, ``snapshot_term`` that of the entry at ``index``.
+    """
+
+    term: int
+    leader: str
+    index: int
+    snapshot_term: int
+    members: Members
+    offset: int
+    total: int
+    data: bytes
+    round: int
+
+
+@message
+class SnapshotPieceReply:
+    """The follower has the first ``held`` bytes of the snapshot at ``index``."""
+
+    term: int
+    follower: str
+    index: int
+    held: int
+    round: int
+    sent_at: float
--- a/src/chicoryhold/consensus/progress.py
+++ b/src/chicoryhold/consensus/progress.py
@@ -5,7 +5,8 @@
 import attrs
 
 from chicoryhold.consensus.in_flight import InFlight
-from chicoryhold.consensus.messages import AppendReply, Members
+from chicoryhold.consensus.messages import AppendReply, Members, SnapshotPieceReply
+from chicoryhold.consensus.snapshot_transfer import OutgoingSnapshot
 
 
 @attrs.define(kw_only=True)
@@ -17,7 +18,8 @@
     clock, which starts again with its machine; ``reply_handled_at`` is when it was
     handled here, by this one's, and ``reply_round`` the broadcast that it replies to.
     Rejections of broadcasts before ``restarted_round`` were sent before the leader went
-    back.
+    back. ``takes_pieces`` is whether the follower's build takes snapshots in pieces,
+    and ``outgoing`` the snapshot that is being sent so.
     """
 
     next_index: int
@@ -27,9 +29,17 @@
     reply_handled_at: float = 0.0
     reply_round: int = 0
     restarted_round: int = 0
+    takes_pieces: bool = False
+    outgoing: OutgoingSnapshot | None = None
     in_flight: InFlight = attrs.field(factory=InFlight)
 
-    def record_sending(self, reply: AppendReply, *, now: float) -> None:
+    def has_replied_since(self, time: float) -> bool:
+        """Whether a reply of the follower was handled after ``time`` in this term."""
+        return self.reply_round > 0 and self.reply_handled_at > time
+
+    def record_sending(
+        self, reply: AppendReply | SnapshotPieceReply, *, now: float
+    ) -> None:
         """Note when ``reply``, handled at ``now``, was sent, unless a later one is."""
         if reply.round > self.reply_round or reply.sent_at > self.reply_sent_at:
             self.reply_sent_at = reply.sent_at
@@ -87,10 +97,8 @@
         self, reply: AppendReply, *, last_index: int, now: float
     ) -> MemberProgress:
         """Update and return the progress of the follower that sent ``reply``."""
-        progress = self.of(reply.follower, last_index=last_index)
-        sent_at = self._round_sent_at.get(reply.round, float("-inf"))
-        progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
-        progress.record_sending(reply, now=now)
+        progress = self._record_contact(reply, last_index=last_index, now=now)
+        progress.takes_pieces = reply.takes_pieces
         if reply.accepted:
             progress.match_index = max(progress.match_index, reply.match)
             progress.next_index = max(progress.next_index, reply.match + 1)
@@ -102,6 +110,30 @@
             progress.restarted_round = self._round
         return progress
 
+    def record_piece_reply(
+        self, reply: SnapshotPieceReply, *, last_index: int, now: float
+    ) -> MemberProgress:
+        """Update and return the progress of a follower that gets a snapshot."""
+        progress = self._record_contact(reply, last_index=last_index, now=now)
+        outgoing = progress.outgoing
+        if outgoing is None or not outgoing.is_answered_by(reply):
+            return progress
+        if reply.held > outgoing.held:
+            progress.in_flight.acknowledge(reply.index, now=now)
+        else:
+            progress.in_flight.clear()
+        outgoing.record_held(reply.held)
+        return progress
+
+    def _record_contact(
+        self, reply: AppendReply | SnapshotPieceReply, *, last_index: int, now: float
+    ) -> MemberProgress:
+        progress = self.of(reply.follower, last_index=last_index)
+        sent_at = self._round_sent_at.get(reply.round, float("-inf"))
+        progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
+        progress.record_sending(reply, now=now)
+        return progress
+
     def match_index_of(self, member: str) -> int:
         """Return the highest index up to which a follower's log is known to match."""
         progress = self._members.get(member)
--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -17,7 +17,7 @@
 from chicoryhold.consensus.effects import Effect, LeadershipLost, Send
 from chicoryhold.consensus.election import Election
 from chicoryhold.consensus.election_timer import Timing
-from chicoryhold.consensus.followership import Followership
+from chicoryhold.consensus.followership import Followership, LeaderRequest
 from chicoryhold.consensus.leadership import Leadership
 from chicoryhold.consensus.log import Log
 from chicoryhold.consensus.messages import (
@@ -26,6 +26,8 @@
     Entry,
     Members,
     Snapshot,
+    SnapshotPieceReply,
+    SnapshotPieceRequest,
     SnapshotRequest,
     Vote,
     VoteReply,
@@ -231,6 +233,10 @@
                 self._on_append_reply(message)
             case SnapshotRequest():
                 self._on_snapshot(message)
+            case SnapshotPieceRequest():
+                self._on_snapshot_piece(message)
+            case SnapshotPieceReply():
+                self._on_snapshot_piece_reply(message)
 
     # Elections
 
@@ -322,6 +328,12 @@
             self._leadership.on_reply(reply)
             self._committed.apply()
 
+    def _on_snapshot_piece_reply(self, reply: SnapshotPieceReply) -> None:
+        if reply.term > self.term:
+            self._become_follower(reply.term, leader=None)
+        elif self._role is Role.LEADER and reply.term == self.term:
+            self._leadership.on_piece_reply(reply)
+
     # Replication at a follower
 
     def _on_append(self, request: AppendRequest) -> None:
@@ -333,7 +345,11 @@
         if self._accept_leader(request):
             self._followership.on_snapshot(request)
 
-    def _accept_leader(self, request: AppendRequest | SnapshotRequest) -> bool:
+    def _on_snapshot_piece(self, request: SnapshotPieceRequest) -> None:
+        if self._accept_leader(request):
+            self._followership.on_piece(request)
+
+    def _accept_leader(self, request: LeaderRequest) -> bool:
         """Follow the sender of ``request``, unless its term has ended."""
         if request.term < self.term:
             self._followership.reject(request)
