Read a control host's log record by record

After 300 changes of a long configuration all control processes were killed and none started again: each was ended as it read its log.

Cause: read_records worked on the file's whole content.

Change: records are read one at a time (control/records.py, parted off storage.py).

--- a/src/chicoryhold/control/storage.py
+++ b/src/chicoryhold/control/storage.py
@@ -7,32 +7,31 @@
               the log replaces all entries from that index on
 ``lock``      locked by the process that uses the folder
 
-A log record is a header of three little-endian 32-bit words (payload length, CRC-32
-of the payload, CRC-32 of the first two words) and the payload. Entries that are synced
-together are stored in one record, because after a power loss any part of the data that
-wasn't synced may be on disk, and a valid record after a torn one would look like
-corruption.
+Snapshot and log consist of records. Entries that are synced together are stored in one
+record, because after a power loss any part of the data that wasn't synced may be on
+disk, and a valid record after a torn one would look like corruption.
 """
 
 from __future__ import annotations
 
 import fcntl
 import os
-import struct
-import zlib
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from uuid import uuid4
 
 from chicoryhold.codec import decode, encode
+from chicoryhold.consensus.in_flight import first_that_fit
 from chicoryhold.consensus.log import Log
 from chicoryhold.consensus.messages import Entry, EntryBatch, Members, Snapshot, Vote
+from chicoryhold.control.records import (
+    corruption_message,
+    read_records,
+    record_header,
+)
 from chicoryhold.errors import CorruptLog, SettingsError
 
-_HEADER = struct.Struct("<III")
-_LENGTH_AND_CRC = struct.Struct("<II")
-
 
 class Storage:
     """Reads and writes the files; each write is synced before it returns."""
@@ -46,7 +45,7 @@
         return self._folder
 
     def save_vote(self, vote: Vote) -> None:
-        replace_file(self._folder / "vote", encode(vote))
+        replace_file(self._folder / "vote", (encode(vote),))
 
     def load_vote(self) -> Vote:
         path = self._folder / "vote"
@@ -54,7 +53,8 @@
 
     def append(self, entries: Iterable[Entry]) -> None:
         """Store ``entries``; if that fails, truncate the file to its previous size."""
-        data = _encode_record(encode(EntryBatch(entries=tuple(entries))))
+        payload = encode(EntryBatch(entries=tuple(entries)))
+        data = record_header(payload) + payload
         end = os.fstat(self._log_file).st_size
         try:
             _write_all(self._log_file, data)
@@ -65,12 +65,12 @@
 
     def save_snapshot(self, snapshot: Snapshot, remaining: Iterable[Entry]) -> None:
         """Store ``snapshot``, then replace the log by the ``remaining`` entries."""
-        replace_file(self._folder / "snapshot", _encode_record(encode(snapshot)))
+        payload = encode(snapshot)
+        replace_file(self._folder / "snapshot", (record_header(payload), payload))
         self._replace_log(tuple(remaining))
 
     def _replace_log(self, entries: tuple[Entry, ...]) -> None:
-        data = _encode_record(encode(EntryBatch(entries=entries))) if entries else b""
-        replace_file(self._folder / "log", data)
+        replace_file(self._folder / "log", _records_of(entries))
         new_file = os.open(self._folder / "log", os.O_WRONLY | os.O_APPEND)
         os.dup2(new_file, self._log_file)
         os.close(new_file)
@@ -83,14 +83,13 @@
         snapshot = self._load_snapshot(founders)
         stored = _StoredLog(snapshot=snapshot)
         path = self._folder / "log"
-        content = path.read_bytes()
         position = 0
-        for end, payload in read_records(content, path):
-            position = end
-            for entry in _entries_of(decode(payload)):
+        for record in read_records(path):
+            position = record.end
+            for entry in _entries_of(decode(record.payload)):
                 if not stored.add(entry):
-                    raise CorruptLog(_corruption_message(path, end))
-        if position < len(content):
+                    raise CorruptLog(corruption_message(path, record.end))
+        if position < path.stat().st_size:
             os.truncate(path, position)
             os.fsync(self._log_file)
         if stored.is_from_before_snapshot:
@@ -102,10 +101,10 @@
         path = self._folder / "snapshot"
         if not path.exists():
             return Snapshot(index=0, term=0, members=founders, data=b"")
-        records = list(read_records(path.read_bytes(), path))
+        records = list(read_records(path))
         if len(records) != 1:
-            raise CorruptLog(_corruption_message(path, 0))
-        return decode(records[0][1])
+            raise CorruptLog(corruption_message(path, 0))
+        return decode(records[0].payload)
 
 
 class _StoredLog:
@@ -156,63 +155,20 @@
         remaining = remaining[os.write(file, remaining) :]
 
 
-def read_records(content: bytes, path: Path) -> Iterator[tuple[int, bytes]]:
-    """Yield the end position and payload of each record.
+def _records_of(entries: tuple[Entry, ...]) -> Iterator[bytes]:
+    """Yield records of ``entries`` that are short, as a start holds one at a time."""
+    while entries:
+        batch = first_that_fit(entries)
+        payload = encode(EntryBatch(entries=batch))
+        yield record_header(payload) + payload
+        entries = entries[len(batch) :]
 
-    Stops at a torn record at the end. Raises ``CorruptLog`` if a valid record follows
-    an invalid one: the invalid one was then synced before the valid one was written,
-    so it was damaged later and isn't the result of an interrupted write.
-    """
-    position = 0
-    while position < len(content):
-        payload = _read_payload(content, position)
-        if payload is None:
-            if _has_valid_record_after(content, position + 1):
-                raise CorruptLog(_corruption_message(path, position))
-            return
-        position += _HEADER.size + len(payload)
-        yield position, payload
-
-
-def _read_payload(content: bytes, position: int) -> bytes | None:
-    header = content[position : position + _HEADER.size]
-    if len(header) < _HEADER.size:
-        return None
-    length, payload_crc, header_crc = _HEADER.unpack(header)
-    if zlib.crc32(header[: _LENGTH_AND_CRC.size]) != header_crc:
-        return None
-    start = position + _HEADER.size
-    payload = content[start : start + length]
-    if len(payload) < length or zlib.crc32(payload) != payload_crc:
-        return None
-    return payload
-
-
-def _has_valid_record_after(content: bytes, start: int) -> bool:
-    last = len(content) - _HEADER.size
-    return any(
-        _read_payload(content, position) is not None for position in range(start, last)
-    )
-
-
-def _corruption_message(path: Path, position: int) -> str:
-    return (
-        f"{path} is damaged at byte {position}, before records that were synced: move "
-        f"the folder {path.parent} away and start again with an empty one; the "
-        "replica then rejoins under a new identity"
-    )
-
-
-def _encode_record(payload: bytes) -> bytes:
-    words = _LENGTH_AND_CRC.pack(len(payload), zlib.crc32(payload))
-    return words + struct.pack("<I", zlib.crc32(words)) + payload
-
-
-def replace_file(path: Path, data: bytes) -> None:
-    """Replace ``path``; after a crash it has either its old or its new content."""
+
+def replace_file(path: Path, parts: Iterable[bytes]) -> None:
+    """Replace ``path`` by ``parts``; after a crash it is either the old or the new."""
     temporary = path.with_suffix(".new")
     with open(temporary, "wb") as file:
-        file.write(data)
+        file.writelines(parts)
         file.flush()
         os.fsync(file.fileno())
     os.replace(temporary, path)
@@ -244,7 +200,7 @@
         )
     suffix = "founder" if found else uuid4().hex[:8]
     identity = f"{name}.{suffix}"
-    replace_file(path, identity.encode())
+    replace_file(path, (identity.encode(),))
     return identity
 
 
