--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -20,6 +20,7 @@
     SaveVote,
     Send,
 )
+from chicoryhold.consensus.in_flight import size_of
 from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS, Entry, LogPosition
 from chicoryhold.consensus.replica import Replica, Role
 from chicoryhold.control.feed import ChangeFeed
@@ -60,9 +61,9 @@
 
 DISK_RETRY_DELAY_SECONDS = 0.2
 JOIN_INTERVAL_SECONDS = 1.0
-# A snapshot is taken after so many bytes of entries, and this many times its own size.
+# A snapshot is taken once the log has so many bytes, and this many times its own size.
 SNAPSHOT_EVERY_BYTES = 4_194_304
-SNAPSHOT_SIZE_FACTOR = 4
+SNAPSHOT_SIZE_FACTOR = 2
 RESEND_ADVICE = "the outcome is unknown: resend with the same request id"
 
 
@@ -76,8 +77,8 @@
     """Owns the replica, its storage and the control state.
 
     ``peers`` returns the names of the processes to which a replica that isn't a voter
-    sends its join requests. A snapshot is taken once ``snapshot_every`` entries, or
-    many bytes of them, have been applied after the previous one.
+    sends its join requests. A snapshot is taken once the log has ``snapshot_every``
+    entries, or many bytes, that it would replace.
     """
 
     def __init__(
@@ -97,7 +98,6 @@
         self._feed = ChangeFeed(state=state)
         self._in_force = InForceReports(clock=clock)
         self._applied_index = replica.commit_index
-        self._applied_bytes = 0
         self._pending_proposals: dict[int, _PendingProposal] = {}
         self._pending_reads: list[Read] = []
         self._pending_fetches = PendingFetches(
@@ -249,7 +249,6 @@
                 self._state.load(snapshot.data)
                 self._feed.clear()
                 self._applied_index = snapshot.index
-                self._applied_bytes = 0
             case Send(to=to, message=message):
                 body = encode(message)
                 self._bus.tell(process_name(to), ReplicaMessage(to=to, body=body))
@@ -260,7 +259,6 @@
 
     def _apply(self, entry: Entry) -> None:
         self._applied_index = entry.index
-        self._applied_bytes += len(entry.command)
         if entry.members is not None:
             self._membership.update()  # the next change needn't wait for a tick
         if not entry.command:
@@ -287,18 +285,25 @@
         self._pending_proposals.clear()
 
     def _compact(self) -> None:
-        log = self._replica.log
-        count = self._applied_index - log.first_index + 1
-        limit = max(SNAPSHOT_EVERY_BYTES, SNAPSHOT_SIZE_FACTOR * len(log.snapshot.data))
-        if count < self._snapshot_every and self._applied_bytes < limit:
+        if not self._is_snapshot_due():
             return
-        self._applied_bytes = 0
+        log = self._replica.log
         snapshot = self._replica.compact(
             index=self._applied_index, data=self._state.image()
         )
         remaining = log.slice(log.first_index, limit=log.last_index)
         self._save(lambda: self._storage.save_snapshot(snapshot, remaining))
 
+    def _is_snapshot_due(self) -> bool:
+        log = self._replica.log
+        if self._applied_index - log.snapshot.index >= self._snapshot_every:
+            return True
+        limit = max(SNAPSHOT_EVERY_BYTES, SNAPSHOT_SIZE_FACTOR * len(log.snapshot.data))
+        if self._applied_index == log.snapshot.index or self._storage.log_bytes < limit:
+            return False
+        remaining = log.slice(self._applied_index + 1, limit=log.last_index)
+        return self._storage.log_bytes - size_of(remaining) >= limit
+
     def _save(self, action: Callable[[], None]) -> None:
         """Run ``action``, and repeat it while it raises ``OSError``.
 
--- a/src/chicoryhold/control/storage.py
+++ b/src/chicoryhold/control/storage.py
@@ -39,11 +39,17 @@
     def __init__(self, *, folder: Path, log_file: int) -> None:
         self._folder = folder
         self._log_file = log_file
+        self._log_bytes = os.fstat(log_file).st_size
 
     @property
     def folder(self) -> Path:
         return self._folder
 
+    @property
+    def log_bytes(self) -> int:
+        """The size of the log's file, which also has entries that were replaced."""
+        return self._log_bytes
+
     def save_vote(self, vote: Vote) -> None:
         replace_file(self._folder / "vote", (encode(vote),))
 
@@ -62,6 +68,7 @@
         except OSError:
             os.ftruncate(self._log_file, end)
             raise
+        self._log_bytes = end + len(data)
 
     def save_snapshot(self, snapshot: Snapshot, remaining: Iterable[Entry]) -> None:
         """Store ``snapshot``, then replace the log by the ``remaining`` entries."""
@@ -74,6 +81,7 @@
         new_file = os.open(self._folder / "log", os.O_WRONLY | os.O_APPEND)
         os.dup2(new_file, self._log_file)
         os.close(new_file)
+        self._log_bytes = os.fstat(self._log_file).st_size
 
     def load_log(self, founders: Members) -> Log:
         """Return the stored log, and truncate a torn record at its end.
@@ -92,6 +100,7 @@
         if position < path.stat().st_size:
             os.truncate(path, position)
             os.fsync(self._log_file)
+            self._log_bytes = position
         if stored.is_from_before_snapshot:
             log = stored.log
             self._replace_log(log.slice(log.first_index, limit=log.last_index))
--- a/tests/single_replica.py
+++ b/tests/single_replica.py
@@ -22,6 +22,8 @@
 class NoStorage:
     """Storage whose every write succeeds without doing anything."""
 
+    log_bytes = 0
+
     def save_vote(self, vote: object) -> None:
         return
 
@@ -30,10 +32,13 @@
 
 
 class NoBus:
-    """A bus without peers."""
+    """A bus without peers: what is sent is lost."""
 
     name = "a"
 
+    def tell(self, peer: str, message: object) -> None:
+        return
+
 
 @attrs.frozen(kw_only=True)
 class SingleReplica:
