Log disk writes that hold up a control host's heartbeats

Its logs can't tell a slow disk from a process without processor time.

Change: a write of 0.25 s or more is logged with its length.

--- a/src/chicoryhold/control/replica_actor.py
+++ b/src/chicoryhold/control/replica_actor.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 
@@ -23,6 +22,7 @@
 from chicoryhold.consensus.in_flight import size_of
 from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS, Entry, LogPosition
 from chicoryhold.consensus.replica import Replica, Role
+from chicoryhold.control.disk_writer import DiskWriter
 from chicoryhold.control.feed import ChangeFeed
 from chicoryhold.control.in_force import InForceReports
 from chicoryhold.control.membership_keeper import MembershipKeeper
@@ -59,7 +59,6 @@
 from chicoryhold.hosts.bus import Bus
 from chicoryhold.state.control_state import ControlState
 
-DISK_RETRY_DELAY_SECONDS = 0.2
 JOIN_INTERVAL_SECONDS = 1.0
 # A snapshot is taken once the log has so many bytes, and this many times its own size.
 SNAPSHOT_EVERY_BYTES = 4_194_304
@@ -90,7 +89,7 @@
         self._peers = peers
         self._policy = policy or ReplicaPolicy()
         self._replica = replica
-        self._storage = storage
+        self._disk = DiskWriter(storage=storage, clock=clock)
         self._state = state
         self._bus = bus
         self._clock = clock
@@ -241,11 +240,11 @@
     def _run_effect(self, effect: Effect) -> None:
         match effect:
             case SaveVote(vote=vote):
-                self._save(lambda: self._storage.save_vote(vote))
+                self._disk.write(lambda disk: disk.save_vote(vote))
             case SaveEntries(entries=entries):
-                self._save(lambda: self._storage.append(entries))
+                self._disk.write(lambda disk: disk.append(entries))
             case SaveSnapshot(snapshot=snapshot, remaining=remaining):
-                self._save(lambda: self._storage.save_snapshot(snapshot, remaining))
+                self._disk.write(lambda disk: disk.save_snapshot(snapshot, remaining))
                 self._state.load(snapshot.data)
                 self._feed.clear()
                 self._applied_index = snapshot.index
@@ -292,38 +291,17 @@
             index=self._applied_index, data=self._state.image()
         )
         remaining = log.slice(log.first_index, limit=log.last_index)
-        self._save(lambda: self._storage.save_snapshot(snapshot, remaining))
+        self._disk.write(lambda disk: disk.save_snapshot(snapshot, remaining))
 
     def _is_snapshot_due(self) -> bool:
         log = self._replica.log
         if self._applied_index - log.snapshot.index >= self._snapshot_every:
             return True
         limit = max(SNAPSHOT_EVERY_BYTES, SNAPSHOT_SIZE_FACTOR * len(log.snapshot.data))
-        if self._applied_index == log.snapshot.index or self._storage.log_bytes < limit:
+        if self._applied_index == log.snapshot.index or self._disk.log_bytes < limit:
             return False
         remaining = log.slice(self._applied_index + 1, limit=log.last_index)
-        return self._storage.log_bytes - size_of(remaining) >= limit
-
-    def _save(self, action: Callable[[], None]) -> None:
-        """Run ``action``, and repeat it while it raises ``OSError``.
-
-        No message that depends on the write may be sent before it succeeds. The
-        replica therefore blocks here, and the other replicas continue without it.
-        """
-        failed = False
-        while True:
-            try:
-                action()
-                break
-            except OSError as error:
-                if not failed:
-                    logger.bind(reason=str(error)).error(
-                        "control: disk write failed; retrying."
-                    )
-                failed = True
-                time.sleep(DISK_RETRY_DELAY_SECONDS)
-        if failed:
-            logger.info("control: disk write succeeded after retrying.")
+        return self._disk.log_bytes - size_of(remaining) >= limit
 
     # Fetches and reads
 
