Bound the changes that a feed keeps by their bytes

What operators saw: a control host with 150 routes grew by 33 KB a change, up to 2,000 changes (115 MiB after 2,400), for hosts of older builds that ask for changes one by one; no build since does.

Cause: MAX_RECENT_CHANGES counted changes, each of up to 32 KiB.

--- a/src/chicoryhold/control/feed.py
+++ b/src/chicoryhold/control/feed.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import collections
-import itertools
 import zlib
-from collections.abc import Iterator
 
 from chicoryhold.codec import encode
 from chicoryhold.consensus.messages import UNCONFIRMED_AGE_SECONDS
@@ -18,10 +15,10 @@
     SnapshotNeeded,
     StateUpdate,
 )
+from chicoryhold.control.recent_changes import RecentChanges
 from chicoryhold.state.changes import Change
 from chicoryhold.state.control_state import ControlState
 
-MAX_RECENT_CHANGES = 2_000
 MAX_CHANGES_PER_BATCH = 200
 MAX_KNOWN_DIGESTS = 10_000
 # A larger reply would hold up other messages on a slow link for too long.
@@ -38,9 +35,7 @@
 
     def __init__(self, *, state: ControlState) -> None:
         self._state = state
-        self._recent: collections.deque[Change] = collections.deque(
-            maxlen=MAX_RECENT_CHANGES
-        )
+        self._recent = RecentChanges()
         self._digests: dict[int, bytes] = {}
         self._updates: dict[int, bytes] = {}
         self._complete_since = state.revision
@@ -53,7 +48,7 @@
             # No batch can hold it.
             self._recent.clear()
         else:
-            self._recent.append(change)
+            self._recent.add(change)
         self._note_digest()
 
     def record_update(self) -> None:
@@ -183,26 +178,26 @@
         """
         changes: list[Change] = []
         size = 0
-        for change in self._newest(count):
+        for change in self._recent.newest(count):
             size += len(change.body)
             if changes and size > MAX_REPLY_BYTES:
                 break
             changes.append(change)
         return tuple(changes[:MAX_CHANGES_PER_BATCH])
 
-    def _newest(self, count: int) -> Iterator[Change]:
-        return itertools.islice(self._recent, len(self._recent) - count, None)
-
     def _fits_one_reply(self, count: int) -> bool:
         """Return whether one reply can hold the newest ``count`` changes."""
         if count > MAX_CHANGES_PER_BATCH:
             return False
-        return sum(len(each.body) for each in self._newest(count)) <= MAX_REPLY_BYTES
+        return (
+            sum(len(each.body) for each in self._recent.newest(count))
+            <= MAX_REPLY_BYTES
+        )
 
     def _prefers_image(self, missing: int) -> bool:
         """Return whether an image is smaller than the newest changes."""
         if self._fits_one_reply(missing):
             return False
-        size = sum(len(change.body) for change in self._newest(missing))
+        size = sum(len(change.body) for change in self._recent.newest(missing))
         image = self._images.newest(at_least=0, create=self._image)
         return size > len(image.plain)
--- /dev/null
+++ b/tests/test_feed_memory.py
@@ -0,0 +1,39 @@
+"""What the feed of a control host keeps for copies that are behind."""
+
+from __future__ import annotations
+
+from random import Random
+
+from chicoryhold.control.feed import ChangeFeed
+from chicoryhold.state.changes import PutTable
+from chicoryhold.state.control_state import ControlState
+from tests.test_control_state import HEADING, change
+from tests.test_start_memory import counted_memory
+
+CHANGES = 120
+MOST_BYTES = 2_000_000
+
+
+def table(random: Random, *, characters: int) -> PutTable:
+    """Return a table that can hardly be compressed to less than half."""
+    text = HEADING
+    while len(text) < characters:
+        text += f"organisation,{random.randbytes(500).hex()},burst,5,requests\n"
+    return PutTable(text=text)
+
+
+def accept(state: ControlState, feed: ChangeFeed, body: PutTable) -> None:
+    accepted = change(str(state.revision), body, based_on=state.revision)
+    assert state.apply(accepted).accepted
+    feed.record(accepted)
+
+
+def test_memory_does_not_grow_with_the_changes_that_a_state_has_had():
+    """Guards against CONFIG: 2,000 changes were kept whatever their length."""
+    state = ControlState()
+    feed = ChangeFeed(state=state)
+    random = Random(1)
+    with counted_memory() as memory:
+        for _ in range(CHANGES):
+            accept(state, feed, table(random, characters=30_000))
+    assert memory.kept <= MOST_BYTES
