Bound the differences that a feed keeps by their bytes

A source kept one difference for each revision at which a copy asked, until the next change, also those that no reply can hold: 120 copies behind kept 3.6 MB of 25 KB each on, and 6.9 MB of 50 KB each.

Change: of a difference that is too large only that is kept; of the others 1 MiB (more are made anew when they are asked for).

Evidence: tests/test_feed_memory.py counts memory; both cases fail on.

--- a/src/chicoryhold/control/feed.py
+++ b/src/chicoryhold/control/feed.py
@@ -23,6 +23,7 @@
 MAX_KNOWN_DIGESTS = 10_000
 # A larger reply would hold up other messages on a slow link for too long.
 MAX_REPLY_BYTES = 32_768
+MAX_UPDATES_BYTES = 1_048_576
 
 
 class ChangeFeed:
@@ -37,7 +38,7 @@
         self._state = state
         self._recent = RecentChanges()
         self._digests: dict[int, bytes] = {}
-        self._updates: dict[int, bytes] = {}
+        self._updates: dict[int, bytes | None] = {}
         self._complete_since = state.revision
         self._images = Images(is_recent=self._is_recent)
         self._note_digest()
@@ -136,9 +137,15 @@
         if not has_same_history or after < self._state.oldest_base:
             return None
         if after not in self._updates:
-            delta = encode(self._state.delta(after=after))
-            self._updates[after] = zlib.compress(delta, COMPRESSION_LEVEL)
-        data = self._updates[after]
+            self._updates[after] = self._new_update_data(after)
+        return self._updates[after]
+
+    def _new_update_data(self, after: int) -> bytes | None:
+        """Return the difference, compressed, or ``None`` if no reply can hold it."""
+        if sum(len(data or b"") for data in self._updates.values()) > MAX_UPDATES_BYTES:
+            self._updates.clear()
+        delta = encode(self._state.delta(after=after))
+        data = zlib.compress(delta, COMPRESSION_LEVEL)
         return data if len(data) <= MAX_REPLY_BYTES else None
 
     def _image(self, confirmed_at: float = float("-inf")) -> Image:
--- a/tests/test_feed_memory.py
+++ b/tests/test_feed_memory.py
@@ -4,7 +4,10 @@
 
 from random import Random
 
+import pytest
+
 from chicoryhold.control.feed import ChangeFeed
+from chicoryhold.control.messages import FetchChanges
 from chicoryhold.state.changes import PutTable
 from chicoryhold.state.control_state import ControlState
 from tests.test_control_state import HEADING, change
@@ -37,3 +40,19 @@
         for _ in range(CHANGES):
             accept(state, feed, table(random, characters=30_000))
     assert memory.kept <= MOST_BYTES
+
+
+@pytest.mark.parametrize("characters", [50_000, 100_000])
+def test_memory_does_not_grow_with_the_copies_that_are_behind(characters):
+    """Each copy asked for another difference, and all were kept until the next."""
+    state = ControlState()
+    feed = ChangeFeed(state=state)
+    random = Random(1)
+    digests = [state.digest]
+    for _ in range(CHANGES):
+        accept(state, feed, table(random, characters=characters))
+        digests.append(state.digest)
+    with counted_memory() as memory:
+        for after, digest in enumerate(digests[:-1]):
+            feed.answer(FetchChanges(after=after, digest=digest), confirmed_age=0.0)
+    assert memory.kept <= MOST_BYTES
