--- a/src/chicoryhold/state/control_state.py
+++ b/src/chicoryhold/state/control_state.py
@@ -32,11 +32,10 @@
 from chicoryhold.state.delta import StateDelta
 from chicoryhold.state.objects import StateObjects
 from chicoryhold.state.records import KeyRecord, RequestRecord, StateImage
+from chicoryhold.state.request_records import MAX_RECORDS, RequestRecords
 from chicoryhold.state.table import Table, check_table
 from chicoryhold.state.targets import TargetRecords
 
-MAX_REQUEST_RECORDS = 100_000
-
 
 @attrs.frozen(kw_only=True)
 class _Refusal(Exception):
@@ -47,15 +46,15 @@
 class ControlState:
     """Applies changes in order. Each accepted change increments the revision.
 
-    The outcomes of the newest ``max_request_records`` request ids are kept.
+    The outcomes of the newest request ids are kept, ``max_request_records`` at most.
     """
 
-    def __init__(self, *, max_request_records: int = MAX_REQUEST_RECORDS) -> None:
+    def __init__(self, *, max_request_records: int = MAX_RECORDS) -> None:
         self._max_request_records = max_request_records
         self._revision = 0
         self._digest = b""
         self._objects = StateObjects()
-        self._requests: dict[str, RequestRecord] = {}
+        self._requests = RequestRecords(max_records=max_request_records)
         self._configuration_text = b""
 
     @property
@@ -148,7 +147,7 @@
                 difference=refusal.difference,
             )
         if change.request_id:
-            self._store_outcome(change.request_id, body_digest, outcome)
+            self._requests.put(change.request_id, digest=body_digest, outcome=outcome)
         return outcome
 
     def image(self, *, for_replica: bool = True) -> bytes:
@@ -169,7 +168,7 @@
                 keys=objects.keys,
                 shifts=objects.shifts,
                 stops=tuple(sorted(objects.stops)),
-                requests=self._requests if for_replica else {},
+                requests=dict(self._requests.records) if for_replica else {},
                 configuration=objects.configuration,
                 configuration_text=self._configuration_text if for_replica else b"",
                 targets=tuple(objects.targets),
@@ -184,7 +183,7 @@
             return
         image: StateImage = decode(data)
         self._objects = StateObjects.of(image)
-        self._requests = dict(image.requests)
+        self._requests.replace(image.requests)
         self._configuration_text = image.configuration_text
         # Last: other threads take a revision above 0 to mean that the rest is there.
         self._digest = image.digest
@@ -225,11 +224,6 @@
         self._revision += 1
         self._digest = hashlib.sha256(self._digest + encode(change)).digest()
 
-    def _store_outcome(self, request_id: str, digest: bytes, outcome: Outcome) -> None:
-        self._requests[request_id] = RequestRecord(digest=digest, outcome=outcome)
-        if len(self._requests) > self._max_request_records:
-            del self._requests[next(iter(self._requests))]
-
     def _apply_body(self, body: object, based_on: int | None) -> None:
         objects, revision = self._objects, self._revision + 1
         match body:
