Read what waits before a late tick decides an election

What callers saw: a replica that had no processor time for a while handled its tick first and the waiting heartbeats after it. It campaigned though its leader was there, and a leader stepped down though its followers had replied: a change took seconds more, for nothing.

Cause: the age of the last message was read at the tick, whenever that came.

Change: a tick that comes more than a heartbeat's interval after the one before decides neither; the next one does, however late, so that a slow process decides too.

--- a/src/chicoryhold/consensus/election_timer.py
+++ b/src/chicoryhold/consensus/election_timer.py
@@ -1,4 +1,4 @@
-"""The random timeout after which a replica without a leader starts an election."""
+"""When a replica without a leader starts an election, and when it doesn't know yet."""
 
 from __future__ import annotations
 
@@ -52,3 +52,28 @@
         factors = ELECTION_FACTORS if has_heard_leader else INITIAL_ELECTION_FACTORS
         timeout = self._timing.election * self._random.uniform(*factors)
         self._due_at = self._clock.now() + timeout
+
+
+class LateTicks:
+    """Finds ticks that come before messages which arrived earlier.
+
+    A process that didn't run for a while may handle a tick first, and then what its
+    leader and its followers sent meanwhile. It decides nothing about them at that tick.
+    """
+
+    def __init__(self, *, clock: Clock, longest_interval: float) -> None:
+        self._clock = clock
+        self._longest_interval = longest_interval
+        self._ticked_at = float("inf")
+        self._was_late = False
+
+    def is_late(self) -> bool:
+        """Return whether this tick is late; call this at each tick.
+
+        Of two in a row only the first one is, so that a slow process decides too.
+        """
+        now = self._clock.now()
+        is_late = now - self._ticked_at > self._longest_interval and not self._was_late
+        self._ticked_at = now
+        self._was_late = is_late
+        return is_late
--- a/src/chicoryhold/consensus/replica.py
+++ b/src/chicoryhold/consensus/replica.py
@@ -16,7 +16,7 @@
 from chicoryhold.consensus.committed_log import CommittedLog
 from chicoryhold.consensus.effects import Effect, LeadershipLost, Send
 from chicoryhold.consensus.election import Election
-from chicoryhold.consensus.election_timer import Timing
+from chicoryhold.consensus.election_timer import LateTicks, Timing
 from chicoryhold.consensus.followership import Followership, LeaderRequest
 from chicoryhold.consensus.leadership import Leadership
 from chicoryhold.consensus.log import Log
@@ -88,6 +88,9 @@
             send=self._send,
         )
         self._applied_confirmed_at = float("-inf")
+        self._late_ticks = LateTicks(
+            clock=clock, longest_interval=self._timing.heartbeat
+        )
 
     @property
     def identity(self) -> str:
@@ -178,10 +181,12 @@
 
     def tick(self) -> None:
         """Handle timeouts; call this several times per heartbeat interval."""
+        is_late = self._late_ticks.is_late()
         if self._role is Role.LEADER:
-            self._tick_leader()
+            self._tick_leader(is_late=is_late)
         elif self._election.is_due:
-            self._campaign(pre_vote=True)
+            if not is_late:
+                self._campaign(pre_vote=True)
         elif self._role is Role.CANDIDATE and self._election.is_request_due:
             self._election.request_votes()
 
@@ -304,9 +309,12 @@
 
     # Replication by the leader
 
-    def _tick_leader(self) -> None:
+    def _tick_leader(self, *, is_late: bool) -> None:
         self._leadership.watch_replies()
-        if self._leadership.unconfirmed_seconds > 2 * self._timing.election:
+        is_unconfirmed = (
+            self._leadership.unconfirmed_seconds > 2 * self._timing.election
+        )
+        if is_unconfirmed and not is_late:
             self._become_follower(self.term, leader=None)
         elif self._leadership.is_heartbeat_due:
             self._leadership.broadcast()
