Let a replica vote once it lacks no more bytes than are sent at once

Cause: CATCH_UP_ENTRIES counted entries; its comment said that fewer come in one message, which ended with the window of bytes.

--- a/src/chicoryhold/control/membership_keeper.py
+++ b/src/chicoryhold/control/membership_keeper.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from chicoryhold.clock import Clock
+from chicoryhold.consensus.in_flight import MAX_WINDOW_BYTES, size_of
 from chicoryhold.consensus.replica import Replica, Role
 from chicoryhold.control.member_states import MemberStates
 from chicoryhold.control.membership import next_members
@@ -14,7 +15,10 @@
 from chicoryhold.control.replica_requests import process_name
 
 JOIN_REQUEST_EXPIRY_SECONDS = 5.0
-CATCH_UP_ENTRIES = 256  # a replica that lacks fewer gets them in one message
+# What a replica may lack that has caught up, besides the newest entry: no more than a
+# leader sends at once.
+CATCH_UP_ENTRIES = 256
+CATCH_UP_BYTES = MAX_WINDOW_BYTES
 
 
 @attrs.frozen(kw_only=True)
@@ -81,5 +85,9 @@
 
     def _is_caught_up(self, identity: str) -> bool:
         match_index = self._replica.match_index_of(identity)
-        missing = self._replica.commit_index - match_index
-        return match_index > 0 and missing < CATCH_UP_ENTRIES
+        count = self._replica.commit_index - match_index
+        log = self._replica.log
+        if match_index < log.snapshot.index or count >= CATCH_UP_ENTRIES:
+            return False
+        missing = log.slice(match_index + 1, limit=max(0, count - 1))
+        return match_index > 0 and size_of(missing) <= CATCH_UP_BYTES
