--- a/tests/control_hosts.py
+++ b/tests/control_hosts.py
@@ -59,23 +59,29 @@
 
 
 class ControlHosts:
-    """A group of control hosts, one folder of ``folder`` each."""
+    """A group of control hosts, one folder of ``folder`` each.
+
+    The first three found it, and the others join.
+    """
 
     def __init__(self, *, folder: Path, names: tuple[str, ...]) -> None:
         self.folder = folder
         self.names = names
+        self.founders = names[:3]
         self.clock = FakeClock()
         self.network = Network()
         self.hosts: dict[str, ControlHost] = {}
         for name in names:
-            self.start(name, founds=True)
+            self.start(name, founds=name in self.founders)
 
     def start(self, name: str, *, founds: bool = False) -> None:
+        """Start a host from its disk; ``founds`` only if it has none yet."""
         with ExitStack() as stack:
             storage = stack.enter_context(open_storage(self.folder / name))
             identity = read_identity(self.folder / name, name=name, found=founds)
-            founders = tuple(f"{each}.founder" for each in self.names)
-            log = storage.load_log(Members(voters=founders if founds else ()))
+            founders = tuple(f"{each}.founder" for each in self.founders)
+            voters = founders if identity in founders else ()
+            log = storage.load_log(Members(voters=voters))
             state = ControlState()
             state.load(log.snapshot.data)
             replica = Replica(
--- a/tests/test_control_memory.py
+++ b/tests/test_control_memory.py
@@ -69,7 +69,7 @@
         hosts.kill(name)
     with counted_memory() as memory:
         for name in NAMES:
-            hosts.start(name, founds=True)
+            hosts.start(name)
         hosts.run(5.0)
     assert hosts.leader.state.configuration.version == CHANGES
     assert memory.peak <= len(NAMES) * MOST_BYTES_PER_HOST
