Keep images for copies compressed only

What operators lost: twice the state in the memory of each control host and relay. A feed kept two images, each plain and compressed; no build since fetches a plain one.

Change: a plain piece is made when a host of an older build asks for it.

--- a/src/chicoryhold/control/feed.py
+++ b/src/chicoryhold/control/feed.py
@@ -112,7 +112,7 @@
             offset = 0
         if image.revision != self._state.revision:
             confirmed_at = image.confirmed_at
-        data = image.compressed if request.compressed else image.plain
+        data = image.compressed if request.compressed else image.plain()
         return ImagePiece(
             revision=image.revision,
             offset=offset,
@@ -207,4 +207,4 @@
             return False
         size = sum(len(change.body) for change in self._recent.newest(missing))
         image = self._images.newest(at_least=0, create=self._image)
-        return size > len(image.plain)
+        return size > image.plain_size
--- a/src/chicoryhold/control/images.py
+++ b/src/chicoryhold/control/images.py
@@ -12,26 +12,30 @@
 
 @attrs.frozen(kw_only=True)
 class Image:
-    """An image of the state at ``revision``, plain and compressed.
+    """An image of the state at ``revision``, compressed.
 
-    ``confirmed_at`` is when the state was known to be the newest, as far as it was
-    known when the image was made.
+    ``plain_size`` is how many bytes it has uncompressed. ``confirmed_at`` is when the
+    state was known to be the newest, as far as it was known when the image was made.
     """
 
     revision: int
-    plain: bytes
     compressed: bytes
+    plain_size: int
     confirmed_at: float
 
     @classmethod
     def of(cls, plain: bytes, *, revision: int, confirmed_at: float) -> Image:
         return cls(
             revision=revision,
-            plain=plain,
             compressed=zlib.compress(plain, COMPRESSION_LEVEL),
+            plain_size=len(plain),
             confirmed_at=confirmed_at,
         )
 
+    def plain(self) -> bytes:
+        """Return the image uncompressed, for hosts of older builds."""
+        return zlib.decompress(self.compressed)
+
 
 class Images:
     """The newest image and the one before it, which some copies still fetch.
--- a/tests/test_feed_memory.py
+++ b/tests/test_feed_memory.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import gc
+import tracemalloc
 from random import Random
 
 import pytest
 
 from chicoryhold.control.feed import ChangeFeed
-from chicoryhold.control.messages import FetchChanges
-from chicoryhold.state.changes import PutTable
+from chicoryhold.control.messages import FetchChanges, FetchImage
+from chicoryhold.state.changes import PutConfiguration, PutTable
 from chicoryhold.state.control_state import ControlState
+from tests.follower_trial import configuration
 from tests.test_control_state import HEADING, change
 from tests.test_start_memory import counted_memory
 
@@ -25,7 +28,7 @@
     return PutTable(text=text)
 
 
-def accept(state: ControlState, feed: ChangeFeed, body: PutTable) -> None:
+def accept(state: ControlState, feed: ChangeFeed, body: object) -> None:
     accepted = change(str(state.revision), body, based_on=state.revision)
     assert state.apply(accepted).accepted
     feed.record(accepted)
@@ -56,3 +59,24 @@
         for after, digest in enumerate(digests[:-1]):
             feed.answer(FetchChanges(after=after, digest=digest), confirmed_age=0.0)
     assert memory.kept <= MOST_BYTES
+
+
+def test_images_of_a_long_state_are_kept_compressed():
+    """Two images that some copy may still fetch took twice the state uncompressed."""
+    state = ControlState()
+    feed = ChangeFeed(state=state)
+    with counted_memory():
+        for version in (1, 2):
+            body = PutConfiguration(
+                configuration=configuration(version, routes=5_000), text=b""
+            )
+            accept(state, feed, body)
+            before = bytes_in_use()
+            feed.piece(FetchImage(revision=0, offset=0, compressed=True))
+            plain_size = len(state.image(for_replica=False))
+            assert bytes_in_use() - before <= 0.5 * plain_size
+
+
+def bytes_in_use() -> int:
+    gc.collect()
+    return tracemalloc.get_traced_memory()[0]
