Move the caller side of HTTP into a package of its own

Nine modules lay loose beside the product's packages. They are chicoryhold.http now: server, channel, pipeline, caller_sockets, body_buffers, connection_room, open_requests, request_threads, server_state. shared_memory stays, as the memory of target responses uses it too. Only names of modules change: a comparison of the syntax trees finds no difference.

--- a/src/chicoryhold/callers/app.py
+++ b/src/chicoryhold/callers/app.py
@@ -16,7 +16,7 @@
 from chicoryhold.callers.service import CallerService, Outcome, unknown_unless_proved
 from chicoryhold.errors import NotEncodable, RequestRefused
 from chicoryhold.hosts.messages import Announcement
-from chicoryhold.http_channel import QUEUED_REQUESTS
+from chicoryhold.http.channel import QUEUED_REQUESTS
 from chicoryhold.steering.admission_client import AdmissionClient
 from chicoryhold.steering.lookup import Lookup
 
--- /dev/null
+++ b/src/chicoryhold/http/__init__.py
@@ -0,0 +1,1 @@
+"""The server side of callers' HTTP: connections, requests read from them, threads."""
--- a/src/chicoryhold/http_channel.py
+++ b/src/chicoryhold/http/channel.py
@@ -11,14 +11,15 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
-from chicoryhold.caller_sockets import (
+from chicoryhold.clock import BootClock
+from chicoryhold.http.caller_sockets import (
     close_when_delivered,
     has_ended,
     has_unread,
     unacknowledged_bytes,
 )
-from chicoryhold.clock import BootClock
-from chicoryhold.http_pipeline import (
+from chicoryhold.http.open_requests import OpenRequest, RequestState
+from chicoryhold.http.pipeline import (
     EARLY_RESPONSE,
     MAX_PIPELINED_BYTES,
     MAX_SIDE_BY_SIDE,
@@ -27,7 +28,6 @@
     ReceivedRequest,
     capture,
 )
-from chicoryhold.open_requests import OpenRequest, RequestState
 from chicoryhold.targets.cancellation import Cancellation
 
 QUEUED_REQUESTS = "chicoryhold.queued_requests"
--- a/src/chicoryhold/http_pipeline.py
+++ b/src/chicoryhold/http/pipeline.py
@@ -14,8 +14,8 @@
 from waitress.adjustments import Adjustments
 from waitress.parser import HTTPRequestParser
 
-from chicoryhold.body_buffers import DroppingBuffer, MappedBuffer
 from chicoryhold.clock import BootClock
+from chicoryhold.http.body_buffers import DroppingBuffer, MappedBuffer
 from chicoryhold.shared_memory import GUARANTEED_BYTES, Reservation, SharedMemory
 from chicoryhold.targets.cancellation import Cancellation
 
--- a/src/chicoryhold/http_server.py
+++ b/src/chicoryhold/http/server.py
@@ -13,19 +13,19 @@
 from waitress.server import BaseWSGIServer, create_server
 
 from chicoryhold.clock import BootClock
-from chicoryhold.connection_room import ConnectionRoom
 from chicoryhold.crash import create_critical_thread
 from chicoryhold.errors import AddressInUse
-from chicoryhold.http_channel import Channel
-from chicoryhold.http_pipeline import (
+from chicoryhold.http.channel import Channel
+from chicoryhold.http.connection_room import ConnectionRoom
+from chicoryhold.http.open_requests import OpenRequest
+from chicoryhold.http.pipeline import (
     MAX_PIPELINED_REQUESTS,
     OverlapRule,
     overlaps_none,
     with_early_responses,
 )
-from chicoryhold.open_requests import OpenRequest
-from chicoryhold.request_threads import RequestThreads
-from chicoryhold.server_state import ServerState
+from chicoryhold.http.request_threads import RequestThreads
+from chicoryhold.http.server_state import ServerState
 from chicoryhold.shared_memory import SharedMemory
 
 DEFAULT_MAX_CONNECTIONS = 1_000
--- a/src/chicoryhold/server_state.py
+++ b/src/chicoryhold/http/server_state.py
@@ -9,13 +9,13 @@
 import attrs
 
 from chicoryhold.clock import BootClock
-from chicoryhold.connection_room import ConnectionRoom
-from chicoryhold.http_pipeline import OverlapRule, ReceivedRequest, overlaps_none
-from chicoryhold.open_requests import Departures
+from chicoryhold.http.connection_room import ConnectionRoom
+from chicoryhold.http.open_requests import Departures
+from chicoryhold.http.pipeline import OverlapRule, ReceivedRequest, overlaps_none
 from chicoryhold.shared_memory import SharedMemory
 
 if TYPE_CHECKING:
-    from chicoryhold.http_channel import Channel
+    from chicoryhold.http.channel import Channel
 
 _CLOCK = BootClock()
 
--- a/src/chicoryhold/metrics.py
+++ b/src/chicoryhold/metrics.py
@@ -12,7 +12,7 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any
 
-from chicoryhold.http_server import serve_http
+from chicoryhold.http.server import serve_http
 
 if TYPE_CHECKING:
     from opentelemetry.metrics import Meter
--- a/src/chicoryhold/programs/control.py
+++ b/src/chicoryhold/programs/control.py
@@ -29,7 +29,7 @@
 from chicoryhold.hosts.bus import Bus, running_bus
 from chicoryhold.hosts.curve import load_key_pair, load_public_keys
 from chicoryhold.hosts.transport import CurveTransport
-from chicoryhold.http_server import HttpServer, serve_http
+from chicoryhold.http.server import HttpServer, serve_http
 from chicoryhold.log_queue import LogQueue
 from chicoryhold.logs import configure_text_logging
 from chicoryhold.metrics import create_meter, serve_metrics
--- a/src/chicoryhold/programs/draining.py
+++ b/src/chicoryhold/programs/draining.py
@@ -10,8 +10,8 @@
 from loguru import logger
 
 from chicoryhold.clock import Clock
-from chicoryhold.http_server import HttpServer
-from chicoryhold.open_requests import OpenRequest
+from chicoryhold.http.open_requests import OpenRequest
+from chicoryhold.http.server import HttpServer
 from chicoryhold.programs.signals import StopSignal
 
 POLL_INTERVAL_SECONDS = 0.05
--- a/src/chicoryhold/programs/entry.py
+++ b/src/chicoryhold/programs/entry.py
@@ -44,7 +44,7 @@
     RecordClaim,
     Release,
 )
-from chicoryhold.http_server import HttpServer, serve_http
+from chicoryhold.http.server import HttpServer, serve_http
 from chicoryhold.limits.domain_limits import DomainLimits
 from chicoryhold.log_queue import LogQueue
 from chicoryhold.logs import configure_text_logging
--- a/tests/test_connection_room.py
+++ b/tests/test_connection_room.py
@@ -11,8 +11,8 @@
 from hypothesis import given, strategies as st
 
 from chicoryhold.clock import BootClock
-from chicoryhold.connection_room import ConnectionRoom
-from chicoryhold.http_server import serve_http
+from chicoryhold.http.connection_room import ConnectionRoom
+from chicoryhold.http.server import serve_http
 from tests.client_connections import Answer, Connection, HttpRequest, connected
 from tests.conftest import FakeClock
 
--- a/tests/test_cut_off_host.py
+++ b/tests/test_cut_off_host.py
@@ -21,7 +21,7 @@
 from chicoryhold.gateway.attempt_log import AttemptLog
 from chicoryhold.gateway.delivery import Delivery
 from chicoryhold.gateway.service import GatewayService
-from chicoryhold.http_server import serve_http
+from chicoryhold.http.server import serve_http
 from chicoryhold.limits.messages import StatedLimit
 from chicoryhold.limits.permit_client import Permission
 from chicoryhold.limits.retry_budgets import RetryBudgets
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -14,9 +14,9 @@
 import pytest
 
 from chicoryhold.clock import BootClock
-from chicoryhold.http_channel import ARRIVED_AT
-from chicoryhold.http_server import HttpServer, serve_http
-from chicoryhold.open_requests import RequestState
+from chicoryhold.http.channel import ARRIVED_AT
+from chicoryhold.http.open_requests import RequestState
+from chicoryhold.http.server import HttpServer, serve_http
 from chicoryhold.programs.draining import (
     Drain,
     DrainEnd,
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -14,10 +14,10 @@
 from waitress.adjustments import Adjustments
 from waitress.server import BaseWSGIServer
 
-from chicoryhold.caller_sockets import has_ended
-from chicoryhold.http_channel import Channel
-from chicoryhold.http_pipeline import ReceivedRequest
-from chicoryhold.http_server import serve_http
+from chicoryhold.http.caller_sockets import has_ended
+from chicoryhold.http.channel import Channel
+from chicoryhold.http.pipeline import ReceivedRequest
+from chicoryhold.http.server import serve_http
 
 EXIT_TIMEOUT_SECONDS = 5.0
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -12,7 +12,7 @@
 import urllib3
 from loguru import logger
 
-from chicoryhold.http_server import serve_http
+from chicoryhold.http.server import serve_http
 from chicoryhold.logs import forward_library_errors
 from chicoryhold.trial.fleet import wait_until
 
--- a/tests/test_lost_connections.py
+++ b/tests/test_lost_connections.py
@@ -14,7 +14,7 @@
 from chicoryhold.errors import ExchangeFailed
 from chicoryhold.hosts.bus import TCP_MAX_RETRANSMIT_MS, Bus, running_bus
 from chicoryhold.hosts.transport import PlaintextTransport
-from chicoryhold.http_server import CALLER_LOSS_TIMEOUT_SECONDS, serve_http
+from chicoryhold.http.server import CALLER_LOSS_TIMEOUT_SECONDS, serve_http
 from chicoryhold.targets.checked_connection import CheckedConnection
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
--- a/tests/test_overtaken_orders.py
+++ b/tests/test_overtaken_orders.py
@@ -15,8 +15,8 @@
 from chicoryhold.consensus.messages import LogPosition
 from chicoryhold.control.replica_requests import Propose, ReadPosition
 from chicoryhold.errors import OrderOvertaken
-from chicoryhold.http_channel import HAS_LEFT
-from chicoryhold.http_server import serve_http
+from chicoryhold.http.channel import HAS_LEFT
+from chicoryhold.http.server import serve_http
 from chicoryhold.state.changes import (
     Change,
     EndEvacuation,
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -10,9 +10,9 @@
 import pytest
 
 from chicoryhold.clock import BootClock
-from chicoryhold.http_channel import ARRIVED_AT, CANCELLATION
-from chicoryhold.http_pipeline import MAX_SIDE_BY_SIDE
-from chicoryhold.http_server import HttpServer, serve_http
+from chicoryhold.http.channel import ARRIVED_AT, CANCELLATION
+from chicoryhold.http.pipeline import MAX_SIDE_BY_SIDE
+from chicoryhold.http.server import HttpServer, serve_http
 from chicoryhold.targets.cancellation import Cancellation
 from tests.client_connections import (
     Answer,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,7 +17,7 @@
 from chicoryhold.errors import SettingsError
 from chicoryhold.gateway.request import RelayCall, RelayTerms, TargetCall
 from chicoryhold.gateway.service import ServeResult
-from chicoryhold.http_channel import ARRIVED_AT, CANCELLATION
+from chicoryhold.http.channel import ARRIVED_AT, CANCELLATION
 from chicoryhold.state.targets import TargetProcess, TargetState
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.exchange import TargetResponse
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from chicoryhold.body_buffers import MappedBuffer
-from chicoryhold.http_channel import BODY_REFUSED
-from chicoryhold.http_server import HttpServer, serve_http
+from chicoryhold.http.body_buffers import MappedBuffer
+from chicoryhold.http.channel import BODY_REFUSED
+from chicoryhold.http.server import HttpServer, serve_http
 from chicoryhold.shared_memory import GUARANTEED_BYTES, SharedMemory
 from chicoryhold.targets.response_parser import request_bytes
 
--- a/tests/test_request_threads.py
+++ b/tests/test_request_threads.py
@@ -10,10 +10,10 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from chicoryhold import request_threads
 from chicoryhold.clock import BootClock
-from chicoryhold.http_server import serve_http
-from chicoryhold.request_threads import RequestThreads
+from chicoryhold.http import request_threads
+from chicoryhold.http.request_threads import RequestThreads
+from chicoryhold.http.server import serve_http
 
 TIMEOUT_SECONDS = 5.0
 LONG_SECONDS = 60.0
