--- a/bench/stops/hosts.py
+++ b/bench/stops/hosts.py
@@ -4,6 +4,8 @@
 
 import http.client
 import os
+import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -92,6 +94,29 @@
         text = f"{self._settings_text}# version {self._reloads}\n"
         self._settings.write_text(text)
 
+    def end_bootstrap(self) -> None:
+        """Write settings by which later starts don't found an installation."""
+        text = self._settings_text.replace("bootstrap = true", "bootstrap = false")
+        self._settings_text = text
+        self._settings.write_text(text)
+
+    def wipe(self) -> None:
+        """Delete the disk of a process that has ended."""
+        shutil.rmtree(self._place.folder / f"data-{self._ip}")
+
+    def peak_memory_mib(self) -> float:
+        """Return the most memory that the process has held, 0 once it has ended."""
+        if not self.is_running:
+            return 0.0
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        found = re.search(r"VmHWM:\s+(\d+) kB", status)
+        return int(found[1]) / 1024 if found else 0.0
+
+    def log_mib(self) -> float:
+        """Return the size of the log on its disk."""
+        path = self._place.folder / f"data-{self._ip}" / "log"
+        return path.stat().st_size / 2**20 if path.exists() else 0.0
+
     def kill(self) -> None:
         if self.is_running:
             self._process.kill()
