Leave a target alone for as long as its 503 with Retry-After says

Cause: nothing read the header of a target's 503.

Target choice leaves it out, a reserved retry too. If all of a service back off, a request is refused at once as not run, with the time of the first that takes requests again. Not built at the own interface, and not told to other hosts, as each answer binds the host that got it.

--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -33,6 +33,7 @@
     NOT_RUN_STATUSES,
     OVERLOAD_RETRY_AFTER_SECONDS,
     Outcome,
+    all_back_off,
     deadline_passed,
     failure,
     forwarded_failure,
@@ -157,10 +158,19 @@
             last = _decisive_result(last, attempt_result)
             reserved = retry.choice
         if last is not None:
-            return last.outcome
+            return self._final_outcome(routed, last)
         left_out = self._chooser.left_out(routed.service)
         return no_target(routed.service, leaving=left_out)
 
+    def _final_outcome(self, routed: RoutedRequest, last: _AttemptResult) -> Outcome:
+        """Return the outcome of ``last``; if all targets back off, until when."""
+        if not last.known_not_run:
+            return last.outcome
+        seconds = self._chooser.back_off_seconds(self._criteria(routed, frozenset()))
+        if not seconds:
+            return last.outcome
+        return all_back_off(routed.service, seconds=seconds)
+
     def _retry(
         self, routed: RoutedRequest, number: int, avoid: frozenset[str]
     ) -> ReservedRetry:
--- a/src/chicoryhold/gateway/outcomes.py
+++ b/src/chicoryhold/gateway/outcomes.py
@@ -55,6 +55,17 @@
     return Err(refusal)
 
 
+def all_back_off(service: str, *, seconds: float) -> Outcome:
+    """Return the refusal of a request while all targets want none for ``seconds``."""
+    refusal = Refusal(
+        kind=RefusalKind.OVERLOADED,
+        ran=RunStatus.NOT_RUN,
+        message=f"all targets of {service} have asked to be left alone for a time",
+        retry_after=seconds,
+    )
+    return Err(refusal)
+
+
 def no_target(service: str, *, leaving: int) -> Outcome:
     """Return the refusal of a request that no target may get.
 
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -153,6 +153,12 @@
             outcome = outcome or choice
         return outcome
 
+    def back_off_seconds(self, criteria: SelectionCriteria) -> float:
+        """Return how long all targets want no request; 0 if one of them takes it."""
+        with self._lock:
+            allowed, backing_off = self._allowed(criteria)
+        return 0.0 if allowed or not backing_off else min(backing_off)
+
     def holds(self, choice: Choice) -> bool:
         """Return whether the chosen target may still get the request.
 
@@ -185,7 +191,7 @@
         now = self._clock.now()
         rates = self._limits.rates()
         with self._lock:
-            allowed = self._allowed(criteria)
+            allowed, backing_off = self._allowed(criteria)
             eligible = [
                 view
                 for view in allowed
@@ -194,7 +200,7 @@
             ]
             views, best = self._select_in(scope, criteria, allowed, eligible, rates)
             if best is None:
-                return until_next_permit(allowed, now)
+                return _soonest(until_next_permit(allowed, now), backing_off)
             load = load_per_slot(views, now)
             if load > OVERLOAD_THRESHOLD and best.queue_wait > self._max_wait(
                 criteria, best
@@ -290,13 +296,29 @@
         with self._lock:
             choice.view.record_end()
 
-    def _allowed(self, criteria: SelectionCriteria) -> list[TargetView]:
-        """Return the targets that may run the request, whatever their load."""
+    def _allowed(
+        self, criteria: SelectionCriteria
+    ) -> tuple[list[TargetView], list[float]]:
+        """Return the targets that may run the request, whatever their load.
+
+        Returns also the seconds for which others want none, whichever it avoids.
+        """
+        allowed = self._able(criteria, avoid=criteria.avoid)
+        if not self._statements.has_back_offs:
+            return allowed, []
+        seconds_of = self._statements.back_off_seconds
+        able = self._able(criteria, avoid=frozenset())
+        backing_off = [seconds for v in able if (seconds := seconds_of(v.record))]
+        return [view for view in allowed if not seconds_of(view.record)], backing_off
+
+    def _able(
+        self, criteria: SelectionCriteria, *, avoid: frozenset[str]
+    ) -> list[TargetView]:
         now = self._clock.now()
         return [
             view
             for view in self._views.open(criteria.service)
-            if view.record.instance not in criteria.avoid
+            if view.record.instance not in avoid
             and (
                 not criteria.allowed_regions or view.region in criteria.allowed_regions
             )
@@ -354,3 +376,13 @@
         return min(
             max_wait, criteria.time_left - choice.expected_latency + choice.queue_wait
         )
+
+
+def _soonest(denied: Overloaded | None, backing_off: list[float]) -> Overloaded | None:
+    """Return what ends first: that permits are denied, or a target's back-off."""
+    if not backing_off:
+        return denied
+    wait = min(backing_off)
+    if denied is not None and denied.queue_wait <= wait:
+        return denied
+    return Overloaded(queue_wait=wait, load=0.0)
--- a/src/chicoryhold/routing/target_statements.py
+++ b/src/chicoryhold/routing/target_statements.py
@@ -11,6 +11,7 @@
 
 from chicoryhold.clock import Clock
 from chicoryhold.metrics import Metrics
+from chicoryhold.routing.back_offs import BackOffs
 from chicoryhold.routing.stated_limits import (
     NO_LIMIT,
     RateStatement,
@@ -29,13 +30,15 @@
 
     ``limit`` is what it says about the requests per second that the target takes from
     all hosts together. ``is_leaving`` means that the target wants no new request, for
-    good. ``unreadable`` is a statement about leaving that can't be read, and so counts
-    as none.
+    good, ``back_off`` that it wants none from this host for so many seconds.
+    ``unreadable`` is a statement about leaving that can't be read, and so counts as
+    none.
     """
 
     load: LoadReport | None = None
     limit: RateStatement = NO_LIMIT
     is_leaving: bool = False
+    back_off: float | None = None
     unreadable: str = ""
 
 
@@ -63,6 +66,7 @@
         self._metrics = metrics
         self._max_leaving = max_leaving
         self._leaving: OrderedDict[str, _Leaving] = OrderedDict()
+        self._back_offs = BackOffs(clock=clock)
         self._on_leaving: Callable[[], None] = lambda: None
         self._unreadable = 0
         self._logged_at = float("-inf")
@@ -92,6 +96,11 @@
             self._log_unreadable(target, statement)
         if statement.is_leaving:
             self.record_leaving(target)
+        if statement.back_off and self._back_offs.record(target, statement.back_off):
+            self._metrics.count("chicoryhold_target_back_offs")
+            logger.bind(
+                target=target.instance, seconds=round(statement.back_off, 3)
+            ).info("statements: a target turned a request away; it gets none for now.")
         if not (is_failure and statement.limit == NO_LIMIT):
             self._limits.record_answer(target, statement.limit)
 
@@ -117,6 +126,15 @@
         known = self._leaving.get(target.instance)
         return known is not None and target.born_ms <= known.born_ms
 
+    @property
+    def has_back_offs(self) -> bool:
+        """Whether any target wants no request from this host now."""
+        return self._back_offs.is_any_left
+
+    def back_off_seconds(self, target: StatingTarget) -> float:
+        """Return for how many seconds ``target`` wants nothing from this host."""
+        return self._back_offs.remaining(target)
+
     def leaving_since(self, target: StatingTarget) -> float | None:
         """Return when ``target`` first said that it leaves, ``None`` if never."""
         known = self._leaving.get(target.instance)
--- a/src/chicoryhold/routing/target_views.py
+++ b/src/chicoryhold/routing/target_views.py
@@ -66,6 +66,7 @@
             self._by_instance.get(view.record.instance) is view
             and self._is_available(view)
             and not self._statements.is_leaving(view.record)
+            and not self._statements.back_off_seconds(view.record)
         )
 
     def update(
