--- a/tests/test_feed_memory.py
+++ b/tests/test_feed_memory.py
@@ -6,12 +6,15 @@
 import tracemalloc
 from random import Random
 
+import attrs
 import pytest
 
 from chicoryhold.control.feed import ChangeFeed
+from chicoryhold.control.follower import Follower
 from chicoryhold.control.messages import FetchChanges, FetchImage
 from chicoryhold.state.changes import PutConfiguration, PutTable
 from chicoryhold.state.control_state import ControlState
+from tests.conftest import FakeClock
 from tests.follower_trial import configuration
 from tests.test_control_state import HEADING, change
 from tests.test_start_memory import counted_memory
@@ -80,3 +83,25 @@
 def bytes_in_use() -> int:
     gc.collect()
     return tracemalloc.get_traced_memory()[0]
+
+
+def test_a_copy_that_returns_to_a_long_state_holds_a_few_times_its_size():
+    """The copy before serves until the new one is whole, and both were decoded."""
+    state = ControlState()
+    feed = ChangeFeed(state=state)
+    for version in (1, 2):
+        body = PutConfiguration(
+            configuration=configuration(version, routes=2_820), text=b""
+        )
+        accept(state, feed, body)
+    follower = Follower(clock=FakeClock())
+    load_image(follower, feed)
+    with counted_memory() as memory:
+        load_image(follower, feed)
+    assert memory.peak <= 10 * len(state.image(for_replica=False))
+
+
+def load_image(follower: Follower, feed: ChangeFeed) -> None:
+    request = attrs.evolve(follower.image_request("source"), at_least=0)
+    while not follower.on_piece(feed.piece(request), source="source"):
+        request = attrs.evolve(follower.image_request("source"), at_least=0)
