Choose a target in half the time

The load is summed up only if the wait is too long, the first share of the spillover when a service is first seen, an estimate made for the best alone.

--- a/src/chicoryhold/routing/latency.py
+++ b/src/chicoryhold/routing/latency.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+import attrs
+
 from chicoryhold.routing.affinity import rendezvous_score, stable_hash
 from chicoryhold.routing.round_trips import RoundTrips
 from chicoryhold.routing.selection import (
@@ -21,12 +25,17 @@
 
 def by_affinity(affinity_key: str, views: list[TargetView]) -> list[TargetView]:
     """Order targets by their rendezvous score for the affinity key, best first."""
+    return sorted(views, key=_affinity_score(affinity_key), reverse=True)
+
+
+def first_by_affinity(affinity_key: str, views: list[TargetView]) -> TargetView:
+    """Return the first of :func:`by_affinity`."""
+    return max(views, key=_affinity_score(affinity_key))
+
+
+def _affinity_score(affinity_key: str) -> Callable[[TargetView], int]:
     key_hash = stable_hash(affinity_key)
-    return sorted(
-        views,
-        key=lambda v: rendezvous_score(key_hash, stable_hash(v.record.instance)),
-        reverse=True,
-    )
+    return lambda view: rendezvous_score(key_hash, stable_hash(view.record.instance))
 
 
 class LatencyEstimator:
@@ -52,12 +61,15 @@
         if not views:
             return None
         warm = [view for view in views if not view.is_cold(now)]
-        preferred = by_affinity(criteria.affinity_key, warm or views)[0]
-        choices = [
-            self._estimate(criteria, view, now, is_preferred=view is preferred)
-            for view in views
-        ]
-        return min(choices, key=lambda choice: choice.expected_latency)
+        preferred = first_by_affinity(criteria.affinity_key, warm or views)
+        times = self._processing_times_of(criteria)
+        key = criteria.affinity_key
+        estimates = _Estimates(
+            times=times, key=key, preferred=preferred, round_trips=self._round_trips,
+            now=now,
+        )  # fmt: skip
+        best = min(views, key=estimates.expected_latency)
+        return estimates.of(best, is_cross_region=best.region != self._region)
 
     def fastest_remote(
         self, criteria: SelectionCriteria, views: list[TargetView], now: float
@@ -81,41 +93,6 @@
         times = self._processing_times_of(criteria)
         times.observe(processing_time, was_hit=choice.is_affinity_hit)
 
-    def _estimate(
-        self,
-        criteria: SelectionCriteria,
-        view: TargetView,
-        now: float,
-        *,
-        is_preferred: bool,
-    ) -> Estimate:
-        times = self._processing_times_of(criteria)
-        cold = view.is_cold(now)
-        is_hit = not cold and (
-            is_preferred or criteria.affinity_key in view.recent_keys
-        )
-        processing_time = times.estimate(is_hit=is_hit) * (
-            COLD_TIME_FACTOR if cold else 1
-        )
-        slots = max(1, view.slots)
-        queued = max(0.0, view.occupancy(now) + 1 - slots)
-        slowness = max(MIN_SLOWNESS, view.slowness)
-        queue_wait = queued / slots * times.queued_request_time * slowness
-        failure_cost = FAILURE_COST_SECONDS * view.failure_rate
-        round_trip = self._round_trips.to(view)
-        return Estimate(
-            view=view,
-            expected_latency=processing_time * slowness
-            + queue_wait
-            + round_trip
-            + failure_cost,
-            queue_wait=queue_wait,
-            processing_time=processing_time,
-            is_affinity_hit=is_hit,
-            is_cross_region=view.region != self._region,
-            is_cold=cold,
-        )
-
     def _processing_times_of(self, criteria: SelectionCriteria) -> ProcessingTimes:
         key = (criteria.route.name, criteria.service)
         times = self._processing_times.get(key)
@@ -123,3 +100,50 @@
             times = ProcessingTimes.initial(criteria.route.objective)
             self._processing_times[key] = times
         return times
+
+
+@attrs.frozen(kw_only=True)
+class _Estimates:
+    """What is expected of targets for one request."""
+
+    times: ProcessingTimes
+    key: str
+    preferred: TargetView
+    round_trips: RoundTrips
+    now: float
+
+    def expected_latency(self, view: TargetView) -> float:
+        processing_time = self._processing_time(view)
+        return (
+            processing_time * max(MIN_SLOWNESS, view.slowness)
+            + self._queue_wait(view)
+            + self.round_trips.to(view)
+            + FAILURE_COST_SECONDS * view.failure_rate
+        )
+
+    def of(self, view: TargetView, *, is_cross_region: bool) -> Estimate:
+        return Estimate(
+            view=view,
+            expected_latency=self.expected_latency(view),
+            queue_wait=self._queue_wait(view),
+            processing_time=self._processing_time(view),
+            is_affinity_hit=self._is_hit(view),
+            is_cross_region=is_cross_region,
+            is_cold=view.is_cold(self.now),
+        )
+
+    def _processing_time(self, view: TargetView) -> float:
+        seconds = self.times.estimate(is_hit=self._is_hit(view))
+        return seconds * COLD_TIME_FACTOR if view.is_cold(self.now) else seconds
+
+    def _is_hit(self, view: TargetView) -> bool:
+        is_known = view is self.preferred or self.key in view.recent_keys
+        return is_known and not view.is_cold(self.now)
+
+    def _queue_wait(self, view: TargetView) -> float:
+        slots = max(1, view.slots)
+        queued = view.occupancy(self.now) + 1 - slots
+        if queued <= 0:
+            return 0.0
+        slowness = max(MIN_SLOWNESS, view.slowness)
+        return queued / slots * self.times.queued_request_time * slowness
--- a/src/chicoryhold/routing/spill.py
+++ b/src/chicoryhold/routing/spill.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
 from chicoryhold.clock import Clock
@@ -46,16 +48,20 @@
         """Whether requests of the service with this key leave the local region."""
         return _spill_position(affinity_key) < self.share(service)
 
-    def observe(self, service: str, load: float, *, initial_share: float) -> float:
+    def observe(
+        self, service: str, load: float, *, initial_share: Callable[[], float]
+    ) -> float:
         """Update with the local region's load per slot; return the share to move.
 
-        ``initial_share`` is the share that a service starts with.
+        ``initial_share`` returns the share that a service starts with.
         """
         now = self._clock.now()
         state = self._states.get(service)
         if state is None:
             state = _ServiceState(
-                share=min(MAX_SPILLOVER_SHARE, initial_share), load=load, updated_at=now
+                share=min(MAX_SPILLOVER_SHARE, initial_share()),
+                load=load,
+                updated_at=now,
             )
             self._states[service] = state
         elapsed = min(SMOOTHING_SECONDS, now - state.updated_at)
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -172,7 +172,7 @@
 
     def _scopes(self, criteria: SelectionCriteria) -> tuple[Scope, ...]:
         rates = self._limits.rates()
-        has_limits = any(
+        has_limits = bool(rates) and any(
             view.record.instance in rates
             for view in self._views.staying(criteria.service)
         )
@@ -201,11 +201,10 @@
             views, best = self._select_in(scope, criteria, allowed, eligible, rates)
             if best is None:
                 return _soonest(until_next_permit(allowed, now), backing_off)
-            load = load_per_slot(views, now)
-            if load > OVERLOAD_THRESHOLD and best.queue_wait > self._max_wait(
-                criteria, best
-            ):
-                return Overloaded(queue_wait=best.queue_wait, load=load)
+            if best.queue_wait > self._max_wait(criteria, best):
+                load = load_per_slot(views, now)
+                if load > OVERLOAD_THRESHOLD:
+                    return Overloaded(queue_wait=best.queue_wait, load=load)
             best.view.record_sent()
             return Choice.of(
                 best, rate=self._rate_of(best.view, rates, now), revision=self._revision
@@ -217,9 +216,8 @@
     ) -> tuple[list[TargetView], Estimate | None]:  # fmt: skip
         """Return the targets of ``scope`` that were considered, and the best one."""
         now = self._clock.now()
-        if scope is Scope.USUAL and not any(
-            view.record.instance in rates for view in allowed
-        ):
+        has_limits = bool(rates) and any(v.record.instance in rates for v in allowed)
+        if scope is Scope.USUAL and not has_limits:
             return self._select(criteria, eligible, now)
         candidates = LimitedServiceCandidates(
             affinity_key=criteria.affinity_key,
@@ -357,7 +355,9 @@
         self._spillover.observe(
             criteria.service,
             load_per_slot(local, now),
-            initial_share=capacity_shortfall(local, remote, regions=self._regions),
+            initial_share=lambda: capacity_shortfall(
+                local, remote, regions=self._regions
+            ),
         )
         return self._spillover.moves(criteria.service, criteria.affinity_key)
 
--- a/src/chicoryhold/routing/target_view.py
+++ b/src/chicoryhold/routing/target_view.py
@@ -73,6 +73,8 @@
         Requests of other hosts count for less as the last load report gets older.
         Otherwise a target that reported being full would never get a request again.
         """
+        if not self.other_requests:
+            return self.in_flight
         return self.in_flight + self.other_requests * self._report_weight(now)
 
     def _report_weight(self, now: float) -> float:
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -218,7 +218,9 @@
     spillover = SpilloverController(clock=clock)
     shares = []
     for _ in range(41):
-        shares.append(spillover.observe("menu", load, initial_share=initial_share))
+        shares.append(
+            spillover.observe("menu", load, initial_share=lambda: initial_share)
+        )
         clock.advance(0.05)
     return shares
 
