--- a/bench/control_memory.py
+++ b/bench/control_memory.py
@@ -12,8 +12,9 @@
 import json
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
+from pathlib import Path
 from random import Random
 
 import attrs
@@ -21,7 +22,13 @@
 
 from bench.calls import call
 from bench.run_folder import run_folder
-from bench.stops.hosts import Place, PlatformProcess, free_internal_port, free_ports
+from bench.stops.hosts import (
+    PROGRAM,
+    Place,
+    PlatformProcess,
+    free_internal_port,
+    free_ports,
+)
 from chicoryhold.programs.running import run_program
 from chicoryhold.trial.fleet import FleetError, wait_until
 
@@ -86,44 +93,52 @@
         self._text = _configuration_text(routes)
 
     def run(self, changes: int) -> Figures:
-        for host in self._hosts:
-            host.start()
-            host.process.end_bootstrap()
-        time.sleep(CATCH_UP_SECONDS)
+        self.found()
         for number in range(1, changes + 1):
-            self._put()
+            self.put()
             if number % (changes // KILLS) == 0:
                 self._figures.after_kill = max(
-                    self._figures.after_kill, self._seconds_to_recover(self._kill_all)
+                    self._figures.after_kill, self.recover(self.kill_all)
                 )
             elif number % (changes // LOSSES) == 0:
                 self._figures.after_loss = max(
-                    self._figures.after_loss, self._seconds_to_recover(self._lose_disk)
+                    self._figures.after_loss, self.recover(self._lose_a_disk)
                 )
             if number % 20 == 0:
                 self._note_sizes()
         self._check()
         return self._figures
 
-    def _seconds_to_recover(self, disturb: Callable[[], None]) -> float:
-        """Return the time until a change is accepted once all hosts are back."""
+    def found(self) -> None:
+        """Start all hosts for the first time."""
+        for host in self._hosts:
+            host.start()
+            host.process.end_bootstrap()
+        time.sleep(CATCH_UP_SECONDS)
+
+    def recover(self, disturb: Callable[[], None]) -> float:
+        """Return the seconds to the next accepted change once all hosts are back."""
         self._note_sizes()
         disturb()
         began = time.monotonic()
-        self._put()
+        self.put()
         seconds = time.monotonic() - began
         time.sleep(CATCH_UP_SECONDS)
         self._note_sizes()
         return seconds
 
-    def _lose_disk(self) -> None:
-        host = self._random.choice(self._hosts)
+    def _lose_a_disk(self) -> None:
+        self.lose_disk(self._random.choice(self._hosts))
+
+    def lose_disk(self, host: ControlHost) -> None:
+        """Kill a host and start it with an empty disk."""
         host.process.kill()
         host.process.wipe()
         time.sleep(DOWN_SECONDS)
         self._note_start(host.start())
 
-    def _kill_all(self) -> None:
+    def kill_all(self) -> None:
+        """Kill all hosts at once and start them again."""
         for host in self._hosts:
             host.process.kill()
         for host in self._hosts:
@@ -137,7 +152,7 @@
         figures.peak = max(figures.peak, *(p.peak_memory_mib() for p in processes))
         figures.log = max(figures.log, *(p.log_mib() for p in processes))
 
-    def _put(self) -> None:
+    def put(self) -> None:
         """Send the next version until it is acknowledged."""
         self._version += 1
         timeout = f"{1.0 + self._version / 100_000:.5f}"
@@ -182,10 +197,12 @@
 
 
 @contextmanager
-def control_hosts(count: int) -> Iterator[list[ControlHost]]:
-    """Prepare control hosts, and end them at the end of the block."""
-    ips = [f"{IP_PREFIX}{number + 1}" for number in range(count)]
-    with run_folder("", prefix="chicoryhold-memory-") as folder, ExitStack() as stack:
+def control_hosts(
+    programs: Sequence[Path], *, folder: Path, ip_prefix: str = IP_PREFIX
+) -> Iterator[list[ControlHost]]:
+    """Prepare a control host for each of ``programs``; end all with the block."""
+    ips = [f"{ip_prefix}{number + 1}" for number in range(len(programs))]
+    with ExitStack() as stack:
         ports = {ip: free_ports(ip, 2) for ip in ips}
         place = Place(
             folder=folder,
@@ -194,9 +211,12 @@
             grace_seconds=6.0,
         )
         hosts = []
-        for ip, (control, directory) in ports.items():
+        for program, ip in zip(programs, ips, strict=True):
+            control, directory = ports[ip]
             listen = f'control = "{ip}:{control}"\ndirectory = "{ip}:{directory}"\n'
-            process = PlatformProcess(kind="control", ip=ip, place=place, listen=listen)
+            process = PlatformProcess(
+                kind="control", ip=ip, place=place, listen=listen, program=program
+            )
             stack.callback(process.kill)
             hosts.append(ControlHost(process=process, address=(ip, control)))
         yield hosts
@@ -211,7 +231,10 @@
     print(_row(*["---"] * len(HEADING)), flush=True)
     for routes in map(int, _ROUTES.value):
         for changes in map(int, _CHANGES.value):
-            with control_hosts(_HOSTS.value) as hosts:
+            with (
+                run_folder("", prefix="chicoryhold-memory-") as folder,
+                control_hosts([PROGRAM] * _HOSTS.value, folder=folder) as hosts,
+            ):
                 run = MemoryRun(hosts=hosts, routes=routes, random=Random(_SEED.value))
                 began = time.monotonic()
                 figures = run.run(changes)
--- a/bench/stops/hosts.py
+++ b/bench/stops/hosts.py
@@ -59,6 +59,11 @@
         self._ip = ip
         self._place = place
         self._settings = place.folder / f"{ip}.toml"
+        self._environment = {SETTINGS_VARIABLE: str(self._settings)}
+        if program != PROGRAM and program.name == PROGRAM.name:
+            # Another build's packages, which come before those of this one.
+            root = program.parents[1]
+            self._environment["PYTHONPATH"] = f"{root}/src{os.pathsep}{root}/platform"
         self._settings_text = _settings_text(ip, place, listen)
         self._settings.write_text(self._settings_text)
         self._reloads = 0
@@ -80,7 +85,7 @@
         with (self._place.folder / f"{self._ip}.log").open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, str(self._program), self._kind],
-                env={**os.environ, SETTINGS_VARIABLE: str(self._settings)},
+                env={**os.environ, **self._environment},
                 stdout=log,
                 stderr=log,
             )
