Keep the vote of a silent voter of an even number

Cause: of four voters a silent one was left out, since that needs no more replies. But it may come back with its disk: with one disk lost before and one after, three voters (or four, with the newcomer that is lost again) keep two disks of which three have to vote.

Change: only a voter that has lost its disk is left out to make the number odd.

--- a/src/chicoryhold/control/membership.py
+++ b/src/chicoryhold/control/membership.py
@@ -7,8 +7,9 @@
 
 - A voter whose process runs a newer replica has lost its disk.
 - A silent voter is replaced if a replica has joined that stands for nobody else.
-- Any other silent voter may come back. It is only left out of an even number of voters,
-  where the majority that it leaves is no smaller a part of the rest.
+- Any other silent voter may come back, and keeps its vote. Leaving it out of an even
+  number costs no reply at that moment, but a newcomer that is then lost together with
+  another disk would leave too few of those that are whole.
 
 Those vote that reply, up to a limit, spread over regions and failure domains. No change
 lowers the number of losses that the group bears:
@@ -97,10 +98,10 @@
             absent.append(voter)
     absent = absent[: (size - 1) // 2]  # those that reply are a majority
     chosen = _spread(replying, tuple(absent), members, states, tolerated_losses)
-    kept = [*absent, *lost[: max(0, size - len(chosen) - len(absent))]]
-    if (len(chosen) + len(kept)) % 2 == 0:
+    kept = lost[: max(0, size - len(chosen) - len(absent))]
+    if (len(chosen) + len(absent) + len(kept)) % 2 == 0:
         kept = kept[:-1]
-    return (*chosen, *kept)
+    return (*chosen, *absent, *kept)
 
 
 def _replying(members: Members, states: MemberStates) -> tuple[str, ...]:
