Log which request of which connection an attempt was, and peers' refusals

Change: a connection knows the IDs that were sent over it (hashes) and its own port; failed attempts log port and number of the request, a second use of an ID on a connection is a warning, a peer's 503 is logged with the kind of refusal that it names. No decision changes.

--- a/src/chicoryhold/gateway/attempt_log.py
+++ b/src/chicoryhold/gateway/attempt_log.py
@@ -10,6 +10,7 @@
 from chicoryhold.gateway.attempt import Attempt
 from chicoryhold.metrics import Metrics
 from chicoryhold.state.targets import TargetRecord
+from chicoryhold.targets.exchange import ConnectionUse
 
 
 class AttemptLog:
@@ -25,8 +26,14 @@
         self._metrics = metrics
         self._copy_age = copy_age
 
-    def record_failure(self, attempt: Attempt, reason: str, **fields: object) -> None:
-        """Log and count an attempt that got no usable response."""
+    def record_failure(
+        self, attempt: Attempt, reason: str, *, use: ConnectionUse | None = None,
+        **fields: object,
+    ) -> None:  # fmt: skip
+        """Log and count an attempt that got no usable response.
+
+        ``use`` names the connection on which the target refused or failed.
+        """
         choice = attempt.choice
         self._metrics.count("chicoryhold_failed_attempts", state=choice.state.value)
         view = choice.view
@@ -44,6 +51,8 @@
             failures=view.failures,
             left=round(attempt.routed.deadline - self._clock.now(), 3),
             reason=reason,
+            port=use.port if use else 0,
+            use=use.number if use else 0,
             **fields,
         ).info("delivery: attempt failed.")
 
--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -51,6 +51,7 @@
 from chicoryhold.state.targets import process_of
 from chicoryhold.targets.connections import TargetConnections
 from chicoryhold.targets.exchange import (
+    ConnectionUse,
     OutgoingRequest,
     ResponseHead,
     TargetResponse,
@@ -314,19 +315,23 @@
         metadata = self._header_translator.response_metadata(response)
         self._answers.record_response(attempt, metadata, response)
         if metadata.other_instance:
-            self._record_failure(attempt, "another instance has the address")
+            self._record_failure(
+                attempt, "another instance has the address", use=response.use
+            )
             return _AttemptResult(outcome=rejected_by_target(), known_not_run=True)
         load = metadata.statement.load
         if metadata.did_not_run:
             self._chooser.record_rejection(choice, load=load)
-            self._log.record_failure(attempt, "the target did not run the request")
+            self._log.record_failure(
+                attempt, "the target did not run the request", use=response.use
+            )
             return _AttemptResult(outcome=rejected_by_target(), known_not_run=True)
         self._guard.record_success(routed.digest)
         if metadata.statement.is_leaving:
             leaving = process_of(attempt.target)
             response = attrs.evolve(response, leaving=leaving)
         if response.status >= MIN_FAILURE_STATUS or response.status in NOT_RUN_STATUSES:
-            self._record_failure(attempt, f"status {response.status}")
+            self._record_failure(attempt, f"status {response.status}", use=response.use)
             return _AttemptResult(
                 outcome=forwarded_failure(response), known_not_run=False
             )
@@ -366,10 +371,11 @@
         )
 
     def _record_failure(
-        self, attempt: Attempt, error: object, *, unreachable: bool = False
-    ) -> None:
+        self, attempt: Attempt, error: object, *, unreachable: bool = False,
+        use: ConnectionUse | None = None,
+    ) -> None:  # fmt: skip
         ejected = self._chooser.record_failure(attempt.choice, unreachable=unreachable)
-        self._log.record_failure(attempt, str(error), left_alone=ejected)
+        self._log.record_failure(attempt, str(error), use=use, left_alone=ejected)
 
 
 def _decisive_result(
--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -210,6 +210,7 @@
         if response.status == REFUSED_STATUS:
             self._peers.avoid(peer)
             kind = self._header_translator.refusal_kind(response)
+            self._log_refusal(relayed, peer, kind)
             return _RelayAttempt(
                 outcome=Ok(response),
                 label="refused",
@@ -263,6 +264,15 @@
                     born=target.born_ms,
                 ).info("relay: a target says that it leaves.")
 
+    def _log_refusal(
+        self, relayed: RelayedRequest, peer: EntryHost, kind: RefusalKind | None
+    ) -> None:
+        logger.bind(
+            request=relayed.request.request_id,
+            peer=peer.name,
+            refused=kind.label if kind else "unknown",
+        ).info("relay: a peer refused.")
+
     def _log_failure(
         self, relayed: RelayedRequest, peer: EntryHost, error: ExchangeFailed
     ) -> None:
--- a/src/chicoryhold/targets/checked_connection.py
+++ b/src/chicoryhold/targets/checked_connection.py
@@ -17,6 +17,7 @@
     read_response,
     request_bytes,
 )
+from chicoryhold.targets.sent_ids import SentIds
 
 MIN_LOSS_TIMEOUT_SECONDS = 1  # one probe; several retransmissions of data
 MAX_LOSS_TIMEOUT_SECONDS = 10
@@ -59,6 +60,18 @@
         self._has_body = True
         self._received = b""
         self._heads: list[ResponseHead] = []
+        self._sent_ids = SentIds()
+        self._local_port = 0
+
+    @property
+    def sent_ids(self) -> SentIds:
+        """The IDs of the requests that were sent over this connection."""
+        return self._sent_ids
+
+    @property
+    def local_port(self) -> int:
+        """The port of this host's end, 0 before :meth:`connect`."""
+        return self._local_port
 
     @property
     def may_have_sent(self) -> bool:
@@ -78,6 +91,7 @@
             self._timeout,
             socket_options=_SOCKET_OPTIONS,
         )
+        self._local_port = self.sock.getsockname()[1]
 
     def close(self) -> None:
         sock, self.sock = self.sock, None
--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -21,6 +21,7 @@
 from chicoryhold.targets.checked_connection import CheckedConnection
 from chicoryhold.targets.dialect import OWN_DIALECT, TargetDialect
 from chicoryhold.targets.exchange import (
+    ConnectionUse,
     OutgoingRequest,
     ResponseHead,
     TargetResponse,
@@ -155,6 +156,9 @@
             headers=response.headers,
             body=response.body,
             earlier=connection.take_heads()[:-1],
+            use=ConnectionUse(
+                port=connection.local_port, number=len(connection.sent_ids)
+            ),
         )
 
     def _known_heads(
@@ -247,6 +251,11 @@
         deadlines: ExchangeDeadlines,
     ) -> ParsedResponse:  # fmt: skip
         connection.start_exchange(deadlines)
+        if request.request_id in connection.sent_ids:
+            logger.bind(request=request.request_id, port=connection.local_port).warning(
+                "connections: an ID is sent again over the same connection."
+            )
+        connection.sent_ids.add(request.request_id)
         id_header = self._dialect.request_id_header
         connection.send_request(
             request.method,
@@ -279,9 +288,13 @@
             is_other = bool(echoed_id) and echoed_id != request.request_id
             if not (is_other and self._dialect.lenient_framing):
                 return response
-            logger.bind(request=request.request_id, other=echoed_id).info(
-                "connections: skipped a response to an earlier request."
-            )
+            logger.bind(
+                request=request.request_id,
+                other=echoed_id,
+                status=response.status,
+                port=connection.local_port,
+                was_sent=echoed_id in connection.sent_ids,
+            ).info("connections: skipped a response to another request.")
         return connection.read_response(memory=self._memory)
 
     def _validate(self, request: OutgoingRequest, response: ParsedResponse) -> None:
--- a/src/chicoryhold/targets/exchange.py
+++ b/src/chicoryhold/targets/exchange.py
@@ -40,15 +40,28 @@
         return next((v for k, v in self.headers if k.lower() == lower), "")
 
 
+@attrs.frozen(kw_only=True)
+class ConnectionUse:
+    """Names one request of one connection in logs.
+
+    ``port`` is that of this host's end; ``number`` counts the connection's requests
+    from 1.
+    """
+
+    port: int
+    number: int
+
+
 @attrs.frozen(kw_only=True)
 class TargetResponse(ResponseHead):
     """A complete response, verified to belong to its request.
 
     ``earlier`` are the heads of responses to earlier requests that came before it on
-    the same connection. ``leaving`` is the target that it comes from, if that states in
-    it that it leaves.
+    the same connection. ``use`` names that connection. ``leaving`` is the target that
+    it comes from, if that states in it that it leaves.
     """
 
     body: bytes
     earlier: tuple[ResponseHead, ...] = ()
+    use: ConnectionUse | None = None
     leaving: TargetProcess | None = None
