Send an ID over a connection once

Cause: a target may send a response again where its next one is due, and only the ID tells the two apart. A request that came back to an address (a new name there, a caller's own ID again, a relayed request) went over the same connection, so the copy of the refusal fitted. The class: a response is matched by an ID that isn't unique on its connection. A repeated ID replaces a connection and adds none.

--- a/src/chicoryhold/targets/connections.py
+++ b/src/chicoryhold/targets/connections.py
@@ -46,7 +46,8 @@
 class TargetConnections:
     """Sends requests to targets over pooled connections.
 
-    Each response is checked to be complete and to belong to its request.
+    Each response is checked to be complete and to belong to its request. For that, an
+    ID is sent at most once over one connection.
     ``record_connect_time`` is called with the address and the seconds that opening
     each new connection took, ``record_link_failure`` with the address and the kind of
     each failure to open one or to get a response over one. While ``may_keep_idle``
@@ -103,7 +104,9 @@
         exchange.
         """
         idle = self._idle.take(
-            address, at_most_once=request.at_most_once and not request.cross_region
+            address,
+            request_id=request.request_id,
+            at_most_once=request.at_most_once and not request.cross_region,
         )
         if request.cross_region:
             self.preconnect(address)
@@ -251,10 +254,6 @@
         deadlines: ExchangeDeadlines,
     ) -> ParsedResponse:  # fmt: skip
         connection.start_exchange(deadlines)
-        if request.request_id in connection.sent_ids:
-            logger.bind(request=request.request_id, port=connection.local_port).warning(
-                "connections: an ID is sent again over the same connection."
-            )
         connection.sent_ids.add(request.request_id)
         id_header = self._dialect.request_id_header
         connection.send_request(
--- a/src/chicoryhold/targets/idle_connections.py
+++ b/src/chicoryhold/targets/idle_connections.py
@@ -55,21 +55,38 @@
         with self._lock:
             return len(self._idle.get(address, ()))
 
-    def take(self, address: str, *, at_most_once: bool) -> IdleConnection | None:
-        """Return the one that was used last, if it is usable for such a request."""
+    def take(
+        self, address: str, *, request_id: str, at_most_once: bool
+    ) -> IdleConnection | None:
+        """Return the one that was used last, if it is usable for such a request.
+
+        None is returned over which ``request_id`` was sent before. If it was sent over
+        all, the one that has been idle the longest is closed: a new one replaces it.
+        """
         now = self._clock.now()
-        while True:
-            with self._lock:
-                idle = self._idle.get(address)
-                entry = idle.pop() if idle else None
-            if entry is None:
-                return None
+        while entry := self._pop(address, request_id):
             limit = entry.idle_limit
             if at_most_once:
                 limit = min(limit, self._at_most_once_limit(now))
             if now - entry.idle_since <= limit and _is_reusable(entry.connection):
                 return entry
             entry.connection.close()
+        return None
+
+    def _pop(self, address: str, request_id: str) -> IdleConnection | None:
+        """Remove the last connection over which ``request_id`` wasn't sent.
+
+        If there is none, the first of those over which it was is closed.
+        """
+        with self._lock:
+            idle = self._idle.get(address, [])
+            for index in reversed(range(len(idle))):
+                if request_id not in idle[index].connection.sent_ids:
+                    return idle.pop(index)
+            replaced = idle.pop(0) if idle else None
+        if replaced is not None:
+            replaced.connection.close()
+        return None
 
     def keep(
         self, address: str, connection: CheckedConnection, idle_limit: float
@@ -78,6 +95,9 @@
         self._close_unusable()
         if connection.sock is None:
             return
+        if connection.sent_ids.is_full:
+            connection.close()
+            return
         entry = IdleConnection(
             connection=connection, idle_since=self._clock.now(), idle_limit=idle_limit
         )
