Avoid the addresses that a request was sent to, not the names

Cause: a delivery avoided the instances that it had tried. A restarted target has another instance name at its address, so what had answered 421 or broken off a moment ago was asked again at once under its new name. Change: a delivery avoids addresses; an instance that comes back at another address is another process and may get the request. The own interface avoids addresses already. Two tests stated the rule by instances: they state it by addresses now, and a new one has two instances at one address. Measured: test_what_answered_for_another_target_is_not_asked_again_by_its_new_name and test_another_instance_at_an_address_in_avoid_is_not_chosen fail without the change and pass with it; 266 tests of the choice and the delivery pass.

--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -143,9 +143,9 @@
                 break
             if choice is None:
                 break
-            avoid |= {choice.view.record.instance}
-            retry = self._retry(routed, number, avoid)
             address = choice.view.record.address
+            avoid |= {address}
+            retry = self._retry(routed, number, avoid)
             attempt = Attempt(
                 routed=routed,
                 choice=choice,
--- a/src/chicoryhold/routing/selection.py
+++ b/src/chicoryhold/routing/selection.py
@@ -17,8 +17,9 @@
     """What a request requires of a target.
 
     ``allowed_regions`` are the regions that the request may run in, empty for any.
-    ``avoid`` holds the instances that it was already sent to. Rank 0 is the most
-    urgent. ``time_left`` is the time until the request's deadline, in seconds.
+    ``avoid`` holds the addresses that it was already sent to, whichever instance was
+    there. Rank 0 is the most urgent. ``time_left`` is the time until the request's
+    deadline, in seconds.
     """
 
     route: RouteRule
--- a/src/chicoryhold/routing/target_choice.py
+++ b/src/chicoryhold/routing/target_choice.py
@@ -316,7 +316,7 @@
         return [
             view
             for view in self._views.open(criteria.service)
-            if view.record.instance not in avoid
+            if view.record.address not in avoid
             and (
                 not criteria.allowed_regions or view.region in criteria.allowed_regions
             )
--- a/tests/test_home_model.py
+++ b/tests/test_home_model.py
@@ -85,16 +85,17 @@
             apply(host, records(random), evacuated=evacuated)
         report_loads(host, clock, random.choice((0.2, 1.0, 3.0)))
         homes = random.choice(HOMES)
+        addresses = sorted(view.record.address for view in host.views.values())
         request = criteria(
             f"key-{random.randint(0, 20)}",
             allowed_regions=homes,
-            avoid=frozenset(random.sample(sorted(host.views), min(3, len(host.views)))),
+            avoid=frozenset(random.sample(addresses, min(3, len(addresses)))),
         )
         choice = host.choose(request)
         if isinstance(choice, Choice):
             sent += 1
             assert choice.view.region in homes
-            assert choice.view.record.instance not in request.avoid
+            assert choice.view.record.address not in request.avoid
     assert sent > 0
 
 
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -204,6 +204,17 @@
         assert isinstance(outcome, Ok) or outcome.err_value.ran is RunStatus.UNKNOWN
 
 
+def test_what_answered_for_another_target_is_not_asked_again_by_its_new_name():
+    with serving(CopyingTarget()) as target:
+        old = a_record(address=target.address)
+        new = a_record(address=target.address, instance="i-2", born_ms=2_000)
+        host = a_host(old)
+        target.on_refusal = lambda: apply(host.chooser, [new])
+        outcome = host.send()
+    assert not target.runs
+    assert outcome.err_value.ran is RunStatus.NOT_RUN
+
+
 @pytest.mark.parametrize("between", [0, 1, 3])
 @pytest.mark.parametrize(
     ("status", "lines"),
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -172,10 +172,30 @@
     assert chooser.choose(criteria()) is None
 
 
-def test_a_target_in_avoid_is_not_chosen():
+def address_of(chooser: TargetChooser, instance: str) -> str:
+    return chooser.views[instance].record.address
+
+
+def test_a_target_at_an_address_in_avoid_is_not_chosen():
     chooser = a_chooser("north-a", "north-a")
     first = chosen(chooser, criteria())
-    assert chosen(chooser, criteria(avoid=frozenset({first}))) != first
+    avoid = frozenset({address_of(chooser, first)})
+    assert chosen(chooser, criteria(avoid=avoid)) != first
+
+
+def test_another_instance_at_an_address_in_avoid_is_not_chosen():
+    """Guards against REFUSED: what had refused was asked again under a new name."""
+    chooser = a_chooser("north-a", "north-a")
+    first = chosen(chooser, criteria())
+    address = address_of(chooser, first)
+    other = next(
+        v.record for v in chooser.views.values() if v.record.address != address
+    )
+    for number in range(20):
+        successor = a_record(instance=f"n-{number}", born_ms=2_000, address=address)
+        apply(chooser, [other, successor])
+        avoid = frozenset({address})
+        assert chosen(chooser, criteria(avoid=avoid)) == other.instance
 
 
 def test_failures_of_most_targets_do_not_move_all_requests_to_another_region():
