Take only a peer's own refusal for its promise

Cause: a relaying host took each 408, 421, 429 and 503 that came from a peer's address for the promise that the request hadn't run, also one that isn't the peer's own refusal: that of a target which an older build passes on, or of another process at the address. Change: such a status counts as a promise only if the body names a refusal of ours; otherwise the request may have run, and callers are told 502. A kind that this build doesn't know is a promise still: a test said None for it, which was passed on as a promise all the same, and now says OVERLOADED. The relay's test translator names the kinds of the refusals that it stands for. Measured: test_a_promise_that_no_peer_gives_itself_is_not_passed_on failed for each of the four statuses before, and passes.

--- a/src/chicoryhold/gateway/relay.py
+++ b/src/chicoryhold/gateway/relay.py
@@ -18,7 +18,7 @@
     ExchangeFailed,
     ExchangeTimeout,
 )
-from chicoryhold.gateway.outcomes import NOT_RUN_STATUSES
+from chicoryhold.gateway.outcomes import NOT_RUN_STATUSES, forwarded_failure
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.gateway.relay_peers import RelayPeers
 from chicoryhold.gateway.request import GatewayRequest, RelayCall, RelayTerms
@@ -45,7 +45,7 @@
 UNTRIED_KINDS = frozenset(
     {RefusalKind.NOT_READY, RefusalKind.NO_TARGET, RefusalKind.STOPPING}
 )
-REFUSED_STATUS = 503  # a peer's statement that the request didn't run there
+REFUSED_STATUS = 503  # of a refusal after which another peer may serve the request
 
 Outcome = Result[TargetResponse, Refusal]
 
@@ -207,21 +207,30 @@
                 self._log_failure(relayed, peer, error)
             return _failed_attempt(error)
         self._record_leaving(relayed, peer, (*response.earlier, response))
+        if response.status in NOT_RUN_STATUSES:
+            return self._refused_attempt(relayed, peer, response)
+        return _RelayAttempt(outcome=Ok(response), label="responded", responded=True)
+
+    def _refused_attempt(
+        self, relayed: RelayedRequest, peer: EntryHost, response: TargetResponse
+    ) -> _RelayAttempt:
+        """Return the result of a response that promises that the request didn't run.
+
+        Only a peer's own refusal is such a promise; what else is at its address, or a
+        target whose response it passes on, may have run the request.
+        """
+        kind = self._header_translator.refusal_kind(response)
+        self._log_refusal(relayed, peer, response.status, kind)
         if response.status == REFUSED_STATUS:
             self._peers.avoid(peer)
-            kind = self._header_translator.refusal_kind(response)
-            self._log_refusal(relayed, peer, kind)
-            return _RelayAttempt(
-                outcome=Ok(response),
-                label="refused",
-                known_not_run=True,
-                untried=kind in UNTRIED_KINDS,
-            )
+        if kind is None:
+            return _RelayAttempt(outcome=forwarded_failure(response), label="broken")
         return _RelayAttempt(
             outcome=Ok(response),
-            label="responded",
-            known_not_run=response.status in NOT_RUN_STATUSES,
-            responded=True,
+            label="refused" if response.status == REFUSED_STATUS else "responded",
+            known_not_run=True,
+            untried=kind in UNTRIED_KINDS,
+            responded=response.status != REFUSED_STATUS,
         )
 
     def _exchange(
@@ -265,11 +274,13 @@
                 ).info("relay: a target says that it leaves.")
 
     def _log_refusal(
-        self, relayed: RelayedRequest, peer: EntryHost, kind: RefusalKind | None
-    ) -> None:
+        self, relayed: RelayedRequest, peer: EntryHost, status: int,
+        kind: RefusalKind | None,
+    ) -> None:  # fmt: skip
         logger.bind(
             request=relayed.request.request_id,
             peer=peer.name,
+            status=status,
             refused=kind.label if kind else "unknown",
         ).info("relay: a peer refused.")
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -269,7 +269,7 @@
     ("body", "kind"),
     [
         (b'{"refused": "not_ready", "message": "m"}', RefusalKind.NOT_READY),
-        (b'{"refused": "something new"}', None),
+        (b'{"refused": "something new"}', RefusalKind.OVERLOADED),
         (b"from the target itself", None),
     ],
 )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -37,6 +37,12 @@
 STOPPING = TargetResponse(status=503, headers=(), body=b"stopping")
 REFUSED = TargetResponse(status=503, headers=(("Retry-After", "0.4"),), body=b"")
 OVER_RATE = TargetResponse(status=429, headers=(("Retry-After", "0.5"),), body=b"")
+KINDS = {
+    STOPPING: RefusalKind.STOPPING,
+    OVERLOADED: RefusalKind.OVERLOADED,
+    REFUSED: RefusalKind.NOT_READY,
+    OVER_RATE: RefusalKind.RATE_EXCEEDED,
+}
 
 
 def host(name: str, domain: str = "north-a") -> EntryHost:
@@ -76,9 +82,7 @@
 
 class HeaderTranslator:
     def refusal_kind(self, response):
-        if response is STOPPING:
-            return RefusalKind.STOPPING
-        return RefusalKind.OVERLOADED if response is OVERLOADED else None
+        return KINDS.get(response)
 
     def leaving_process(self, response):
         named = dict(response.headers).get("Leaving")
@@ -229,6 +233,17 @@
     assert len(connections.addresses) == 1
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_a_promise_that_no_peer_gives_itself_is_not_passed_on(status):
+    """Guards against REFUSED: a relayed request ran, and its caller was told 503."""
+    other = TargetResponse(status=status, headers=(), body=b"from the target itself")
+    outcome, connections = run(other, OK, repeatable=False)
+    assert outcome.err_value.kind is RefusalKind.ANSWER_BROKEN
+    assert outcome.err_value.ran is RunStatus.UNKNOWN
+    assert len(connections.addresses) == 1
+    assert run(other, OK, repeatable=True)[0] == Ok(OK)
+
+
 @pytest.mark.parametrize(
     ("error", "kind"),
     [
