Test that the copy of an old answer begins no limit and no back-off

That a target leaves is final for its process, so it counts from a skipped copy too; a limit, a load and a time to stay away were true when first sent. A skipped answer is read for its leaving alone, and since an ID goes over a connection once, no copy is taken for the answer whose other headers count. Change: tests of a limit and of a back-off in a skipped copy.

--- a/tests/test_statements_on_the_wire.py
+++ b/tests/test_statements_on_the_wire.py
@@ -243,6 +243,31 @@
         assert not host.is_leaving()
 
 
+def test_the_copy_of_an_old_answer_names_no_limit():
+    """Guards against LIMIT: what a copy says was true when it was first sent."""
+    limited = answer(lines=SEAL + b"Server-Limit: 3\r\n")
+    copy = answer(lines=SEAL + b"Server-Limit: 9\r\n", request_id=b"{previous}")
+    failed = answer(b"500 Internal Server Error", b"")
+    with target(answer(lines=SEAL), copy + failed, limited) as address:
+        host = a_host(address)
+        host.send("r1")
+        host.send("r2")
+        assert host.statements.limits.rate_of("i-1") is None
+        host.send("r3")
+        assert host.statements.limits.rate_of("i-1") == 3.0
+
+
+def test_the_copy_of_an_old_refusal_begins_no_back_off():
+    """Guards against wrong refusals: a target was left alone for an old answer."""
+    refused = b"503 Service Unavailable"
+    copy = answer(refused, b"Retry-After: 60\r\n", request_id=b"{previous}")
+    with target(answer(lines=SEAL), copy + answer(lines=SEAL)) as address:
+        host = a_host(address)
+        assert host.send("r1").is_ok()
+        assert host.send("r2").is_ok()
+        assert not host.statements.has_back_offs
+
+
 def test_an_answer_counts_whose_time_runs_out_before_its_end():
     with target(answer(body=b"who"), ends=False) as address:
         host = a_host(address)
