Have soak targets send copies of their refusals

Change: a stand-in target that answers 421 mostly sends that answer again before the next one on the same connection. The judge of the stops soak already looks for requests that were refused and ran.

--- a/bench/stops/targets.py
+++ b/bench/stops/targets.py
@@ -1,7 +1,8 @@
 """Stand-in targets that note when requests arrive, are answered and are broken off.
 
 The header ``Work-Seconds`` sets how long a request works, ``Answer-Bytes`` how long its
-answer is. A target that leaves says so in all its answers.
+answer is. A target that leaves says so in all its answers. One that turns a request
+away mostly sends the refusal again, before the next answer on that connection.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from random import Random
 
 from bench.stops.records import Arrival, Ledger
 
@@ -20,6 +22,7 @@
 POLL_SECONDS = 0.1
 MILLISECONDS_PER_SECOND = 1000
 OTHER_INSTANCE_STATUS = 421
+COPIED_SHARE = 0.7  # of the refusals
 
 
 class _Handler(BaseHTTPRequestHandler):
@@ -30,6 +33,7 @@
     def setup(self) -> None:
         super().setup()
         self.is_idle = True
+        self._copied_id = ""
         self.server.handlers.add(self)
 
     def finish(self) -> None:
@@ -64,6 +68,8 @@
             self._answer(OTHER_INSTANCE_STATUS, 0)
         except OSError:
             self.close_connection = True
+        if self.server.random.random() < COPIED_SHARE:
+            self._copied_id = self.headers.get("Request-Id", "")
 
     def _handle_request(self) -> None:
         arrival = self.server.ledger.add_arrival(
@@ -115,6 +121,13 @@
         arrival.answered_at = time.monotonic()
 
     def _answer(self, status: int, size: int) -> None:
+        copied_id, self._copied_id = self._copied_id, ""
+        if copied_id:
+            self._write_answer(OTHER_INSTANCE_STATUS, 0, copied_id)
+        self._write_answer(status, size, self.headers.get("Request-Id", ""))
+        self.wfile.flush()
+
+    def _write_answer(self, status: int, size: int, request_id: str) -> None:
         self.send_response(status)
         self.send_header("Content-Length", str(size))
         self.send_header("Instance-Id", self.server.instance)
@@ -124,13 +137,12 @@
             self.send_header("Connection", "close")
         if status == OTHER_INSTANCE_STATUS:
             self.send_header("Not-Executed", "1")
-        if "Request-Id" in self.headers:
-            self.send_header("Request-Id", self.headers["Request-Id"])
-        if "Request-Id" in self.headers and status != OTHER_INSTANCE_STATUS:
+        if request_id:
+            self.send_header("Request-Id", request_id)
+        if request_id and status != OTHER_INSTANCE_STATUS:
             self.send_header("Server-Seal", self.server.incarnation)
         self.end_headers()
         self.wfile.write(bytes(size))
-        self.wfile.flush()
 
 
 class StopTarget(ThreadingHTTPServer):
@@ -158,6 +170,7 @@
         self.is_leaving = False
         self.has_ended = False
         self.handlers: set[_Handler] = set()
+        self.random = Random(instance)
 
     @property
     def incarnation(self) -> str:
