Name a peer's refusal to the relaying host in a header

Cause: a peer named the kind of its refusal in the body alone, and a response to HEAD has none, so the promise couldn't be known to be the peer's own. Change: a refusal of a relayed request names its kind in Chicoryhold-Refused, which no response carries on to a caller, so no target can forge it.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,14 +7,15 @@
 
 import msgspec
 import pytest
-from result import Ok
+from result import Err, Ok
 from wiring.client_app import ClientApp
 from wiring.configuration import InvalidConfiguration, read_configuration
 from wiring.settings import control_settings, read_settings
 from wiring.targets import PlatformHeaders, leaving_process_text, read_report
 
-from chicoryhold.callers.refusals import RefusalKind
+from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
 from chicoryhold.errors import SettingsError
+from chicoryhold.gateway.outcomes import Outcome
 from chicoryhold.gateway.request import RelayCall, RelayTerms, TargetCall
 from chicoryhold.gateway.service import ServeResult
 from chicoryhold.http.channel import ARRIVED_AT, CANCELLATION
@@ -213,15 +214,9 @@
         assert leaving_process_text(process) == text
 
 
-@pytest.mark.parametrize("relayed", ["12,1", ""])
-def test_only_a_relaying_host_is_told_which_process_leaves(relayed):
-    response = TargetResponse(
-        status=200,
-        headers=(("Server-Leaving", "1"), ("Chicoryhold-Leaving", "9,i-forged")),
-        body=b"",
-        leaving=TargetProcess(instance="i-1", born_ms=1700),
-    )
-    gateway = SimpleNamespace(serve=lambda request: ServeResult(outcome=Ok(response)))
+def headers_sent(outcome: Outcome, *, relayed: str) -> list[tuple[str, str]]:
+    """Return the headers of the response to a request with this outcome."""
+    gateway = SimpleNamespace(serve=lambda request: ServeResult(outcome=outcome))
     gateway.service = gateway
     environ = {
         "REQUEST_METHOD": "GET",
@@ -233,6 +228,18 @@
     }
     sent = []
     ClientApp(gateway)(environ, lambda status, headers: sent.extend(headers))
+    return sent
+
+
+@pytest.mark.parametrize("relayed", ["12,1", ""])
+def test_only_a_relaying_host_is_told_which_process_leaves(relayed):
+    response = TargetResponse(
+        status=200,
+        headers=(("Server-Leaving", "1"), ("Chicoryhold-Leaving", "9,i-forged")),
+        body=b"",
+        leaving=TargetProcess(instance="i-1", born_ms=1700),
+    )
+    sent = headers_sent(Ok(response), relayed=relayed)
     internal = [value for name, value in sent if name == "Chicoryhold-Leaving"]
     assert internal == (["1700,i-1"] if relayed else [])
     assert ("Server-Leaving", "1") in sent
@@ -278,6 +285,20 @@
     assert PlatformHeaders().refusal_kind(response) is kind
 
 
+@pytest.mark.parametrize("relayed", ["12,1", ""])
+def test_a_refusal_without_a_body_names_its_kind_to_a_relaying_host_alone(relayed):
+    """Guards against lost promises: a response to HEAD has no body that names it."""
+    refusal = Refusal(
+        kind=RefusalKind.NOT_READY, ran=RunStatus.NOT_RUN, message="not yet"
+    )
+    headers = tuple(headers_sent(Err(refusal), relayed=relayed))
+    response = TargetResponse(status=503, headers=headers, body=b"")
+    kind = PlatformHeaders().refusal_kind(response)
+    assert kind is (RefusalKind.NOT_READY if relayed else None)
+    passed_on = headers_sent(Ok(response), relayed=relayed)
+    assert "Chicoryhold-Refused" not in dict(passed_on)
+
+
 class _RecordingGateway:
     """Records the request that it is given, then raises ``InterruptedError``."""
 
