Share the host that delivers over real sockets between tests

Cause: two test files built the same delivery, request and exchange. Change: tests/delivering_host.py has the host; what is checked is unchanged.

--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -15,29 +15,17 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 from result import Ok
-from wiring.targets import DIALECT, PlatformHeaders
+from wiring.targets import DIALECT
 
 from chicoryhold.callers.refusals import RunStatus
 from chicoryhold.clock import BootClock
-from chicoryhold.gateway.attempt_log import AttemptLog
-from chicoryhold.gateway.delivery import Delivery
-from chicoryhold.gateway.outcomes import Outcome
-from chicoryhold.gateway.request import GatewayRequest, RoutedRequest
-from chicoryhold.limits.retry_budgets import RetryBudgets
-from chicoryhold.metrics import Metrics
-from chicoryhold.routing.target_choice import TargetChooser
-from chicoryhold.routing.target_statements import TargetStatements
-from chicoryhold.state.targets import TargetRecord
-from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.connections import TargetConnections
-from chicoryhold.targets.exchange import OutgoingRequest, TargetResponse
-from tests.crash_fakes import CrashedTargets, a_guard
-from tests.statement_fakes import a_statements
-from tests.test_target_choice import ROUTE, a_chooser, apply
+from tests.delivering_host import a_host_with
+from tests.test_spoilt_responses import exchange
+from tests.test_target_choice import apply
 from tests.test_targets_state import a_record
 
 ATTEMPTS = 4
-SECONDS = 5.0
 OTHER_INSTANCE = "421 Misdirected Request"
 NOT_EXECUTED = "Not-Executed: 1\r\n"
 
@@ -116,88 +104,14 @@
         listener.close()
 
 
-@attrs.frozen(kw_only=True)
-class Host:
-    """Delivers requests that must run at most once to the targets in ``chooser``."""
-
-    delivery: Delivery
-    chooser: TargetChooser
-    statements: TargetStatements
-
-    def send(self, request_id: str = "r1") -> Outcome:
-        now = BootClock().now()
-        request = GatewayRequest(
-            request_id=request_id,
-            method="POST",
-            host="h",
-            path="/",
-            target="/",
-            headers={},
-            body=b"",
-            key=None,
-            affinity_key="thing",
-            arrived_at=now,
-            deadline=now + SECONDS,
-            cancellation=Cancellation(),
-        )
-        routed = RoutedRequest(
-            request=request,
-            route=attrs.evolve(ROUTE, repeatable=False, attempts=ATTEMPTS),
-            service="menu",
-            organisation="",
-            allowed_regions=frozenset(),
-            deadline=request.deadline,
-            digest=b"digest",
-        )
-        return self.delivery.deliver(routed)
-
-
-def a_host(*records: TargetRecord) -> Host:
-    clock = BootClock()
-    statements = a_statements(clock)
-    chooser = a_chooser(clock=clock, statements=statements)
-    apply(chooser, records)
-    delivery = Delivery(
-        chooser=chooser,
-        connections=TargetConnections(clock=clock, dialect=DIALECT),
-        header_translator=PlatformHeaders(),
-        statements=statements,
-        crashes=CrashedTargets().watch(clock),
-        guard=a_guard(clock),
-        log=AttemptLog(
-            clock=clock, metrics=Metrics(process="test"), copy_age=lambda: 0.0
-        ),
-        budgets=RetryBudgets(),
-        clock=clock,
-    )
-    return Host(delivery=delivery, chooser=chooser, statements=statements)
-
-
-def exchange(
-    connections: TargetConnections, address: str, request_id: str
-) -> TargetResponse:
-    request = OutgoingRequest(
-        request_id=request_id,
-        method="POST",
-        path="/",
-        headers={},
-        body=b"",
-        at_most_once=True,
-    )
-    deadline = BootClock().now() + SECONDS
-    return connections.exchange(
-        address, request, deadline=deadline, stale_connection_deadline=deadline
-    )
-
-
 def test_no_request_that_ran_is_refused_as_not_run_by_the_copy_of_a_refusal():
     """The target restarts under a new name while its host sends to the old one."""
     with serving(CopyingTarget()) as target:
         old = a_record(address=target.address)
         new = a_record(address=target.address, instance="i-2", born_ms=2_000)
-        host = a_host(old)
+        host = a_host_with(old)
         target.on_refusal = lambda: apply(host.chooser, [new])
-        outcome = host.send()
+        outcome = host.send(attempts=ATTEMPTS)
     ran = target.runs["r1"]
     assert ran <= 1
     if ran:
@@ -208,9 +122,9 @@
     with serving(CopyingTarget()) as target:
         old = a_record(address=target.address)
         new = a_record(address=target.address, instance="i-2", born_ms=2_000)
-        host = a_host(old)
+        host = a_host_with(old)
         target.on_refusal = lambda: apply(host.chooser, [new])
-        outcome = host.send()
+        outcome = host.send(attempts=ATTEMPTS)
     assert not target.runs
     assert outcome.err_value.ran is RunStatus.NOT_RUN
 
