Test a caller that sends an ID again after a refusal

Cause: since a delivery avoids addresses, the test through the delivery no longer reaches the connection; a caller's own second request still does. Change: such a test, through the delivery.

--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -26,6 +26,7 @@
 from tests.test_targets_state import a_record
 
 ATTEMPTS = 4
+FULL = "503 Service Unavailable"
 OTHER_INSTANCE = "421 Misdirected Request"
 NOT_EXECUTED = "Not-Executed: 1\r\n"
 
@@ -34,10 +35,10 @@
 class CopyingTarget:
     """Refuses each request once, and sends the copy of a refusal when the next is due.
 
-    It refuses ``name`` other than its own with 421, and otherwise with ``refusal``.
-    Once it has refused an ID it runs that ID's next request. The copy goes out on the
-    connection of the refusal, just before the response to its next request.
-    ``on_refusal`` is called before a refusal is sent.
+    Once it has refused an ID, with the status ``refusal`` and the header ``lines``, it
+    runs that ID's next request. The copy goes out on the connection of the refusal,
+    just before the response to its next request. ``on_refusal`` is called before a
+    refusal is sent.
     """
 
     refusal: str = OTHER_INSTANCE
@@ -45,7 +46,6 @@
     on_refusal: Callable[[], None] = lambda: None
     address: str = ""
     runs: Counter[str] = attrs.field(factory=Counter)
-    connections: int = 0
     _refused: set[str] = attrs.field(factory=set)
 
     def respond(self, request_id: str) -> str:
@@ -91,7 +91,6 @@
         with suppress(OSError):
             while True:
                 connection, _ = listener.accept()
-                target.connections += 1
                 threading.Thread(
                     target=target.serve, args=[connection], daemon=True
                 ).start()
@@ -118,6 +117,14 @@
         assert isinstance(outcome, Ok) or outcome.err_value.ran is RunStatus.UNKNOWN
 
 
+def test_a_callers_second_request_of_an_id_is_not_answered_by_the_copy_of_a_refusal():
+    with serving(CopyingTarget(refusal=FULL, lines=NOT_EXECUTED)) as target:
+        host = a_host_with(a_record(address=target.address))
+        assert host.send().err_value.ran is RunStatus.NOT_RUN
+        assert host.send().ok_value.status == 200
+    assert target.runs["r1"] == 1
+
+
 def test_what_answered_for_another_target_is_not_asked_again_by_its_new_name():
     with serving(CopyingTarget()) as target:
         old = a_record(address=target.address)
@@ -133,7 +140,7 @@
 @pytest.mark.parametrize(
     ("status", "lines"),
     [
-        ("503 Service Unavailable", NOT_EXECUTED),
+        (FULL, NOT_EXECUTED),
         ("429 Too Many Requests", NOT_EXECUTED),
         (OTHER_INSTANCE, NOT_EXECUTED),
         (OTHER_INSTANCE, ""),
