Refuse responses whose status is above 599

Callers got a status that HTTP doesn't have as the target's answer: 600, 700 and 999 came through with seal and body, at the exchange, through the relay, through the own interface and at the caller's socket. What the answer stated beside it (leaving, limit) was recorded as said by the target.

Cause: h11 checks the form of a status, three digits, and that a final one is at least 200. It has no upper bound below 1000, and no code here added one. Class of fault: a parser's check of the form was taken for one of the value.

The bound stands where the head of every response is read, before anything of it is recorded, so targets, peers and both dialects share it. Such a response raises InvalidResponse: it is an attempt that failed, run unknown. A request that may be repeated goes to another target, any other is told 502, without anything of the target's.

24 tests of tests/test_invalid_statuses.py failed before: those of 600, 700 and 999 in the exchange, the delivery, the relay, the own interface and at the caller's socket. All pass now. The 3 that ask for another target passed before too, as any status of 500 or more counts as a failure.

--- a/src/chicoryhold/targets/response_parser.py
+++ b/src/chicoryhold/targets/response_parser.py
@@ -23,6 +23,7 @@
 )
 
 MAX_HEADERS = 100
+MAX_STATUS = 599  # RFC 9110, section 15
 
 
 @attrs.frozen(kw_only=True)
@@ -132,22 +133,32 @@
         if isinstance(event, h11.InformationalResponse):
             reader.end_interim_head()
             continue
-        lengths = {name for name, _ in event.headers} & {
-            b"content-length", b"transfer-encoding",
-        }  # fmt: skip
-        if len(lengths) > 1:
-            raise InvalidResponse(
-                "the answer has a length and chunks, so its end is ambiguous: make the "
-                "target send one of them"
-            )
-        if len(event.headers) > MAX_HEADERS:
-            raise InvalidResponse(
-                f"the answer has more than {MAX_HEADERS} headers: send fewer"
-            )
+        _check_head(event)
         reader.start_body()
         return event
 
 
+def _check_head(head: h11.Response) -> None:
+    """Raise ``InvalidResponse`` for what h11 lets pass."""
+    if head.status_code > MAX_STATUS:
+        raise InvalidResponse(
+            f"the answer's status {head.status_code} isn't one of HTTP: make the "
+            f"target send one up to {MAX_STATUS}"
+        )
+    lengths = {name for name, _ in head.headers} & {
+        b"content-length", b"transfer-encoding",
+    }  # fmt: skip
+    if len(lengths) > 1:
+        raise InvalidResponse(
+            "the answer has a length and chunks, so its end is ambiguous: make the "
+            "target send one of them"
+        )
+    if len(head.headers) > MAX_HEADERS:
+        raise InvalidResponse(
+            f"the answer has more than {MAX_HEADERS} headers: send fewer"
+        )
+
+
 def _read_body(parser: h11.Connection, reader: LimitedReader, body: BodyBuffer) -> None:
     while not isinstance(event := _next_event(parser, reader), h11.EndOfMessage):
         if body.size + len(event.data) > MAX_RESPONSE_BYTES:
--- a/tests/test_invalid_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -43,6 +43,9 @@
     "000": b"000",
     "001": b"001",
     "099": b"099",
+    "600": b"600",
+    "700": b"700",
+    "999": b"999",
     "switching protocols": b"101",  # which no request asks for
     "two digits": b"00",
     "four digits": b"1000",
