--- a/tests/test_numbers_in_heads.py
+++ b/tests/test_numbers_in_heads.py
@@ -15,8 +15,9 @@
     MAX_IDLE_LIMIT_SECONDS,
     idle_limit_seconds,
 )
+from tests.test_invalid_statuses import an_entry_host, answer_to_caller
 from tests.test_spoilt_responses import SOUND, answer_of, exchange, target
-from tests.test_statements_on_the_wire import SEAL, answer
+from tests.test_statements_on_the_wire import SEAL, a_host, answer
 
 OTHER_DIGITS = ("٢", "２", "²", "½", "x", "")
 MANY_DIGITS = "9" * 400  # too many for a float
@@ -96,6 +97,45 @@
     assert statement.back_off is None
 
 
+LOADS = {
+    "usual": ("3, 1, 8", True),
+    "largest": (",".join(["9" * 9] * 3), True),
+    "ten digits": ("1" + "0" * 9 + ",1,8", False),
+    "running": (MANY_DIGITS + ",1,8", False),
+    "waiting": ("1," + MANY_DIGITS + ",8", False),
+    "slots": ("1,1," + MANY_DIGITS, False),
+    "too many digits": ("1," + TOO_MANY_DIGITS + ",8", False),
+    "negative": ("-1,1,8", False),
+    "plus": ("1,+1,8", False),
+}
+every_load = pytest.mark.parametrize(("value", "is_read"), LOADS.values(), ids=LOADS)
+
+
+@every_load
+def test_a_load_that_can_not_be_reckoned_with_is_left_out(value, is_read):
+    load = statement_of(("Server-Load", value)).load
+    assert (load is not None) is is_read
+
+
+@every_load
+def test_a_load_of_any_size_ends_no_request(value, is_read):
+    text = answer(lines=SEAL + f"Server-Load: {value}\r\n".encode())
+    with target(text, text, text) as address:
+        host = a_host(address)
+        outcomes = [host.send(f"r{number}") for number in range(3)]
+    assert [outcome.ok_value.status for outcome in outcomes] == [200] * 3
+    (view,) = host.chooser.views.values()
+    assert view.in_flight == 0
+
+
+@every_load
+def test_callers_get_the_answer_beside_a_load_of_any_size(value, is_read):
+    text = answer(lines=SEAL + f"Server-Load: {value}\r\n".encode())
+    with an_entry_host(text) as host:
+        received = [answer_to_caller(host, "/ledger/1") for _ in range(2)]
+    assert {each.partition(b"\r\n")[0] for each in received} == {b"HTTP/1.1 200 OK"}
+
+
 def test_an_idle_connection_is_kept_whatever_its_timeout_reads():
     lines = f"Keep-Alive: timeout={TOO_MANY_DIGITS}\r\n".encode()
     connections = TargetConnections(clock=BootClock(), dialect=DIALECT)
