Refuse a response at its head if its stated length is too long

A response whose Content-Length is above the longest that a host takes was read until that many bytes had come, or until the caller's deadline: with "Content-Length:" and no more than a few bytes, the caller got 504 when its time was over, and a request that may be repeated had no time left for another target.

Cause: the length was compared with the bytes that arrived, not with the stated one. It is now compared as soon as the head has been read, unless no body follows (HEAD, 204, 304). The head's statements are recorded before, so a target that says beside it that it leaves is known to leave.

--- a/src/chicoryhold/targets/response_parser.py
+++ b/src/chicoryhold/targets/response_parser.py
@@ -84,6 +84,9 @@
             head = _read_head(parser, reader)
             response_head = _response_head(head)
             on_head(response_head)
+            sends_body = has_body and head.status_code not in _STATUSES_WITHOUT_BODY
+            if sends_body:
+                _check_length(int(response_head.header("content-length") or 0))
             _read_body(parser, reader, body)
         except h11.RemoteProtocolError as error:
             raise InvalidResponse(
@@ -95,8 +98,7 @@
             headers=response_head.headers,
             body=body.to_bytes(),
             states_its_end=(
-                not has_body
-                or head.status_code in _STATUSES_WITHOUT_BODY
+                not sends_body
                 or bool(names & {b"content-length", b"transfer-encoding"})
             ),
             keeps_connection=parser.their_state is h11.DONE,
@@ -161,14 +163,18 @@
 
 def _read_body(parser: h11.Connection, reader: LimitedReader, body: BodyBuffer) -> None:
     while not isinstance(event := _next_event(parser, reader), h11.EndOfMessage):
-        if body.size + len(event.data) > MAX_RESPONSE_BYTES:
-            raise InvalidResponse(
-                f"the answer is longer than {MAX_RESPONSE_BYTES} bytes: send less"
-            )
+        _check_length(body.size + len(event.data))
         body.append(event.data)
         reader.count_body(len(event.data))
 
 
+def _check_length(length: int) -> None:
+    if length > MAX_RESPONSE_BYTES:
+        raise InvalidResponse(
+            f"the answer is longer than {MAX_RESPONSE_BYTES} bytes: send less"
+        )
+
+
 def _next_event(parser: h11.Connection, reader: LimitedReader) -> h11.Event:
     while (event := parser.next_event()) is h11.NEED_DATA:
         data = reader.receive()
--- a/tests/test_numbers_in_heads.py
+++ b/tests/test_numbers_in_heads.py
@@ -5,6 +5,7 @@
 import pytest
 from wiring.targets import DIALECT, PlatformHeaders
 
+from chicoryhold.callers.refusals import RefusalKind, RunStatus
 from chicoryhold.clock import BootClock
 from chicoryhold.errors import ExchangeFailed, InvalidResponse
 from chicoryhold.targets.connections import TargetConnections
@@ -15,8 +16,15 @@
     MAX_IDLE_LIMIT_SECONDS,
     idle_limit_seconds,
 )
+from chicoryhold.targets.response_memory import MAX_RESPONSE_BYTES
 from tests.test_invalid_statuses import an_entry_host, answer_to_caller
-from tests.test_spoilt_responses import SOUND, answer_of, exchange, target
+from tests.test_spoilt_responses import (
+    DIALECT as SPOILT_DIALECT,
+    SOUND,
+    answer_of,
+    exchange,
+    target,
+)
 from tests.test_statements_on_the_wire import SEAL, a_host, answer
 
 OTHER_DIGITS = ("٢", "２", "²", "½", "x", "")
@@ -142,3 +150,32 @@
     with target(answer(lines=SEAL + lines), ends=False) as address:
         assert exchange(connections, address).status == 200
         assert connections.idle_count(address) == 1
+
+
+@pytest.mark.parametrize("value", [MAX_RESPONSE_BYTES + 1, 10**18, 10**19])
+def test_a_response_that_will_be_too_long_is_refused_before_its_time_runs_out(value):
+    with target(with_length(str(value).encode()), ends=False) as address:
+        connections = TargetConnections(clock=BootClock(), dialect=SPOILT_DIALECT)
+        with pytest.raises(InvalidResponse, match="longer than"):
+            exchange(connections, address)
+
+
+@pytest.mark.parametrize("status", [b"200 OK", b"304 Not Modified"])
+def test_the_length_of_a_body_that_is_not_sent_may_be_any(status):
+    """Of a HEAD request, or of what the caller has already."""
+    method = "HEAD" if status.startswith(b"200") else "GET"
+    text = with_length(b"9" * 18).replace(b"200 OK", status).removesuffix(b"whole")
+    with target(text, ends=False) as address:
+        connections = TargetConnections(clock=BootClock(), dialect=SPOILT_DIALECT)
+        response = exchange(connections, address, method=method)
+    assert response.body == b""
+
+
+def test_a_target_that_leaves_counts_so_beside_too_large_a_length():
+    text = answer().replace(b"Content-Length: 5", b"Content-Length: " + b"9" * 18)
+    with target(text, ends=False) as address:
+        host = a_host(address)
+        refusal = host.send().err_value
+    assert refusal.kind is RefusalKind.ANSWER_BROKEN
+    assert refusal.ran is RunStatus.UNKNOWN
+    assert host.is_leaving()
--- a/tests/test_spoilt_responses.py
+++ b/tests/test_spoilt_responses.py
@@ -74,11 +74,12 @@
 
 
 def exchange(
-    connections: TargetConnections, address: str, request_id: str = "r1"
-) -> TargetResponse:
+    connections: TargetConnections, address: str, request_id: str = "r1", *,
+    method: str = "GET",
+) -> TargetResponse:  # fmt: skip
     request = OutgoingRequest(
         request_id=request_id,
-        method="GET",
+        method=method,
         path="/",
         headers={},
         body=b"",
