Limit the time that a caller can say it waits

A caller whose Deadline-Ms had 13 digits or more got 500 from the server's own layer: a socket refuses so long a timeout with an OverflowError. Until the host's end the request then counted as in flight at a target that it never reached (seen: 1 after one request). With 400 digits the division overflowed, with 5000 int() refused.

Cause: a number of a head is taken without a bound and fails where it is used, as Server-Load did.

What remains: an unexpected error between the choice of a target and the end of the exchange still leaves the request counted as in flight there.

--- a/tests/test_invalid_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -236,13 +236,15 @@
         yield stack.enter_context(running_host("own", targets, lambda: ()))
 
 
-def answer_to_caller(host: EntryHost, path: str) -> bytes:
-    """Send a request; return all bytes of the answer."""
+def answer_to_caller(
+    host: EntryHost, path: str, lines: bytes = b"Deadline-Ms: 2000\r\n"
+) -> bytes:
+    """Send a request with ``lines`` in its head; return all bytes of the answer."""
     with socket.create_connection((IP, host.port), timeout=WAIT_SECONDS) as caller:
         caller.sendall(
             b"POST " + path.encode() + b" HTTP/1.1\r\nHost: shop.example\r\n"
-            b"Request-Id: r1\r\nDeadline-Ms: 2000\r\nAuthorization: Bearer k\r\n"
-            b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+            b"Request-Id: r1\r\nAuthorization: Bearer k\r\nConnection: close\r\n"
+            b"Content-Length: 0\r\n" + lines + b"\r\n"
         )
         received = b""
         while data := caller.recv(65_536):
--- /dev/null
+++ b/tests/test_numbers_in_requests.py
@@ -0,0 +1,42 @@
+"""Numbers in the heads of callers' requests that are too large."""
+
+from __future__ import annotations
+
+import pytest
+from wiring.client_app import (
+    DEFAULT_TIMEOUT_SECONDS,
+    MAX_TIMEOUT_SECONDS,
+    timeout_seconds,
+)
+
+from tests.test_invalid_statuses import an_entry_host, answer_to_caller
+from tests.test_statements_on_the_wire import SEAL, answer
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        ("2000", 2.0),
+        ("0", 0.0),
+        ("", DEFAULT_TIMEOUT_SECONDS),
+        ("-1", DEFAULT_TIMEOUT_SECONDS),
+        ("1e3", DEFAULT_TIMEOUT_SECONDS),
+        ("86400000", MAX_TIMEOUT_SECONDS),
+        ("86400001", MAX_TIMEOUT_SECONDS),
+        ("9" * 400, MAX_TIMEOUT_SECONDS),
+        ("9" * 5_000, MAX_TIMEOUT_SECONDS),
+    ],
+)
+def test_a_timeout_is_a_number_of_milliseconds_up_to_a_maximum(text, seconds):
+    assert timeout_seconds(text) == seconds
+
+
+@pytest.mark.parametrize("digits", [9, 12, 13, 18, 25, 400, 5_000])
+def test_a_request_with_a_timeout_of_any_length_is_served(digits):
+    """It got a 500, and counted as in flight at its target from then on."""
+    lines = b"Deadline-Ms: " + b"9" * digits + b"\r\n"
+    with an_entry_host(answer(lines=SEAL)) as host:
+        received = answer_to_caller(host, "/ledger/1", lines)
+        in_flight = [view.in_flight for view in host.links.chooser.views.values()]
+    assert received.startswith(b"HTTP/1.1 200 OK\r\n")
+    assert not any(in_flight)
