Take relay terms with too many digits for those of no host

A request whose Chicoryhold-Relayed header had a number of more than 4300 digits, which any caller can send, ended in 500 of the server's own layer: int() refuses such a number. The digits are now bounded as those of the versions and counts that hosts send, and what is longer is no terms, as other unreadable values are. The request is then a caller's own.

--- a/tests/test_numbers_in_requests.py
+++ b/tests/test_numbers_in_requests.py
@@ -8,7 +8,10 @@
     MAX_TIMEOUT_SECONDS,
     timeout_seconds,
 )
+from wiring.integers import MAX_INTEGER
+from wiring.targets import read_relay_terms
 
+from chicoryhold.gateway.request import RelayTerms
 from tests.test_invalid_statuses import an_entry_host, answer_to_caller
 from tests.test_statements_on_the_wire import SEAL, answer
 
@@ -40,3 +43,18 @@
         in_flight = [view.in_flight for view in host.links.chooser.views.values()]
     assert received.startswith(b"HTTP/1.1 200 OK\r\n")
     assert not any(in_flight)
+
+
+@pytest.mark.parametrize("text", ["9" * 5_000 + ",1", "1," + "9" * 5_000, "1,-1"])
+def test_relay_terms_that_can_not_be_read_are_those_of_no_host(text):
+    assert read_relay_terms(text) is None
+    lines = f"Chicoryhold-Relayed: {text}\r\n".encode()
+    with an_entry_host(answer(lines=SEAL)) as host:
+        received = answer_to_caller(host, "/ledger/1", lines)
+    assert received.startswith(b"HTTP/1.1 200 OK\r\n")
+
+
+@pytest.mark.parametrize("version", [0, 12, MAX_INTEGER])
+def test_relay_terms_of_every_version_are_read(version):
+    terms = RelayTerms(version=version, attempts=2)
+    assert read_relay_terms(f"{version},2") == terms
