Refuse a deadline of thousands of digits as a bad request

At the own interface a Chicoryhold-Deadline-Ms of more than 4300 digits raised ValueError in int(), outside of what is answered with a refusal, so the caller got 500. It is compared as a float now, and refused with 400 as any other number above the maximum.

--- a/src/chicoryhold/callers/request.py
+++ b/src/chicoryhold/callers/request.py
@@ -98,7 +98,8 @@
     text = environ.get(DEADLINE_HEADER)
     if text is None:
         return None
-    if not str(text).isdecimal() or not 1 <= int(str(text)) <= 300_000:
+    # More digits than int() takes are a large float.
+    if not str(text).isdecimal() or not 1 <= float(str(text)) <= 300_000:
         raise _bad_request(
             f"Chicoryhold-Deadline-Ms {text!r}: write milliseconds from 1 to 300000"
         )
--- a/tests/test_numbers_in_requests.py
+++ b/tests/test_numbers_in_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import io
+
 import pytest
 from wiring.client_app import (
     DEFAULT_TIMEOUT_SECONDS,
@@ -11,6 +13,9 @@
 from wiring.integers import MAX_INTEGER
 from wiring.targets import read_relay_terms
 
+from chicoryhold.callers.refusals import RefusalKind
+from chicoryhold.callers.request import DEADLINE_HEADER, read_request
+from chicoryhold.errors import RequestRefused
 from chicoryhold.gateway.request import RelayTerms
 from tests.test_invalid_statuses import an_entry_host, answer_to_caller
 from tests.test_statements_on_the_wire import SEAL, answer
@@ -58,3 +63,25 @@
 def test_relay_terms_of_every_version_are_read(version):
     terms = RelayTerms(version=version, attempts=2)
     assert read_relay_terms(f"{version},2") == terms
+
+
+def deadline_of(text: str) -> float | None:
+    environ = {
+        "REQUEST_METHOD": "GET",
+        "PATH_INFO": "/menu/1",
+        "wsgi.input": io.BytesIO(),
+        DEADLINE_HEADER: text,
+    }
+    return read_request(environ).deadline
+
+
+@pytest.mark.parametrize("text", ["0", "300001", "9" * 400, "9" * 5_000, "-1", "x"])
+def test_a_timeout_that_the_own_interface_does_not_take_is_a_bad_request(text):
+    with pytest.raises(RequestRefused) as caught:
+        deadline_of(text)
+    assert caught.value.refusal.kind is RefusalKind.BAD_REQUEST
+
+
+@pytest.mark.parametrize(("text", "seconds"), [("1", 0.001), ("300000", 300.0)])
+def test_a_timeout_that_the_own_interface_takes_is_in_milliseconds(text, seconds):
+    assert deadline_of(text) == seconds
