Count no request as in flight after an unexpected error

What callers saw: with numbers too large to reckon with, 500, and from then on a target that seemed busier than it was; each such request added one. Cause: an attempt ends its count where its outcome is handled, and an error that nobody expects passes that by. Change: such an error ends the count and goes on to the caller's 500. Measured: test_an_unexpected_error_leaves_no_request_counted_as_in_flight fails without the change (1 in flight); 73 tests around pass.

--- a/src/chicoryhold/gateway/delivery.py
+++ b/src/chicoryhold/gateway/delivery.py
@@ -252,6 +252,8 @@
                 may_give_up=retry.reserve,
                 cancellation=routed.request.cancellation,
             )
+            metadata = self._header_translator.response_metadata(response)
+            self._answers.record_response(attempt, metadata, response)
         except ExchangeFailed as error:
             return self._handle_exchange_error(attempt, error)
         except RequestNotSent as error:
@@ -267,7 +269,10 @@
                 outcome=failure(RefusalKind.NO_TARGET, RunStatus.NOT_RUN, error),
                 known_not_run=True,
             )
-        return self._handle_response(attempt, response)
+        except Exception:
+            self._chooser.release(attempt.choice)
+            raise
+        return self._handle_response(attempt, response, metadata)
 
     def _outgoing_request(
         self, routed: RoutedRequest, choice: Choice
@@ -308,12 +313,10 @@
         return now + half
 
     def _handle_response(
-        self, attempt: Attempt, response: TargetResponse
+        self, attempt: Attempt, response: TargetResponse, metadata: ResponseMetadata
     ) -> _AttemptResult:
         routed = attempt.routed
         choice = attempt.choice
-        metadata = self._header_translator.response_metadata(response)
-        self._answers.record_response(attempt, metadata, response)
         if metadata.other_instance:
             self._record_failure(
                 attempt, "another instance has the address", use=response.use
--- a/tests/test_statements_on_the_wire.py
+++ b/tests/test_statements_on_the_wire.py
@@ -8,6 +8,7 @@
 
 import pytest
 from loguru import logger
+from wiring.targets import PlatformHeaders
 
 from chicoryhold.targets.cancellation import Cancellation
 from chicoryhold.targets.exchange import TargetResponse
@@ -229,6 +230,21 @@
     assert "no" in line["value"]
 
 
+def test_an_unexpected_error_leaves_no_request_counted_as_in_flight(monkeypatch):
+    """Guards against wrong refusals: a target seemed busy with what had ended."""
+    with target(answer(lines=SEAL)) as address:
+        host = a_host(address)
+
+        def fail(self: PlatformHeaders, response: TargetResponse) -> None:
+            raise OverflowError
+
+        monkeypatch.setattr(PlatformHeaders, "response_metadata", fail)
+        with pytest.raises(OverflowError):
+            host.send()
+    (view,) = host.chooser.views.values()
+    assert view.in_flight == 0
+
+
 def test_random_bytes_in_the_statement_never_end_a_request():
     random = Random(24)
     values = [
