Let the request in a test of a cut drain work until the drain has ended

Cause: the request worked 1.5 s and the drain was cut 0.4 s after its start. In one whole run beside bench plays (load 23 on 8 cores) nothing was cut: likely the request was answered first, as the process got no time; the run kept no log that shows it. Change: the request works until the drain has reported, so the check no longer depends on the machine's speed; what it asks is the same.

--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -45,10 +45,14 @@
 
 @attrs.define(kw_only=True)
 class WorkingApp:
-    """Works for a time on what may be taken, refuses the rest."""
+    """Works for a time on what may be taken, refuses the rest.
+
+    ``released`` ends the work before its time.
+    """
 
     drain: Drain
     seconds: float = WORK_SECONDS
+    released: threading.Event = attrs.field(factory=threading.Event)
     body: bytes = b"ok"
     runs: int = 0
     ended: int = 0
@@ -61,7 +65,7 @@
             start_response("503 Service Unavailable", [("Content-Length", "0")])
             return []
         self.runs += 1
-        time.sleep(self.seconds)
+        self.released.wait(self.seconds)
         self.ended += 1
         start_response("200 OK", [("Content-Length", str(len(self.body)))])
         return [self.body]
@@ -271,10 +275,11 @@
 
 def test_a_drain_that_is_cut_by_its_limit_names_what_it_cut():
     short = attrs.evolve(TIMING, refuse_after=0.2, answer_within=0.2, end_after=0.4)
-    with running_host(timing=short, seconds=1.5) as host:
+    with running_host(timing=short, seconds=WAIT_SECONDS) as host:
         host.threads.submit(send_get, host.connect())
         host.wait_for_open(RequestState.RUNNING)
         report = host.stop().result(WAIT_SECONDS)
+        host.app.released.set()
         assert [request.state for request in report.cut] == [RequestState.RUNNING]
         assert report.end is DrainEnd.LIMIT
 
