Scenarios: keep all logs and what operators are told when a step fails

Cause: the folder of the fleet is removed at the end of a run, so five entries of KNOWN-RED.txt ("revision N is not in force in ...") could not be traced. The hook also looked for the status "failed" alone; behave gives "error" to a step whose command fails, as "wait" does, so nothing was printed for these.

Change: on either status, and if the processes can't be restored before a scenario, the logs of all processes, the failure with its time, and the answers to "host list", "in-force" and "replicas" are copied to a folder of their own, whose path is printed.

--- a/features/environment.py
+++ b/features/environment.py
@@ -4,14 +4,17 @@
 
 import shutil
 import tempfile
+from datetime import datetime
 from pathlib import Path
 from uuid import uuid4
 
 import parse
 from behave import register_type
+from behave.model_core import Status
 
 from chicoryhold.trial.caller import Caller
-from chicoryhold.trial.fleet import Fleet, wait_until
+from chicoryhold.trial.fleet import Fleet, FleetError, wait_until
+from features.kept_logs import keep_logs
 
 HOSTS_PER_DOMAIN = {"north-a": 3, "south-a": 2}
 SERVICES = ("menus", "slots", "payments")
@@ -53,14 +56,29 @@
     context.marker = uuid4().hex
     context.keys = {}
     context.responses = []
-    restore_processes(context.fleet)
+    try:
+        restore_processes(context.fleet)
+    except FleetError as error:
+        print_kept_logs(context, failure=str(error))
+        raise
 
 
 def after_step(context, step):
     """If the step failed, print the responses: its message may not contain them."""
-    if step.status == "failed":
-        for response in context.responses:
-            print(f"response: {response.status} {response.body[:200]}")
+    if step.status not in (Status.failed, Status.error):
+        return
+    for response in context.responses:
+        print(f"response: {response.status} {response.body[:200]}")
+    print_kept_logs(context, failure=f"{step.name}: {step.exception}")
+
+
+def print_kept_logs(context, *, failure: str) -> None:
+    folder = keep_logs(
+        context.fleet,
+        scenario=context.scenario.name,
+        failure=f"{datetime.now().isoformat()} {failure}",
+    )
+    print(f"logs: {folder}")
 
 
 def restore_processes(fleet: Fleet) -> None:
