wait: name the hosts that aren't at the revision, and how old their reports are

Cause: "revision N is not in force in north-a" didn't tell a host that lags from one that hasn't reported to this leader, nor from a leader that was elected a moment ago.

Change: /v1/in-force also gives up to five hosts at the lowest revision of each domain and for how long the leader has collected reports; "wait" reads them into NotInForce and names them. When it ends does not change.

--- a/src/chicoryhold/control/in_force.py
+++ b/src/chicoryhold/control/in_force.py
@@ -14,6 +14,18 @@
 # Hosts report with each fetch, through a relay, and after a change of the leader only
 # once they have found the new one.
 COLLECTION_SECONDS = 3.0
+MAX_LOWEST_HOSTS = 5  # of each domain
+
+
+@attrs.frozen(kw_only=True)
+class HostInForce:
+    """The revision in force at a host, as reported ``age`` seconds ago."""
+
+    host: str
+    domain: str
+    revision: int
+    age: float
+    silent: bool
 
 
 @attrs.frozen(kw_only=True)
@@ -30,17 +42,6 @@
     silent: tuple[str, ...]
 
 
-@attrs.frozen(kw_only=True)
-class HostInForce:
-    """The revision in force at a host, as reported ``age`` seconds ago."""
-
-    host: str
-    domain: str
-    revision: int
-    age: float
-    silent: bool
-
-
 @attrs.frozen(kw_only=True)
 class _TimedReport:
     report: HostReport
@@ -58,10 +59,15 @@
         self._began_at = clock.now()
         self._newest: dict[str, _TimedReport] = {}
 
+    @property
+    def collected_seconds(self) -> float:
+        """For how long this replica has collected reports as the leader."""
+        return self._clock.now() - self._began_at
+
     @property
     def is_complete(self) -> bool:
         """Whether all hosts that are up have had the time to report."""
-        return self._clock.now() - self._began_at >= COLLECTION_SECONDS
+        return self.collected_seconds >= COLLECTION_SECONDS
 
     def restart(self) -> None:
         """Begin to collect: this replica has just become the leader."""
@@ -79,42 +85,55 @@
 
     def domains(self) -> tuple[DomainInForce, ...]:
         """Return each domain with an unexpired report, sorted by name."""
-        now = self._clock.now()
-        by_domain: dict[str, list[_TimedReport]] = {}
-        for timed in tuple(self._newest.values()):
-            if now - timed.reported_at < REPORT_EXPIRY_SECONDS:
-                by_domain.setdefault(timed.report.domain, []).append(timed)
         return tuple(
-            self._domain_in_force(name, by_domain[name], now)
-            for name in sorted(by_domain)
+            _domain_in_force(name, hosts)
+            for name, hosts in self._hosts_by_domain().items()
         )
 
     def hosts(self) -> tuple[HostInForce, ...]:
         """Return each host with an unexpired report, sorted by name."""
         now = self._clock.now()
         return tuple(
-            HostInForce(
-                host=name,
-                domain=timed.report.domain,
-                revision=timed.report.revision,
-                age=round(now - timed.reported_at, 1),
-                silent=now - timed.reported_at > REPORT_STALE_SECONDS,
-            )
-            for name, timed in sorted(tuple(self._newest.items()))
+            _host_in_force(timed, now)
+            for _, timed in sorted(tuple(self._newest.items()))
             if now - timed.reported_at < REPORT_EXPIRY_SECONDS
         )
 
-    def _domain_in_force(
-        self, domain: str, reports: list[_TimedReport], now: float
-    ) -> DomainInForce:
-        silent = [
-            timed.report.host
-            for timed in reports
-            if now - timed.reported_at > REPORT_STALE_SECONDS
-        ]
-        return DomainInForce(
-            domain=domain,
-            revision=min(entry.report.revision for entry in reports),
-            hosts=len(reports),
-            silent=tuple(sorted(silent)),
-        )
+    def lowest_hosts(self) -> tuple[HostInForce, ...]:
+        """Return hosts at the lowest revision of their domain, a few of each.
+
+        Those whose newest report is the oldest come first.
+        """
+        lowest: list[HostInForce] = []
+        for hosts in self._hosts_by_domain().values():
+            revision = min(host.revision for host in hosts)
+            behind = [host for host in hosts if host.revision == revision]
+            behind.sort(key=lambda host: -host.age)
+            lowest += behind[:MAX_LOWEST_HOSTS]
+        return tuple(lowest)
+
+    def _hosts_by_domain(self) -> dict[str, list[HostInForce]]:
+        by_domain: dict[str, list[HostInForce]] = {}
+        for host in self.hosts():
+            by_domain.setdefault(host.domain, []).append(host)
+        return dict(sorted(by_domain.items()))
+
+
+def _domain_in_force(name: str, hosts: list[HostInForce]) -> DomainInForce:
+    return DomainInForce(
+        domain=name,
+        revision=min(host.revision for host in hosts),
+        hosts=len(hosts),
+        silent=tuple(host.host for host in hosts if host.silent),
+    )
+
+
+def _host_in_force(timed: _TimedReport, now: float) -> HostInForce:
+    age = now - timed.reported_at
+    return HostInForce(
+        host=timed.report.host,
+        domain=timed.report.domain,
+        revision=timed.report.revision,
+        age=round(age, 1),
+        silent=age > REPORT_STALE_SECONDS,
+    )
--- a/src/chicoryhold/operators/api.py
+++ b/src/chicoryhold/operators/api.py
@@ -182,7 +182,9 @@
             lambda view: {
                 "revision": view.state.revision,
                 "complete": view.in_force.is_complete,
+                "collected_seconds": round(view.in_force.collected_seconds, 1),
                 "domains": [attrs.asdict(row) for row in view.in_force.domains()],
+                "lowest": [attrs.asdict(h) for h in view.in_force.lowest_hosts()],
             }
         )
 
--- a/src/chicoryhold/operators/commands.py
+++ b/src/chicoryhold/operators/commands.py
@@ -18,6 +18,7 @@
 from chicoryhold.keys import create_key, key_digest
 from chicoryhold.operators.client import AdministrationClient, ApiCall
 from chicoryhold.operators.explain import explain
+from chicoryhold.operators.not_in_force import NotInForce
 
 POLL_INTERVAL_SECONDS = 0.1
 
@@ -173,16 +174,13 @@
         deadline = time.monotonic() + self._options.timeout
         while True:
             fields = self._get("/v1/in-force")
-            behind = [r for r in fields["domains"] if r["revision"] < wanted_revision]
             # A leader that was just elected hasn't heard of all hosts yet.
-            if fields["complete"] and not behind and fields["domains"]:
+            missing = NotInForce.of(fields, revision=wanted_revision)
+            if missing.is_met:
                 return fields
             if time.monotonic() > deadline:
-                names = ", ".join(row["domain"] for row in behind) or "all domains yet"
-                raise OperatorRequestFailed(
-                    f"revision {wanted_revision} is not in force in {names}: "
-                    "check its hosts"
-                )
+                remedy = "check its hosts" if missing.is_complete else "wait again"
+                raise OperatorRequestFailed(f"{missing}: {remedy}")
             time.sleep(POLL_INTERVAL_SECONDS)
 
     def _send_table(self, method: str, path: str, file: str) -> Fields:
