Keep the newest report of a host, whichever way and order reports come

Cause: an entry host that passes on reports kept the one that came last. Hosts that ask each other while no leader replies send each other's reports in circles, with their ages; an old one replaced a newer one, and a host sent its own old report along with its new one, after it, so that it replaced that at the next host. Until the old report was 10 s old, the leader was told of the old revision by every host that had it from there, though the change was in force. "wait" gives up after 8 s.

Change: the rule that the leader had already (the newest counts, by the time at which it was made) is in one class for both, and a host drops reports about itself.

--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -21,6 +21,7 @@
     SourceUnavailable,
     StateUpdate,
 )
+from chicoryhold.control.newest_reports import NewestReports
 from chicoryhold.control.open_fetches import OpenFetch, OpenFetches
 from chicoryhold.control.pending_fetches import PendingFetches
 from chicoryhold.control.sources import SourceChoice
@@ -44,12 +45,6 @@
     arrived_at: float
 
 
-@attrs.frozen(kw_only=True)
-class _TimedReport:
-    report: HostReport
-    reported_at: float
-
-
 @attrs.frozen(kw_only=True)
 class FetchTiming:
     """Intervals in seconds.
@@ -104,7 +99,7 @@
             clock=clock, forget=lambda future: bus.forget(future)
         )
         self._incoming_fetches = PendingFetches(feed=follower.feed, clock=clock)
-        self._reports: dict[str, _TimedReport] = {}
+        self._reports = NewestReports(clock=clock)
         self._source = ""
         self._next_fetch_at = 0.0
         self._needs_image = False
@@ -334,21 +329,15 @@
                 received.reply.set_result(piece)
 
     def _record_reports(self, reports: tuple[HostReport, ...]) -> None:
-        now = self._clock.now()
-        for report in reports:
-            timed = _TimedReport(report=report, reported_at=now - report.age)
-            self._reports[report.host] = timed
+        """Keep reports of other hosts; its own come back to it from those it asks."""
+        self._reports.forget_older_than(REPORT_EXPIRY_SECONDS)
+        self._reports.record(r for r in reports if r.host != self._bus.name)
 
     def _current_reports(self) -> tuple[HostReport, ...]:
         now = self._clock.now()
-        self._reports = {
-            host: timed
-            for host, timed in self._reports.items()
-            if now - timed.reported_at < REPORT_EXPIRY_SECONDS
-        }
         others = tuple(
             attrs.evolve(timed.report, age=now - timed.reported_at)
-            for timed in self._reports.values()
+            for timed in self._reports.younger_than(REPORT_EXPIRY_SECONDS)
         )
         if self._follower.state.revision == 0:
             # Earlier reports of this host stay valid: it refuses callers until then.
--- a/src/chicoryhold/control/in_force.py
+++ b/src/chicoryhold/control/in_force.py
@@ -8,6 +8,7 @@
 
 from chicoryhold.clock import Clock
 from chicoryhold.control.messages import HostReport
+from chicoryhold.control.newest_reports import NewestReports, TimedReport
 
 REPORT_EXPIRY_SECONDS = 24 * 3600.0
 REPORT_STALE_SECONDS = 5.0
@@ -42,12 +43,6 @@
     silent: tuple[str, ...]
 
 
-@attrs.frozen(kw_only=True)
-class _TimedReport:
-    report: HostReport
-    reported_at: float
-
-
 class InForceReports:
     """The newest report of each entry host, in the leader's memory.
 
@@ -57,7 +52,7 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._began_at = clock.now()
-        self._newest: dict[str, _TimedReport] = {}
+        self._newest = NewestReports(clock=clock)
 
     @property
     def collected_seconds(self) -> float:
@@ -74,14 +69,7 @@
         self._began_at = self._clock.now()
 
     def record(self, reports: Iterable[HostReport]) -> None:
-        now = self._clock.now()
-        for report in reports:
-            reported_at = now - report.age
-            newest = self._newest.get(report.host)
-            if newest is None or reported_at >= newest.reported_at:
-                self._newest[report.host] = _TimedReport(
-                    report=report, reported_at=reported_at
-                )
+        self._newest.record(reports)
 
     def domains(self) -> tuple[DomainInForce, ...]:
         """Return each domain with an unexpired report, sorted by name."""
@@ -95,8 +83,7 @@
         now = self._clock.now()
         return tuple(
             _host_in_force(timed, now)
-            for _, timed in sorted(tuple(self._newest.items()))
-            if now - timed.reported_at < REPORT_EXPIRY_SECONDS
+            for timed in self._newest.younger_than(REPORT_EXPIRY_SECONDS)
         )
 
     def lowest_hosts(self) -> tuple[HostInForce, ...]:
@@ -128,7 +115,7 @@
     )
 
 
-def _host_in_force(timed: _TimedReport, now: float) -> HostInForce:
+def _host_in_force(timed: TimedReport, now: float) -> HostInForce:
     age = now - timed.reported_at
     return HostInForce(
         host=timed.report.host,
