Expect the end of the log from every leader

Control hosts of builds before answered a request for the end of the leader's log with the configuration, and were believed by their copy's age. So the two branches for other answers go, and the position is returned by itself. Nothing of it is on disk.

--- a/src/chicoryhold/control/leader_requests.py
+++ b/src/chicoryhold/control/leader_requests.py
@@ -84,8 +84,8 @@
         answer = self._ask(leader, ReadConfiguration(), timeout)
         return answer if isinstance(answer, ConfigurationRead) else None
 
-    def try_read_position(self, timeout: float) -> ConfigurationRead | None:
-        """Return the end of the leader's log; without one, of an older build's leader.
+    def try_read_position(self, timeout: float) -> LogPosition | None:
+        """Return the end of the leader's log.
 
         It needs no proof: if the leader is one no more, it can't have an order of that
         position accepted.
@@ -95,15 +95,13 @@
             reply: Future = Future()
             self._actor.tell(ReadPosition(reply=reply))
             try:
-                return ConfigurationRead(proved=False, position=reply.result(timeout))
+                return reply.result(timeout)
             except (NotLeader, FutureTimeout):
                 return None
         if not leader:
             return None
         answer = self._ask(leader, ReadConfiguration(position_only=True), timeout)
-        if not isinstance(answer, ConfigurationRead):
-            return None
-        return answer if answer.position or answer.proved else None
+        return answer.position if isinstance(answer, ConfigurationRead) else None
 
     def _ask(self, leader: str, message: object, timeout: float) -> object | None:
         try:
--- a/src/chicoryhold/control/plane.py
+++ b/src/chicoryhold/control/plane.py
@@ -291,14 +291,12 @@
         """
         time.sleep(DEPARTURE_SECONDS)
         while (remaining := deadline - self._clock.now()) > 0:
-            read = self._leader.try_read_position(remaining)
+            position = self._leader.try_read_position(remaining)
             if has_left():
                 return None
             remaining = deadline - self._clock.now()
-            if read is not None and remaining > 0:
-                outcome = self._leader.try_propose(
-                    change, remaining, position=read.position
-                )
+            if position is not None and remaining > 0:
+                outcome = self._leader.try_propose(change, remaining, position=position)
                 if outcome is not None:
                     return outcome
             time.sleep(RETRY_DELAY_SECONDS)
@@ -309,11 +307,7 @@
         position: LogPosition | None = None
         while (remaining := deadline - self._clock.now()) > 0:
             if position is None:
-                read = self._leader.try_read_position(remaining)
-                if read is not None:
-                    if read.position is None:
-                        return self.is_fresh  # the leader is of an older build
-                    position = read.position
+                position = self._leader.try_read_position(remaining)
             if position and self._replica.commit_index >= position.index:
                 return self._has_applied(deadline - self._clock.now())
             time.sleep(CATCH_UP_POLL_SECONDS)
--- a/src/chicoryhold/membership/messages.py
+++ b/src/chicoryhold/membership/messages.py
@@ -139,7 +139,7 @@
     """Asks the leader for the newest accepted configuration.
 
     With ``position_only``, it asks for the end of the leader's log, which needs no
-    proof. A leader of an older build then replies with the configuration.
+    proof.
     """
 
     position_only: bool = False
@@ -149,8 +149,8 @@
 class ConfigurationRead:
     """``text`` is the compressed document; ``proved`` is false if it may be stale.
 
-    ``position`` is the end of the leader's log if only that was asked for, ``None``
-    otherwise and from an older build.
+    ``position`` is the end of the leader's log, if only that was asked for and the
+    sender leads.
     """
 
     proved: bool
