Expect each leader's message to say which reply it answers

A follower dates its copy from its own reply that the leader's message names. From a build before, whose messages name none, it took the time of arrival. The build in production always names one: at AppendRequest is made in one place, Leadership._send_append, with progress.reply_sent_at, a float that is 0 if there was no reply. So a message that names none now means the same as 0 and confirms nothing. AppendRequest is never stored.

The message of test_fresh_copy.py names a reply now, as a leader's does.

--- a/src/chicoryhold/consensus/followership.py
+++ b/src/chicoryhold/consensus/followership.py
@@ -111,8 +111,6 @@
     def _sent_at(self, request: AppendRequest) -> float:
         """Return a time before which the leader didn't send ``request``."""
         now = self._clock.now()
-        if request.reply_sent_at is None:
-            return now  # an older build doesn't tell
         if not 0 < request.reply_sent_at <= now:
             # The leader has no reply yet, or only of before this machine was restarted.
             return float("-inf")
--- a/src/chicoryhold/consensus/messages.py
+++ b/src/chicoryhold/consensus/messages.py
@@ -103,7 +103,7 @@
 
     ``reply_sent_at`` is the ``sent_at`` of the newest reply of this follower that the
     leader had handled ``reply_held`` seconds before it sent this request: 0 if there
-    is none in this term, ``None`` from an older build.
+    is none in this term.
     """
 
     term: int
@@ -114,13 +114,13 @@
     commit: int
     round: int
     confirmed_age: float = UNCONFIRMED_AGE_SECONDS
-    reply_sent_at: float | None = None
+    reply_sent_at: float = 0.0
     reply_held: float = 0.0
 
 
 @message
 class AppendReply:
-    """``sent_at`` is by the follower's clock; 0 from an older build.
+    """``sent_at`` is by the follower's clock.
 
     ``takes_pieces`` is whether the follower's build knows
     :class:`SnapshotPieceRequest`.
--- a/tests/test_fresh_copy.py
+++ b/tests/test_fresh_copy.py
@@ -85,7 +85,7 @@
     )
     request = AppendRequest(
         term=1, leader=LEADER, previous_index=0, previous_term=0, entries=entries,
-        commit=3, round=1, confirmed_age=0.0,
+        commit=3, round=1, confirmed_age=0.0, reply_sent_at=clock.now(),
     )  # fmt: skip
     message = ReplicaMessage(to=FOLLOWER, body=encode(request))
     actor.on_receive(PeerRequest(sender="b", message=message, reply=Future()))
--- a/tests/test_late_replication.py
+++ b/tests/test_late_replication.py
@@ -111,16 +111,18 @@
 
 
 @pytest.mark.parametrize("elapsed", [0.0, 2.0])
-def test_messages_of_a_leader_of_an_older_build_still_confirm(elapsed):
+def test_a_message_that_tells_of_no_reply_of_the_follower_confirms_nothing(elapsed):
     group = PausingGroup(seed=1)
     follower = a_follower(group)
     sent = record_appends(group)
     group.run(1.0)
     group.paused = {follower}
     group.run(elapsed)
-    older = attrs.evolve(sent[-1], reply_sent_at=None, confirmed_age=0.1)
-    group.replicas[follower].receive(older)
-    assert group.age(follower) == pytest.approx(0.1)
+    confirmed_at = group.replicas[follower].copy_confirmed_at
+    fields = attrs.asdict(sent[-1], recurse=False) | {"confirmed_age": 0.0}
+    del fields["reply_sent_at"]
+    group.replicas[follower].receive(AppendRequest(**fields))
+    assert group.replicas[follower].copy_confirmed_at == confirmed_at
 
 
 def record_appends(group: Group) -> list[AppendRequest]:
