Load the stored replica of both control programs in one place

Both stand in programs/stored_replica.py now; nothing else changes.

tests/test_platform_processes.py, test_stopping_control_host.py, test_stopping_own_interface.py and test_stops_soak.py: 62 passed. features/promise_06_rates and promise_09_once, which run chicoryhold-control: 15 scenarios passed.

--- a/src/chicoryhold/programs/control.py
+++ b/src/chicoryhold/programs/control.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
@@ -13,7 +12,6 @@
 
 from chicoryhold.clock import BootClock
 from chicoryhold.consensus.election_timer import Timing
-from chicoryhold.consensus.messages import Members
 from chicoryhold.consensus.replica import Replica
 from chicoryhold.control.messages import (
     FetchChanges,
@@ -23,7 +21,7 @@
     ReplicaStatusRequest,
 )
 from chicoryhold.control.replica_actor import ReplicaActor
-from chicoryhold.control.storage import Storage, open_storage, read_identity
+from chicoryhold.control.storage import open_storage, read_identity
 from chicoryhold.errors import PeerTimeout, SettingsError
 from chicoryhold.hosts.actors import forward_to, running_actor
 from chicoryhold.hosts.bus import Bus, running_bus
@@ -37,6 +35,7 @@
 from chicoryhold.programs.draining import Drain, control_drain_timing
 from chicoryhold.programs.running import run_program
 from chicoryhold.programs.signals import ignore_sighup, stop_signals
+from chicoryhold.programs.stored_replica import founding_members, load_replica
 from chicoryhold.settings import ControlSettings, load_settings
 from chicoryhold.state.control_state import ControlState
 
@@ -85,7 +84,15 @@
         storage = stack.enter_context(open_storage(settings.data_folder))
         bus = stack.enter_context(running_bus(_create_bus(settings)))
         identity = _load_identity(settings, bus)
-        replica, state = _load_replica(settings, storage, identity)
+        replica, state = load_replica(
+            storage,
+            identity=identity,
+            founders=founding_members(settings.replicas, identity=identity),
+            clock=BootClock(),
+            timing=Timing(
+                heartbeat=settings.heartbeat, election=settings.election_timeout
+            ),
+        )
         actor = ReplicaActor.start(
             replica=replica,
             storage=storage,
@@ -159,29 +166,6 @@
             )
 
 
-def _load_replica(
-    settings: ControlSettings, storage: Storage, identity: str
-) -> tuple[Replica, ControlState]:
-    log = storage.load_log(_founders(settings, identity))
-    state = ControlState()
-    state.load(log.snapshot.data)
-    replica = Replica(
-        identity=identity,
-        log=log,
-        vote=storage.load_vote(),
-        clock=BootClock(),
-        random=random.Random(identity),
-        timing=Timing(heartbeat=settings.heartbeat, election=settings.election_timeout),
-    )
-    return replica, state
-
-
-def _founders(settings: ControlSettings, identity: str) -> Members:
-    if not identity.endswith(".founder"):
-        return Members(voters=())
-    return Members(voters=tuple(f"{name}.founder" for name in settings.replicas))
-
-
 def _register_handlers(bus: Bus, actor: object) -> None:
     for kind in (
         ReplicaMessage,
--- a/src/chicoryhold/programs/control_host.py
+++ b/src/chicoryhold/programs/control_host.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
-from random import Random
 
 import attrs
 import pykka
@@ -12,7 +11,6 @@
 
 from chicoryhold.clock import BootClock
 from chicoryhold.consensus.election_timer import Timing
-from chicoryhold.consensus.messages import Members
 from chicoryhold.consensus.replica import Replica
 from chicoryhold.control.member_states import UNKNOWN_PLACE, Place
 from chicoryhold.control.messages import (
@@ -26,7 +24,7 @@
 from chicoryhold.control.replica_actor import ReplicaActor
 from chicoryhold.control.replica_policy import ReplicaPolicy
 from chicoryhold.control.replica_requests import process_name
-from chicoryhold.control.storage import Storage, open_storage, read_identity
+from chicoryhold.control.storage import open_storage, read_identity
 from chicoryhold.hosts.actors import forward_to, running_actor
 from chicoryhold.hosts.bus import Bus, running_bus
 from chicoryhold.limits.known_limits import KnownLimits
@@ -50,6 +48,7 @@
     ControlHostSettings,
     RateTolerance,
 )
+from chicoryhold.programs.stored_replica import founding_members, load_replica
 from chicoryhold.quarantine.evidence import CrashEvidence
 from chicoryhold.quarantine.messages import (
     CrashReport,
@@ -70,7 +69,6 @@
 SILENT_SHARE = 0.25
 FORGET_FACTOR = 10.0  # a host that is lost for so many times that time isn't back soon
 MAX_FETCH_WAIT_SECONDS = 0.5
-FOUNDER_SUFFIX = ".founder"
 EXTRA_REQUESTS_SHARE = 0.75  # of the tolerated extra requests; added to the burst
 IMMEDIATE_BURST_SHARE = 0.2  # of the burst; the rest is spread over the window
 
@@ -99,7 +97,13 @@
         identity = read_identity(
             settings.data_folder, name=settings.name, found=_is_founder(settings)
         )
-        replica, state = _load_replica(settings, storage, identity, clock)
+        replica, state = load_replica(
+            storage,
+            identity=identity,
+            founders=founding_members(settings.seeds, identity=identity),
+            clock=clock,
+            timing=CONSENSUS_TIMING,
+        )
         registry = HostRegistry(own=settings.control_host, clock=clock)
 
         def peers() -> tuple[str, ...]:
@@ -171,29 +175,6 @@
     return settings.new_installation and settings.name in settings.seeds
 
 
-def _load_replica(
-    settings: ControlHostSettings, storage: Storage, identity: str, clock: BootClock
-) -> tuple[Replica, ControlState]:
-    log = storage.load_log(_founders(settings, identity))
-    state = ControlState()
-    state.load(log.snapshot.data)
-    replica = Replica(
-        identity=identity,
-        log=log,
-        vote=storage.load_vote(),
-        clock=clock,
-        random=Random(identity),
-        timing=CONSENSUS_TIMING,
-    )
-    return replica, state
-
-
-def _founders(settings: ControlHostSettings, identity: str) -> Members:
-    if not identity.endswith(FOUNDER_SUFFIX):
-        return Members(voters=())
-    return Members(voters=tuple(f"{seed}{FOUNDER_SUFFIX}" for seed in settings.seeds))
-
-
 def _replica_policy(
     settings: ControlHostSettings, registry: HostRegistry
 ) -> ReplicaPolicy:
