--- a/src/chicoryhold/gateway/outcomes.py
+++ b/src/chicoryhold/gateway/outcomes.py
@@ -34,36 +34,38 @@
     return Err(Refusal(kind=kind, ran=ran, message=str(error), retry_after=retry_after))
 
 
+def _not_run(kind: RefusalKind, message: str, *, retry_after: float) -> Outcome:
+    return Err(
+        Refusal(
+            kind=kind, ran=RunStatus.NOT_RUN, message=message, retry_after=retry_after
+        )
+    )
+
+
 def rejected_by_target() -> Outcome:
-    refusal = Refusal(
-        kind=RefusalKind.OVERLOADED,
-        ran=RunStatus.NOT_RUN,
-        message="the target didn't run it",
+    return _not_run(
+        RefusalKind.OVERLOADED,
+        "the target didn't run it",
         retry_after=OVERLOAD_RETRY_AFTER_SECONDS,
     )
-    return Err(refusal)
 
 
 def deadline_passed() -> Outcome:
     """Return the refusal of a request whose time ran out before it was sent."""
-    refusal = Refusal(
-        kind=RefusalKind.DEADLINE_PASSED,
-        ran=RunStatus.NOT_RUN,
-        message="its deadline passed while it waited; no target has got it",
+    return _not_run(
+        RefusalKind.DEADLINE_PASSED,
+        "its deadline passed while it waited; no target has got it",
         retry_after=OVERLOAD_RETRY_AFTER_SECONDS,
     )
-    return Err(refusal)
 
 
 def all_back_off(service: str, *, seconds: float) -> Outcome:
     """Return the refusal of a request while all targets want none for ``seconds``."""
-    refusal = Refusal(
-        kind=RefusalKind.OVERLOADED,
-        ran=RunStatus.NOT_RUN,
-        message=f"all targets of {service} have asked to be left alone for a time",
+    return _not_run(
+        RefusalKind.OVERLOADED,
+        f"all targets of {service} have asked to be left alone for a time",
         retry_after=seconds,
     )
-    return Err(refusal)
 
 
 def no_target(service: str, *, leaving: int) -> Outcome:
@@ -75,10 +77,6 @@
     message = f"no target of {service} may get it now"
     if leaving:
         message += f"; {leaving} have said that they leave"
-    refusal = Refusal(
-        kind=RefusalKind.NO_TARGET,
-        ran=RunStatus.NOT_RUN,
-        message=message,
-        retry_after=NO_TARGET_RETRY_AFTER_SECONDS,
+    return _not_run(
+        RefusalKind.NO_TARGET, message, retry_after=NO_TARGET_RETRY_AFTER_SECONDS
     )
-    return Err(refusal)
