--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -14,11 +14,11 @@
 from chicoryhold.load.target_rules import check_crashes, check_limit
 from chicoryhold.trial.caller import Caller, Response
 from chicoryhold.trial.fleet import wait_until
+from features.caller_hosts import caller_hosts, flood_hosts, run_at_once
 from features.support import (
     FIRST_HOST,
     count_runs,
     executed_requests,
-    flood,
     host_address,
     list_targets,
     new_caller,
@@ -121,11 +121,7 @@
 
 @when('"{name:Quoted}" sends "{request:Quoted}" every 0.1 s until refused')
 def step_send_until_refused(context, name, request):
-    started = time.monotonic()
-    wait_until(
-        lambda: send(context, name, request).refused, what="a refusal", timeout=20
-    )
-    context.refused_after = time.monotonic() - started
+    send_until_refused(context, name, request)
 
 
 @then("it was refused within {seconds:g} s")
@@ -178,20 +174,7 @@
 
 @when('"{name:Quoted}" sends "{request:Quoted}" from every host for {seconds:g} s')
 def step_flood(context, name, request, seconds):
-    context.flood_started = time.monotonic()
-    method, path = request.split()
-    threads = [
-        threading.Thread(
-            target=flood, args=(context, name, method, path, host, seconds)
-        )
-        for host in context.fleet.members
-        if "callers" in context.fleet[host].addresses
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    context.flood_seconds = time.monotonic() - context.flood_started
+    flood_hosts(context, name, request, caller_hosts(context), seconds)
 
 
 @then("at most {burst:d} plus {rate:d} a second ran")
@@ -264,19 +247,12 @@
 
 @when('"{name:Quoted}" pays with key "{text:Quoted}" at every host at the same moment')
 def step_pay_at_every_host(context, name, text):
-    hosts = [
-        h for h in context.fleet.members if "callers" in context.fleet[h].addresses
-    ]
     # Look up the prefix before the threads start, so that all send the same key.
     idempotency_prefix(context)
-    threads = [
-        threading.Thread(target=pay, args=(context, name, text), kwargs={"host": host})
-        for host in hosts
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    run_at_once(
+        lambda host=host: pay(context, name, text, host=host)
+        for host in caller_hosts(context)
+    )
 
 
 def idempotency_prefix(context) -> str:
@@ -359,6 +335,11 @@
     "until refused"
 )
 def step_send_to_host_until_refused(context, name, request, host):
+    send_until_refused(context, name, request, host=host)
+
+
+def send_until_refused(context, name, request, *, host=FIRST_HOST):
+    """Repeat a request until it is refused, and note how long that took."""
     started = time.monotonic()
     wait_until(
         lambda: send(context, name, request, host=host).refused,
@@ -416,20 +397,8 @@
     "for {seconds:g} s"
 )
 def step_flood_other_hosts(context, name, request, seconds):
-    context.flood_started = time.monotonic()
-    method, path = request.split()
-    threads = [
-        threading.Thread(
-            target=flood, args=(context, name, method, path, host, seconds)
-        )
-        for host in context.fleet.members
-        if "callers" in context.fleet[host].addresses and host != context.coordinator
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    context.flood_seconds = time.monotonic() - context.flood_started
+    others = [host for host in caller_hosts(context) if host != context.coordinator]
+    flood_hosts(context, name, request, others, seconds)
 
 
 @when('"{name:Quoted}" pays with key "{text:Quoted}" until refused')
@@ -442,16 +411,10 @@
     "refuses it"
 )
 def step_send_deadly(context, name, request):
-    hosts = [
-        host
-        for host, member in context.fleet.members.items()
-        if "callers" in member.addresses
-    ]
-
     def send_to_all():
         context.last_round = [
             send(context, name, request, host=host, headers={"Trial": "crash 0.5"})
-            for host in hosts
+            for host in caller_hosts(context)
         ]
         return all(each.refused == "quarantined" for each in context.last_round)
 
--- a/features/steps/start_up.py
+++ b/features/steps/start_up.py
@@ -12,6 +12,7 @@
 from behave import then, when
 
 from chicoryhold.trial.fleet import wait_until
+from features.caller_hosts import caller_hosts
 from features.support import host_address, new_caller
 
 ENTRY_SETTINGS = """name = 'x'
@@ -80,11 +81,7 @@
 @when('"{name:Quoted}" keeps every other host busy while "{victim:Quoted}" is killed')
 def step_send_while_killed(context, name, victim):
     stopped = threading.Event()
-    hosts = [
-        host
-        for host, member in context.fleet.members.items()
-        if "callers" in member.addresses and host != victim
-    ]
+    hosts = [host for host in caller_hosts(context) if host != victim]
 
     def send_requests(host):
         caller = new_caller(context, name)
@@ -151,11 +148,7 @@
 
 def record_metrics(context):
     """Append a sample of every entry host's metrics to the scenario's samples file."""
-    hosts = [
-        member.addresses["metrics"]
-        for member in context.fleet.members.values()
-        if "callers" in member.addresses
-    ]
+    hosts = [context.fleet[host].addresses["metrics"] for host in caller_hosts(context)]
     context.samples_file = context.folder / f"{context.marker}.jsonl"
     run_program(
         context,
--- a/features/steps/steering.py
+++ b/features/steps/steering.py
@@ -10,6 +10,7 @@
 
 from chicoryhold.trial.caller import Caller, Response
 from chicoryhold.trial.fleet import wait_until
+from features.caller_hosts import caller_hosts
 from features.support import (
     count_runs,
     flood,
@@ -35,12 +36,7 @@
 
 
 def hosts_in(context, domain):
-    members = context.fleet.members.values()
-    return [
-        member.name
-        for member in members
-        if "callers" in member.addresses and member.name.startswith(f"{domain}-")
-    ]
+    return [host for host in caller_hosts(context) if host.startswith(f"{domain}-")]
 
 
 def count_runs_in(context, domain):
