Start a lone control process, and run loops, in one way in the tests

Two test files had the same settings and start of a control process, and the same configuration: both stand in tests/control_process.py. The replica of test_fresh_copy.py is set up by tests/single_replica.py. The soak's watch on its own lag and the test of the own interface's announcements use bench/background.py. No test changes.

tests/test_upgrade.py, test_mixed_group.py, test_stopping_control_host.py, test_platform_processes.py, test_fresh_copy.py: 29 passed. Those that use a single replica, with others: 184 passed. test_stopping_own_interface.py and test_stops_soak.py, among 62: passed.

--- a/bench/stops/run.py
+++ b/bench/stops/run.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from bench.background import in_background
 from bench.stops.behaviours import Kept, draw_groups
 from bench.stops.clients import ClientGroup, running_clients
 from bench.stops.control_pauses import ControlPauses
@@ -77,13 +78,8 @@
     @contextmanager
     def running(self) -> Iterator[None]:
         closing = threading.Event()
-        thread = threading.Thread(target=self._run, args=[closing], daemon=True)
-        thread.start()
-        try:
+        with in_background(lambda: self._run(closing), closing=closing):
             yield
-        finally:
-            closing.set()
-            thread.join()
 
     def _run(self, closing: threading.Event) -> None:
         while True:
--- a/tests/single_replica.py
+++ b/tests/single_replica.py
@@ -53,14 +53,10 @@
             self.actor.on_receive(self.actor.actor_inbox.get_nowait().message)
 
 
-def single_replica() -> SingleReplica:
-    clock = FakeClock()
-    members = Members(voters=(IDENTITY,))
-    log = Log(snapshot=Snapshot(index=0, term=0, members=members, data=b""))
-    replica = Replica(
-        identity=IDENTITY, log=log, vote=Vote(), clock=clock, random=Random(1)
-    )
-    state = ControlState()
+def actor_and_plane(
+    replica: Replica, state: ControlState, clock: FakeClock
+) -> tuple[ReplicaActor, ControlPlane]:
+    """Return both for a replica whose disk and bus do nothing."""
     actor = ReplicaActor(
         replica=replica,
         storage=NoStorage(),
@@ -78,6 +74,18 @@
         clock=clock,
         reports=TargetReports(targets=lambda: state.targets, clock=clock),
     )
+    return actor, plane
+
+
+def single_replica() -> SingleReplica:
+    clock = FakeClock()
+    members = Members(voters=(IDENTITY,))
+    log = Log(snapshot=Snapshot(index=0, term=0, members=members, data=b""))
+    replica = Replica(
+        identity=IDENTITY, log=log, vote=Vote(), clock=clock, random=Random(1)
+    )
+    state = ControlState()
+    actor, plane = actor_and_plane(replica, state, clock)
     clock.advance(5.0)
     actor.on_receive(Tick())
     assert plane.leads
--- a/tests/test_fresh_copy.py
+++ b/tests/test_fresh_copy.py
@@ -17,13 +17,11 @@
 from chicoryhold.consensus.replica import Replica
 from chicoryhold.control.messages import ReplicaMessage
 from chicoryhold.control.plane import ControlPlane
-from chicoryhold.control.replica_actor import ReplicaActor
 from chicoryhold.hosts.actors import PeerRequest
-from chicoryhold.membership.target_reports import TargetReports
 from chicoryhold.state.changes import Change, EvacuateDomain, Outcome
 from chicoryhold.state.control_state import ControlState
 from tests.conftest import FakeClock
-from tests.single_replica import NoBus, NoStorage
+from tests.single_replica import actor_and_plane
 
 LEADER, FOLLOWER = "b.founder", "a.founder"
 MEMBERS = Members(voters=(LEADER, FOLLOWER, "c.founder"))
@@ -43,13 +41,6 @@
         return super().apply(change)
 
 
-class LosingBus(NoBus):
-    """A bus that loses what is sent."""
-
-    def tell(self, peer: str, message: object) -> None:
-        return
-
-
 def change(number: int) -> bytes:
     body = encode(EvacuateDomain(domain=f"north-{number}"))
     return encode(Change(request_id=f"r-{number}", operator="", body=body))
@@ -63,23 +54,7 @@
         identity=FOLLOWER, log=log, vote=Vote(), clock=clock, random=Random(1)
     )
     state = WatchedState()
-    actor = ReplicaActor(
-        replica=replica,
-        storage=NoStorage(),
-        state=state,
-        bus=LosingBus(),
-        clock=clock,
-        snapshot_every=1_000,
-        peers=lambda: (),
-    )
-    state.plane = ControlPlane(
-        replica=replica,
-        actor=actor.actor_ref,
-        state=state,
-        bus=LosingBus(),
-        clock=clock,
-        reports=TargetReports(targets=lambda: state.targets, clock=clock),
-    )
+    actor, state.plane = actor_and_plane(replica, state, clock)
     entries = tuple(
         Entry(index=number, term=1, command=change(number)) for number in (1, 2, 3)
     )
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -4,34 +4,18 @@
 
 import http.client
 import json
-import os
 import signal
-import socket
 import subprocess
-import sys
 import time
 from collections.abc import Iterator
-from pathlib import Path
 
 import attrs
 import pytest
 
-ROOT = Path(__file__).resolve().parent.parent
+from tests.control_process import CONFIGURATION, started_control
+
 IP = "127.0.8.1"
 START_TIMEOUT_SECONDS = 20.0
-CONFIGURATION = {
-    "version": "00000001",
-    "routes": [
-        {
-            "name": "r",
-            "host": "shop.example",
-            "path_prefix": "/a/",
-            "kind": "safe",
-            "service": "s",
-        }
-    ],
-    "services": [{"name": "s"}],
-}
 
 
 @attrs.frozen(kw_only=True)
@@ -68,49 +52,11 @@
             time.sleep(0.05)
 
 
-def free_ports(count: int) -> list[int]:
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind((IP, 0))
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
-
-
 @pytest.fixture
 def control(tmp_path) -> Iterator[ControlProcess]:
-    control_port, directory_port, bus_port = free_ports(3)
-    settings = tmp_path / "settings.toml"
-    settings.write_text(
-        f"""
-[self]
-ip = "{IP}"
-zone = "north-a"
-region = "north"
-bootstrap = true
-data_dir = "{tmp_path}/data"
-[network]
-internal_ports = [{bus_port}, {bus_port + 15}]
-seeds = ["{IP}:{control_port}"]
-[network.zones]
-north-a = "north"
-[network.listen]
-control = "{IP}:{control_port}"
-directory = "{IP}:{directory_port}"
-"""
-    )
-    process = subprocess.Popen(
-        [sys.executable, str(ROOT / "platform" / "run.py"), "control"],
-        cwd=ROOT,
-        env={**os.environ, "CHICORYHOLD_SETTINGS": str(settings)},
-        stdout=subprocess.DEVNULL,
-    )
-    try:
-        yield ControlProcess(process=process, port=control_port)
-    finally:
-        process.kill()
-        process.wait()
+    with started_control(tmp_path, ip=IP, seeds=(IP,)) as started:
+        _, port = started.control_address
+        yield ControlProcess(process=started.process, port=port)
 
 
 def test_new_installation_accepts_and_returns_a_configuration(control):
--- a/tests/test_stopping_control_host.py
+++ b/tests/test_stopping_control_host.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import json
-import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -26,8 +24,8 @@
     connected,
     finish,
 )
+from tests.control_process import CONFIGURATION, ROOT, started_control
 
-ROOT = Path(__file__).resolve().parent.parent
 IP = "127.0.8.21"
 ABSENT_SEED_IP = "127.0.8.22"
 START_TIMEOUT_SECONDS = 20.0
@@ -37,19 +35,6 @@
 READ_PAUSE_SECONDS = FORMER_STOP_SECONDS + 0.5
 LARGE_BYTES = 16 * 1024 * 1024  # more than the kernel buffers for one connection
 CONNECTIONS_PER_KIND = 16
-CONFIGURATION = {
-    "version": "00000001",
-    "routes": [
-        {
-            "name": "r",
-            "host": "shop.example",
-            "path_prefix": "/a/",
-            "kind": "safe",
-            "service": "s",
-        }
-    ],
-    "services": [{"name": "s"}],
-}
 CONFIGURATION_BODY = json.dumps(CONFIGURATION).encode()
 EVACUATION_PATH = "/evacuation/north-b"
 REPORT_PATH = "/instances/i-1"
@@ -113,52 +98,12 @@
     folder: Path, *, seeds: tuple[str, ...] = (IP,)
 ) -> Iterator[ControlProcess]:
     """Start the only process of a new installation that has ``seeds``."""
-    control_port, directory_port, bus_port = free_ports(3)
-    settings = folder / "settings.toml"
-    seed_addresses = [f"{seed}:{control_port}" for seed in seeds]
-    settings.write_text(
-        f"""
-[self]
-ip = "{IP}"
-zone = "north-a"
-region = "north"
-bootstrap = true
-data_dir = "{folder}/data"
-[network]
-internal_ports = [{bus_port}, {bus_port + 15}]
-seeds = {json.dumps(seed_addresses)}
-[network.zones]
-north-a = "north"
-[network.listen]
-control = "{IP}:{control_port}"
-directory = "{IP}:{directory_port}"
-"""
-    )
-    process = subprocess.Popen(
-        [sys.executable, str(ROOT / "platform" / "run.py"), "control"],
-        cwd=ROOT,
-        env={**os.environ, "CHICORYHOLD_SETTINGS": str(settings)},
-        stdout=subprocess.DEVNULL,
-    )
-    try:
+    with started_control(folder, ip=IP, seeds=seeds) as started:
         yield ControlProcess(
-            process=process,
-            control_address=(IP, control_port),
-            directory_address=(IP, directory_port),
+            process=started.process,
+            control_address=started.control_address,
+            directory_address=started.directory_address,
         )
-    finally:
-        process.kill()
-        process.wait()
-
-
-def free_ports(count: int) -> list[int]:
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind((IP, 0))
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
 
 
 @pytest.fixture
--- a/tests/test_stopping_own_interface.py
+++ b/tests/test_stopping_own_interface.py
@@ -18,6 +18,7 @@
 
 import pytest
 
+from bench.background import in_background
 from chicoryhold.trial.fleet import (
     ANNOUNCEMENT_TOKEN,
     Fleet,
@@ -282,13 +283,8 @@
             announce()
 
     wait_until(announce, what="an announcement", timeout=TIMEOUT_SECONDS)
-    thread = threading.Thread(target=repeat, daemon=True)
-    thread.start()
-    try:
+    with in_background(repeat, closing=stopping):
         yield
-    finally:
-        stopping.set()
-        thread.join()
 
 
 def announcement(target: SickTarget, service: str, sequence: int) -> HttpRequest:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,8 +16,9 @@
 import attrs
 import pytest
 
+from bench.stops.hosts import free_ports
+from tests.control_process import CONFIGURATION, ROOT
 from tests.message_samples import all_kinds, encoded_samples, readable_kinds
-from tests.test_platform_processes import CONFIGURATION, ROOT, free_ports
 
 PRODUCTION = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["production"]
 OLD_MESSAGES = ROOT / "tests" / "data" / f"messages_{PRODUCTION}.json"
@@ -168,7 +169,7 @@
 def test_each_build_reads_the_configuration_that_the_other_has_left_on_disk(
     old_build, tmp_path
 ):
-    (port,) = free_ports(1)
+    (port,) = free_ports(CONTROL_IP, 1)
     for version, build in enumerate((old_build, ROOT, old_build, ROOT), 1):
         with running(
             build, "control", CONTROL_IP, tmp_path, first_port=port
@@ -184,7 +185,7 @@
 def test_entry_hosts_of_both_builds_follow_a_control_host_of_either(
     control_is_old, old_build, tmp_path
 ):
-    (port,) = free_ports(1)
+    (port,) = free_ports(CONTROL_IP, 1)
     with ExitStack() as stack:
 
         def start(build: Path, role: str, ip: str) -> Host:
