Part the steps for payments, rates and targets' rules off those for requests

features/steps/requests.py had 527 lines and four jobs: single requests, payments with a key, many requests at a rate, and what targets must not get.

--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -11,16 +11,13 @@
 import urllib3
 from behave import given, then, when
 
-from chicoryhold.load.target_rules import check_crashes, check_limit
-from chicoryhold.trial.caller import Caller, Response
+from chicoryhold.trial.caller import Response
 from chicoryhold.trial.fleet import wait_until
-from features.caller_hosts import caller_hosts, flood_hosts, run_at_once
 from features.support import (
     FIRST_HOST,
     count_runs,
     executed_requests,
     host_address,
-    list_targets,
     new_caller,
     send,
 )
@@ -172,164 +169,12 @@
         assert not any(secret in text for secret in secrets), request
 
 
-@when('"{name:Quoted}" sends "{request:Quoted}" from every host for {seconds:g} s')
-def step_flood(context, name, request, seconds):
-    flood_hosts(context, name, request, caller_hosts(context), seconds)
-
-
-@then("at most {burst:d} plus {rate:d} a second ran")
-def step_at_most_rate(context, burst, rate):
-    allowed = burst + rate * context.flood_seconds
-    ran = count_runs(context)
-    assert ran <= allowed, (ran, allowed)
-
-
-@then("at least {share:d} percent of {rate:d} a second ran")
-def step_at_least_rate(context, share, rate):
-    wanted = share / 100 * rate * context.flood_seconds
-    ran = count_runs(context)
-    assert ran >= wanted, (ran, wanted)
-
-
 @then('every refusal was "{kind:Quoted}" and "{ran:Quoted}"')
 def step_all_refusals(context, kind, ran):
     kinds = {(r.refused, r.ran) for r in context.responses if r.refused}
     assert kinds <= {(kind, ran)}, kinds
 
 
-@when(
-    '"{name:Quoted}" sends {count:d} requests "{request:Quoted}" evenly in '
-    '{seconds:g} s to "{host:Quoted}"'
-)
-def step_send_evenly(context, name, count, request, seconds, host):
-    method, path = request.split()
-    caller = new_caller(context, name)
-    started = time.monotonic()
-    for number in range(count):
-        due = started + seconds * number / count
-        time.sleep(max(0.0, due - time.monotonic()))
-        response = caller.send(
-            method, f"{path}?m={context.marker}", host=host_address(context, host)
-        )
-        context.responses.append(response)
-
-
-@then("every request was answered")
-def step_all_answered(context):
-    refused = [
-        response.fields for response in context.responses if response.status != 200
-    ]
-    assert not refused, refused
-
-
-@when('"{name:Quoted}" pays with key "{text:Quoted}"')
-def step_pay(context, name, text):
-    pay(context, name, text)
-
-
-@when('"{name:Quoted}" pays with key "{text:Quoted}" at host "{host:Quoted}"')
-def step_pay_at(context, name, text, host):
-    pay(context, name, text, host=host)
-
-
-@when(
-    '"{name:Quoted}" pays with key "{text:Quoted}" to a target that answers '
-    '"{fault:Quoted}"'
-)
-def step_pay_fault(context, name, text, fault):
-    pay(context, name, text, fault=fault)
-
-
-@when('"{name:Quoted}" pays {amount:d} with key "{text:Quoted}"')
-def step_pay_amount(context, name, amount, text):
-    pay(context, name, text, amount=amount)
-
-
-@when('"{name:Quoted}" pays with key "{text:Quoted}" at every host at the same moment')
-def step_pay_at_every_host(context, name, text):
-    # Look up the prefix before the threads start, so that all send the same key.
-    idempotency_prefix(context)
-    run_at_once(
-        lambda host=host: pay(context, name, text, host=host)
-        for host in caller_hosts(context)
-    )
-
-
-def idempotency_prefix(context) -> str:
-    """Return the prefix for idempotency keys, which a caller gets from the look-up.
-
-    It is looked up once per scenario.
-    """
-    prefixes = context.__dict__.setdefault("prefixes", {})
-    if context.marker not in prefixes:
-        caller = Caller(known_host=host_address(context, FIRST_HOST))
-        prefixes[context.marker] = caller.look_up()["idempotency_prefix"]
-    return prefixes[context.marker]
-
-
-def pay(context, organisation, key_suffix, *, host=FIRST_HOST, fault="", amount="40"):
-    """Send a payment with an idempotency key that belongs to this scenario."""
-    headers = {
-        "Idempotency-Key": f"{idempotency_prefix(context)}{context.marker}{key_suffix}"
-    }
-    if fault:
-        headers["Trial"] = fault
-    caller = new_caller(context, organisation)
-    response = caller.send(
-        "POST",
-        f"/payments/1?m={context.marker}",
-        host=host_address(context, host),
-        headers=headers,
-        body=f"ron {amount}".encode(),
-        timeout=15.0,
-    )
-    context.responses.append(response)
-    return response
-
-
-@when(
-    '"{name:Quoted}" starts paying with key "{text:Quoted}" at host '
-    '"{host:Quoted}" and waits for "{fault:Quoted}"'
-)
-def step_pay_in_background(context, name, text, host, fault):
-    def send_payment():
-        try:
-            pay(context, name, text, host=host, fault=fault)
-        except urllib3.exceptions.HTTPError:
-            # A later step kills the host, so that the response is lost.
-            return
-
-    context.payment_thread = threading.Thread(target=send_payment)
-    context.payment_thread.start()
-    wait_until(
-        lambda: count_runs(context) == 1, what="the run of the payment", timeout=10
-    )
-
-
-@when('"{name:Quoted}" pays with the plain key "{text:Quoted}"')
-def step_pay_without_prefix(context, name, text):
-    caller = new_caller(context, name)
-    response = caller.send(
-        "POST",
-        f"/payments/1?m={context.marker}",
-        headers={"Idempotency-Key": text},
-        body=b"ron 40",
-    )
-    context.responses.append(response)
-
-
-@then("both answers are the same")
-def step_same_answers(context):
-    first, second = context.responses[-2:]
-    assert (first.status, first.body) == (second.status, second.body)
-
-
-@then("all answers of 200 are the same")
-def step_same_successful_answers(context):
-    bodies = {response.body for response in context.responses if response.status == 200}
-    assert len(bodies) == 1, bodies
-
-
 @when(
     '"{name:Quoted}" keeps sending "{request:Quoted}" to host "{host:Quoted}" '
     "until refused"
@@ -390,101 +235,3 @@
     assert len(statuses) == 8, statuses
     assert 200 not in statuses, statuses
     assert count_runs(context) == context.runs_before
-
-
-@when(
-    '"{name:Quoted}" sends "{request:Quoted}" from every host but the coordinator '
-    "for {seconds:g} s"
-)
-def step_flood_other_hosts(context, name, request, seconds):
-    others = [host for host in caller_hosts(context) if host != context.coordinator]
-    flood_hosts(context, name, request, others, seconds)
-
-
-@when('"{name:Quoted}" pays with key "{text:Quoted}" until refused')
-def step_pay_until_refused(context, name, text):
-    wait_until(lambda: pay(context, name, text).refused, what="a refusal", timeout=20)
-
-
-@when(
-    '"{name:Quoted}" sends "{request:Quoted}" that crashes targets until every host '
-    "refuses it"
-)
-def step_send_deadly(context, name, request):
-    def send_to_all():
-        context.last_round = [
-            send(context, name, request, host=host, headers={"Trial": "crash 0.5"})
-            for host in caller_hosts(context)
-        ]
-        return all(each.refused == "quarantined" for each in context.last_round)
-
-    wait_until(send_to_all, what="a refusal by every host", timeout=30)
-    for target in list_targets(context):
-        context.fleet.wait_target_listening(target)
-
-
-@then("it crashed at most {count:d} targets")
-def step_crashed(context, count):
-    result = check_crashes(deadly_runs(context), known_seconds=0.0)
-    assert 3 <= result.crashes <= count, result
-
-
-@then("no host sent it {seconds:d} s after the third crash")
-def step_not_sent_again(context, seconds):
-    result = check_crashes(deadly_runs(context), known_seconds=float(seconds))
-    assert result.is_kept and not result.late_retries, result
-
-
-@then('every refusal of the last round was "{kind:Quoted}" and "{ran:Quoted}"')
-def step_last_round(context, kind, ran):
-    kinds = {(each.refused, each.ran) for each in context.last_round}
-    assert kinds == {(kind, ran)}, kinds
-
-
-def deadly_runs(context):
-    return [
-        request["at"]
-        for request in executed_requests(context)
-        if context.marker in request["path"]
-    ]
-
-
-@when('every target of "{service:Quoted}" names a limit of {rate:d}')
-def step_name_limit(context, service, rate):
-    context.limit_named_at = time.monotonic()
-    for target in targets_of(context, service):
-        context.fleet.set_limit(target, str(rate))
-
-
-@when('every target of "{service:Quoted}" names no limit')
-def step_name_no_limit(context, service):
-    for target in targets_of(context, service):
-        context.fleet.set_limit(target, "")
-
-
-@then(
-    'no target of "{service:Quoted}" got more than a limit of {rate:d} allows, '
-    "{seconds:d} s after it was named"
-)
-def step_limit_kept(context, service, rate, seconds):
-    for target in targets_of(context, service):
-        requests = context.fleet.seen(target)["requests"]
-        since = context.limit_named_at + seconds
-        result = check_limit((r["at"] for r in requests), rate=rate, since=since)
-        assert result.is_kept, (target.name, result)
-
-
-def targets_of(context, service):
-    return [t for t in list_targets(context) if f"-{service}-" in t.name]
-
-
-@when('every target of "{service:Quoted}" is killed')
-def step_kill_targets(context, service):
-    for target in list_targets(context):
-        if f"-{service}-" in target.name:
-            target.kill()
-
-
-@when('"{name:Quoted}" pays with key "{text:Quoted}" and its secret in the body')
-def step_pay_with_key_in_body(context, name, text):
-    pay(context, name, text, amount=context.keys[name])
