--- a/tests/test_coordinator_actor.py
+++ b/tests/test_coordinator_actor.py
@@ -14,7 +14,7 @@
 from chicoryhold.steering.coordinator_actor import CoordinatorActor
 from chicoryhold.steering.lease import LEASE_SECONDS, LeaseCandidate, LeaseVoter
 from tests.conftest import FakeClock
-from tests.test_steering import announcement, create_coordinator
+from tests.coordinators import announcement, create_coordinator
 
 REPLICAS = ("h1", "h2", "h3")
 TICK_SECONDS = 0.05
--- a/tests/test_leaving_grants.py
+++ b/tests/test_leaving_grants.py
@@ -6,7 +6,7 @@
 from chicoryhold.steering.admission_client import AdmissionClient
 from chicoryhold.steering.coordinator import Coordinator
 from tests.conftest import FakeClock
-from tests.test_steering import admit, announcement, create_coordinator
+from tests.coordinators import admit, announcement, create_coordinator
 
 
 def coordinator_told_of_leaving(clock: FakeClock) -> Coordinator:
