Part the benchmarks of decisions and of capacity by what they measure

bench/decisions.py (682 lines) and bench/capacity.py (537) are packages now, run by the same commands.

--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measures how state, messages, CPU time and memory grow with size."""
--- /dev/null
+++ b/bench/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Compares the coordinators' decisions with simpler algorithms."""
