Name what a slot was granted on apart from the process of a target's record

Two modules had a process_of: that of a record (state/targets.py), and that of a granted slot (callers/slots.py), which is granted_process now. The branches there for a slot without a process name stay: coordinators of the build in production always pass the name on, but an announcement may have an empty one, which nothing refuses. The comments say so.

--- a/src/chicoryhold/callers/forwarding.py
+++ b/src/chicoryhold/callers/forwarding.py
@@ -7,7 +7,7 @@
 
 from chicoryhold.callers.granted_targets import GrantedTargets
 from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
-from chicoryhold.callers.slots import Slots, process_of
+from chicoryhold.callers.slots import Slots, granted_process
 from chicoryhold.callers.target_answers import (
     is_shed,
     refusal_if_shed,
@@ -130,7 +130,7 @@
         state.attempts += 1
         state.tried_addresses += (reply.address,)
         self._granted.add(reply.address, service=forwarded.service)
-        self._crashes.record_targets((process_of(reply),))
+        self._crashes.record_targets((granted_process(reply),))
         return self._exchange(forwarded, reply, state)
 
     def _exchange(
@@ -174,7 +174,7 @@
         return refusal_if_shed(response)
 
     def _record_lost(self, forwarded: ForwardedRequest, admitted: Admitted) -> None:
-        self._crashes.record_lost(process_of(admitted), forwarded.digest)
+        self._crashes.record_lost(granted_process(admitted), forwarded.digest)
 
     def _failure_latency(self, started: float) -> float | None:
         """Return the latency of a failure, or ``None`` if it may be this host's own."""
--- a/src/chicoryhold/callers/slots.py
+++ b/src/chicoryhold/callers/slots.py
@@ -67,12 +67,12 @@
 
     def record_heads(self, admitted: Admitted, heads: tuple[ResponseHead, ...]) -> None:
         """Note what responses of the target, complete or not, say of leaving."""
-        # A coordinator of an older build doesn't name the process, and its address
-        # alone may be used again.
+        # Without the target's own name for its process, the next one at the address
+        # would be taken for it.
         if not admitted.instance:
             return
         for head in heads:
-            self._statements.record(process_of(admitted), leaving_statement(head))
+            self._statements.record(granted_process(admitted), leaving_statement(head))
 
     def _take_shifted(self, request: Admit) -> Admitted | None:
         """Ask the destination domain of a traffic shift, if there is one."""
@@ -86,10 +86,10 @@
         return reply
 
     def _is_leaving(self, admitted: Admitted) -> bool:
-        return self._statements.is_leaving(process_of(admitted))
+        return self._statements.is_leaving(granted_process(admitted))
 
 
-def process_of(admitted: Admitted) -> GrantedProcess:
-    # A coordinator of an older build doesn't name the process.
+def granted_process(admitted: Admitted) -> GrantedProcess:
+    # Announcements may name an empty instance.
     instance = admitted.instance or admitted.address
     return GrantedProcess(instance=instance, address=admitted.address)
