Create the encrypted bus of both programs in one place

chicoryhold-entry, chicoryhold-control and the benchmark of the bus each put together the same keys and peers; programs/curve_bus.py does now.

--- a/bench/capacity/messages.py
+++ b/bench/capacity/messages.py
@@ -11,9 +11,9 @@
 from chicoryhold.codec import decode, encode
 from chicoryhold.control.messages import FetchChanges, HostReport
 from chicoryhold.hosts.bus import Bus, running_bus
-from chicoryhold.hosts.curve import create_key_files, load_key_pair, load_public_keys
+from chicoryhold.hosts.curve import create_key_files
 from chicoryhold.hosts.messages import BorrowReply, BorrowRequest, Hello, HelloReply
-from chicoryhold.hosts.transport import CurveTransport
+from chicoryhold.programs.curve_bus import create_curve_bus
 from chicoryhold.trial.fleet import free_address
 
 
@@ -78,14 +78,11 @@
         buses = [
             stack.enter_context(
                 running_bus(
-                    Bus(
+                    create_curve_bus(
                         name=name,
                         address=addresses[name],
-                        transport=CurveTransport(
-                            keys=load_key_pair(Path(folder), name),
-                            authorized=load_public_keys(Path(folder)),
-                            peers=addresses,
-                        ),
+                        key_folder=Path(folder),
+                        peers=addresses,
                     )
                 )
             )
--- a/src/chicoryhold/programs/control.py
+++ b/src/chicoryhold/programs/control.py
@@ -25,13 +25,12 @@
 from chicoryhold.errors import PeerTimeout, SettingsError
 from chicoryhold.hosts.actors import forward_to, running_actor
 from chicoryhold.hosts.bus import Bus, running_bus
-from chicoryhold.hosts.curve import load_key_pair, load_public_keys
-from chicoryhold.hosts.transport import CurveTransport
 from chicoryhold.http.server import HttpServer, serve_http
 from chicoryhold.log_queue import LogQueue
 from chicoryhold.logs import configure_text_logging
 from chicoryhold.metrics import create_meter, serve_metrics
 from chicoryhold.operators.api import AdministrationApi
+from chicoryhold.programs.curve_bus import create_curve_bus
 from chicoryhold.programs.draining import Drain, control_drain_timing
 from chicoryhold.programs.running import run_program
 from chicoryhold.programs.signals import ignore_sighup, stop_signals
@@ -126,15 +125,11 @@
 
 
 def _create_bus(settings: ControlSettings) -> Bus:
-    folder = settings.transport.key_folder
-    return Bus(
+    return create_curve_bus(
         name=settings.name,
         address=settings.transport.address,
-        transport=CurveTransport(
-            keys=load_key_pair(folder, settings.name),
-            authorized=load_public_keys(folder),
-            peers=settings.replicas,
-        ),
+        key_folder=settings.transport.key_folder,
+        peers=settings.replicas,
     )
 
 
--- a/src/chicoryhold/programs/entry_context.py
+++ b/src/chicoryhold/programs/entry_context.py
@@ -12,10 +12,9 @@
 from chicoryhold.control.follower import Follower
 from chicoryhold.gateway.reachability import TargetReachability
 from chicoryhold.hosts.bus import Bus
-from chicoryhold.hosts.curve import load_key_pair, load_public_keys
 from chicoryhold.hosts.domain_view import DomainView
-from chicoryhold.hosts.transport import CurveTransport
 from chicoryhold.metrics import Metrics, create_meter
+from chicoryhold.programs.curve_bus import create_curve_bus
 from chicoryhold.settings import EntrySettings
 
 if TYPE_CHECKING:
@@ -51,18 +50,14 @@
 
 def create_bus(settings: EntrySettings) -> Bus:
     """Return a bus to all hosts that the settings name; it isn't started."""
-    folder = settings.transport.key_folder
     peers = dict(settings.replicas)
     for domain in settings.domains.values():
         peers.update(domain.hosts)
-    return Bus(
+    return create_curve_bus(
         name=settings.name,
         address=settings.transport.address,
-        transport=CurveTransport(
-            keys=load_key_pair(folder, settings.name),
-            authorized=load_public_keys(folder),
-            peers=peers,
-        ),
+        key_folder=settings.transport.key_folder,
+        peers=peers,
     )
 
 
