Don't fetch from a host that fetches from this one while another source is left

Cause: while the first control replica is avoided (it was killed, or restarted a moment ago), the second host of a domain comes next in the order of sources, before the leader. The first two hosts of a domain then ask each other. Each finds the other's copy recent until it is 3 s old, asks the leader once, and goes back to the other, again and again. Seen with real processes after all replicas were restarted (load 20): all hosts had the revision at 22:06:20, and both pairs asked each other until 22:06:23.5; the leader was told after that, and "wait" took 5.2 s.

Change: of the sources that aren't avoided and owe no reply, those that fetched from this host within a fetch's timeout come last. A host without a copy asks them all the same.

--- a/src/chicoryhold/control/follower_actor.py
+++ b/src/chicoryhold/control/follower_actor.py
@@ -99,6 +99,7 @@
             clock=clock, forget=lambda future: bus.forget(future)
         )
         self._incoming_fetches = PendingFetches(feed=follower.feed, clock=clock)
+        self._asked_at: dict[str, float] = {}
         self._reports = NewestReports(clock=clock)
         self._source = ""
         self._next_fetch_at = 0.0
@@ -152,8 +153,18 @@
         newest = self._fetches.newest
         return newest is not None and not newest.is_late
 
+    @property
+    def _followers(self) -> frozenset[str]:
+        """The hosts that fetch from this one, if it has a copy for them."""
+        if self._follower.state.revision == 0:
+            return frozenset()
+        since = self._clock.now() - self._timing.timeout
+        return frozenset(host for host, at in self._asked_at.items() if at >= since)
+
     def _fetch(self, *, at_once: bool = False) -> None:
-        source = self._choice.choose(waiting=self._fetches.sources)
+        source = self._choice.choose(
+            waiting=self._fetches.sources, followers=self._followers
+        )
         if not source:
             self._fetch_log.had_no_source()
             return
@@ -318,6 +329,7 @@
     def _on_request(self, received: PeerRequest) -> None:
         match received.message:
             case FetchChanges() as request:
+                self._asked_at[received.sender] = self._clock.now()
                 self._record_reports(request.reports)
                 self._incoming_fetches.add(request, received.reply)
             case FetchImage() as request:
--- a/src/chicoryhold/control/sources.py
+++ b/src/chicoryhold/control/sources.py
@@ -30,11 +30,15 @@
         self._found_stale_at: dict[str, float] = {}
         self._suggested = ""
 
-    def choose(self, *, waiting: Collection[str] = ()) -> str:
+    def choose(
+        self, *, waiting: Collection[str] = (), followers: Collection[str] = ()
+    ) -> str:
         """Return the source to ask, or ``""`` if there is none.
 
         A source in ``waiting`` owes a reply already, so one that doesn't comes first.
-        If all are avoided, it is the one that is avoided for the shortest time.
+        If all are avoided, it is the one that is avoided for the shortest time. Those
+        in ``followers`` fetch from this host, so they come after all that don't and
+        aren't avoided.
         """
         sources = self._sources()
         if not sources:
@@ -46,6 +50,8 @@
             sources,
             key=lambda source: (
                 source in waiting,
+                self._is_avoided(source, now),
+                source in followers,
                 max(now, self._avoided_until.get(source, 0.0)),
             ),
         )
