Call no request "not run" that may have run at an earlier target

What callers saw: a request of a repeatable route, sent without an idempotency key, that may have run at its first target was refused with 503 and "Chicoryhold-Ran: no" when the next attempt didn't get as far as sending it. Cause: the own interface told the outcome of the last attempt alone. Requests that must run at most once weren't affected: they are sent again only if every earlier attempt is known not to have run. Change: an earlier failure that may have run the request decides, as it does in the delivery of the platform's requests.

--- a/src/chicoryhold/callers/forwarding.py
+++ b/src/chicoryhold/callers/forwarding.py
@@ -99,9 +99,9 @@
             if outcome.is_ok():
                 return outcome
             not_run = outcome.err_value.ran is RunStatus.NOT_RUN
+            state.last_failure = _decisive_failure(state.last_failure, outcome)
             if not self._may_retry(forwarded, state, not_run=not_run):
-                return outcome
-            state.last_failure = outcome
+                return state.last_failure
 
     def _is_trial(self) -> bool:
         now = self._clock.now()
@@ -222,6 +222,17 @@
         return self._retry_budget.spend()
 
 
+def _decisive_failure(last: Err[Refusal] | None, failure: Err[Refusal]) -> Err[Refusal]:
+    """Return the failure that determines the outcome.
+
+    An earlier attempt that may have run the request takes precedence, because a later
+    one must not report the request as not run.
+    """
+    if last is not None and last.err_value.ran is not RunStatus.NOT_RUN:
+        return last
+    return failure
+
+
 def _cut_off_refusal() -> Refusal:
     return Refusal(
         kind=RefusalKind.NOT_READY,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -74,6 +74,7 @@
         self.crashes_targets = False
         self.is_slow = False  # the next attempt passes its early deadline
         self.gave_up: bool | None = None
+        self.is_unreachable_next = False  # after an attempt that was given up
         self.forwarder = Forwarder(
             crashes=self.crashes.watch(self.clock),
             guard=self.guard,
@@ -109,6 +110,8 @@
             self.gave_up = may_give_up()
             if self.gave_up:
                 raise ExchangeTimeout("late")
+        elif self.is_unreachable_next:
+            raise ConnectFailed("refused")
         return OK
 
     def send(self, *, at_most_once: bool = True):
@@ -208,3 +211,11 @@
         given_up.append(host.gave_up)
     assert given_up[0]
     assert not all(given_up)
+
+
+def test_a_request_that_may_have_run_at_its_first_target_is_not_called_not_run(host):
+    """Guards against "not run" of the last target where an earlier one may have."""
+    host.is_slow = host.is_unreachable_next = True
+    outcome = host.send(at_most_once=False)
+    assert host.gave_up
+    assert outcome.err_value.ran is RunStatus.UNKNOWN
