Release a slot at the coordinator that granted it

What callers saw: nothing known. In the test, a host that held slots of two domains by a traffic shift, both named 1.1, told the other domain's coordinator of its own target's leaving, and released one of the two slots only, so the other one stayed taken until its grant expired. Cause: a coordinator names its grants by its epoch and a number, both counted in its domain alone, and a host kept the grants of all domains by that name. Change: a host names each slot by a number of its own, and keeps beside it what its coordinator calls it. Messages are unchanged.

--- a/src/chicoryhold/steering/admission_client.py
+++ b/src/chicoryhold/steering/admission_client.py
@@ -40,6 +40,12 @@
 
 @attrs.frozen(kw_only=True)
 class _HeldGrant:
+    """A slot in use.
+
+    ``grant`` is its name at ``coordinator``; others may give theirs the same name.
+    """
+
+    grant: str
     epoch: int
     address: str
     coordinator: str
@@ -61,13 +67,17 @@
         self._view = view
         self._clock = clock
         self._held_grants: dict[str, _HeldGrant] = {}
+        self._last_grant_number = 0
         self._limits: dict[str, float] = {}
         self._lock = threading.Lock()
         self._newest_epoch = 0
         self._own_replicas = frozenset(view.replicas)
 
     def admit(self, request: Admit, *, deadline: float) -> Admitted | NotAdmitted:
-        """Return a slot, or the reason why there is none, before ``deadline``."""
+        """Return a slot, or the reason why there is none, before ``deadline``.
+
+        Its ``grant`` is the name for ``release`` of this client.
+        """
         while (now := self._clock.now()) < deadline:
             asked_host = self._view.coordinator
             if not asked_host:
@@ -80,8 +90,7 @@
                 return reply
             if isinstance(reply, Admitted):
                 if self._is_fresh(reply, now):
-                    self._record_grant(reply, asked_host)
-                    return reply
+                    return self._record_grant(reply, asked_host)
                 self._discard(reply, asked_host)
             else:
                 time.sleep(RETRY_DELAY_SECONDS)
@@ -99,8 +108,7 @@
         reply = self._ask_once(asked_host, request, OTHER_DOMAIN_TIMEOUT_SECONDS)
         if isinstance(reply, Admitted):
             if self._is_fresh(reply, sent_at):
-                self._record_grant(reply, asked_host)
-                return reply
+                return self._record_grant(reply, asked_host)
             self._discard(reply, asked_host)
         elif not isinstance(reply, NotAdmitted):
             self._choose_next_host(domain, asked_host, reply)
@@ -123,7 +131,7 @@
                 self._note_limit(held.address, stated)
         if held is not None:
             message = Release(
-                grant=grant,
+                grant=held.grant,
                 ok=ok,
                 latency=latency,
                 limit=stated.rate if stated else None,
@@ -227,13 +235,22 @@
         age = self._clock.now() - sent_at - reply.waited
         return age < GRANT_LIFETIME_SECONDS
 
-    def _record_grant(self, reply: Admitted, coordinator: str) -> None:
+    def _record_grant(self, reply: Admitted, coordinator: str) -> Admitted:
+        """Return the slot under a name that no other slot has at this host."""
         epoch = int(reply.grant.partition(".")[0])
-        held = _HeldGrant(epoch=epoch, address=reply.address, coordinator=coordinator)
+        held = _HeldGrant(
+            grant=reply.grant,
+            epoch=epoch,
+            address=reply.address,
+            coordinator=coordinator,
+        )
         with self._lock:
             if coordinator in self._own_replicas:
                 self._newest_epoch = max(self._newest_epoch, epoch)
-            self._held_grants[reply.grant] = held
+            self._last_grant_number += 1
+            name = str(self._last_grant_number)
+            self._held_grants[name] = held
+        return attrs.evolve(reply, grant=name)
 
     def _discard(self, reply: Admitted, coordinator: str) -> None:
         """Release the slot of a grant that arrived too late to be used."""
--- a/tests/test_leaving_grants.py
+++ b/tests/test_leaving_grants.py
@@ -82,3 +82,31 @@
     granted = client.admit(request, deadline=clock.now() + 1)
     client.release(granted.grant, ok=True, latency=None, is_leaving=True)
     assert [message.is_leaving for message in coordinators.told] == [True]
+
+
+class TwoDomains(Coordinators):
+    """A bus with the coordinators of two domains, which name their grants alike."""
+
+    def ask(self, host, message):
+        grant = Admitted(grant="1.1", address=f"t-{host}", waited=0.0, instance="i1")
+        return Answered(grant)
+
+    def call(self, host, message, *, timeout):
+        return self.ask(host, message).result(timeout)
+
+    def tell(self, host, message):
+        self.told.append((host, message.grant, message.is_leaving))
+
+
+def test_slots_that_two_coordinators_name_alike_are_released_each_at_its_own(clock):
+    """Guards against a release, and what it says, at another domain's coordinator."""
+    coordinators = TwoDomains()
+    client = AdmissionClient(
+        bus=coordinators, view=coordinators, clock=clock, domains={"far": ("f",)}
+    )
+    request = Admit(organisation="o", service="menus", patience=1.0)
+    own = client.admit(request, deadline=clock.now() + 1)
+    far = client.admit_in_domain("far", request)
+    client.release(own.grant, ok=True, latency=None, is_leaving=True)
+    client.release(far.grant, ok=True, latency=None)
+    assert coordinators.told == [("c", "1.1", True), ("f", "1.1", False)]
