Judge the process at an address by the answers of that process alone

What callers saw: nothing known. In the tests, the answer of a process that had been replaced at its address ended the limit that the next process had named, so that one got more than it takes, and failures of the former process ejected the next one. Cause: the release of a slot named the target by its address, where the process that it was granted on is meant. Only the word that a target leaves was kept apart by process. Change: outcome and limit count only if the process of the slot is still the one at the address. Measured: both new tests of tests/test_coordinator_limits.py failed before and pass; 66 tests of the files on coordinators pass.

--- a/src/chicoryhold/steering/coordinator.py
+++ b/src/chicoryhold/steering/coordinator.py
@@ -121,15 +121,19 @@
         grant = self._grants.pop(release.grant, None)
         if grant is None:
             return
-        if release.latency is not None:
-            self._targets.observe(grant.address, ok=release.ok, latency=release.latency)
-        if release.limit is not None or release.has_no_limit:
-            self._targets.record_limit(grant.address, release.limit)
+        if self._targets.is_at(grant.address, instance=grant.instance):
+            self._observe(grant.address, release)
         if release.is_leaving:
             self._targets.record_leaving(grant.address, grant.instance)
         self._targets.release_slot(grant.address)
         self._serve_slot_queues()
 
+    def _observe(self, address: str, release: Release) -> None:
+        if release.latency is not None:
+            self._targets.observe(address, ok=release.ok, latency=release.latency)
+        if release.limit is not None or release.has_no_limit:
+            self._targets.record_limit(address, release.limit)
+
     def announce(self, announcement: Announcement) -> AnnouncementReply:
         """Add, renew or drain a target, and serve the requests that it has room for."""
         reply = self._targets.announce(announcement)
--- a/src/chicoryhold/steering/targets.py
+++ b/src/chicoryhold/steering/targets.py
@@ -154,6 +154,11 @@
         ]
         return None if None in limits or not limits else sum(limits)
 
+    def is_at(self, address: str, *, instance: str) -> bool:
+        """Return whether the process ``instance`` is the current one at ``address``."""
+        target = self._targets.get(address)
+        return target is not None and target.instance == instance
+
     def acquire_slot(self, target: Target) -> None:
         target.in_use += 1
         if target.limit is not None:
--- a/tests/test_coordinator_limits.py
+++ b/tests/test_coordinator_limits.py
@@ -111,3 +111,27 @@
     coordinator.announce(announcement(address="t1", instance="new", slots=50))
     granted = grants_by_address(coordinator, clock, seconds=2)
     assert len(granted["t1"]) == 200
+
+
+def test_a_late_answer_of_a_former_process_says_nothing_of_the_next_ones_limit(clock):
+    """Guards against a limit that the answer of another process ended."""
+    coordinator = create_coordinator(clock)
+    coordinator.announce(announcement(slots=50))
+    (former,) = admit(coordinator)
+    coordinator.announce(announcement(instance="next", slots=50))
+    coordinator.targets.record_limit("t1", 4.0)
+    ended = Release(grant=former.grant, ok=True, latency=0.1, has_no_limit=True)
+    coordinator.release(ended)
+    clock.advance(1.0)
+    times = grants_by_address(coordinator, clock, seconds=10)["t1"]
+    assert check_limit(times, rate=4.0, since=0.0).is_kept
+
+
+def test_failures_of_a_former_process_eject_not_the_next_one(clock):
+    coordinator = create_coordinator(clock)
+    coordinator.announce(announcement(slots=50))
+    former = [admit(coordinator)[0].grant for _ in range(20)]
+    coordinator.announce(announcement(instance="next", slots=50))
+    for grant in former:
+        coordinator.release(Release(grant=grant, ok=False, latency=0.1))
+    assert [type(answer) for answer in admit(coordinator)] == [Admitted]
