Keep a process's limit when an answer of the former one comes late

What callers saw: nothing known; such an answer must cross a restart under the same name. Cause: an answer replaced what was known of its instance, also if that came from a process that started later. Then the new process's limit was forgotten with the former process. Change: such an answer is left out, as it is for times to stay away. Measured: both cases of the new test failed before (no limit left) and pass; 114 tests of limits and statements pass.

--- a/src/chicoryhold/routing/stated_limits.py
+++ b/src/chicoryhold/routing/stated_limits.py
@@ -106,6 +106,9 @@
         if statement.rate is None and target.instance not in self._known:
             return
         with self._lock:
+            known = self._known.get(target.instance)
+            if known is not None and known.born_ms > target.born_ms:
+                return
             self._set(
                 target.instance, target.born_ms, statement.rate, self._clock.now()
             )
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -40,6 +40,16 @@
     assert limits.rates() == {"i-1": 9.9}
 
 
+@pytest.mark.parametrize("late", [NO_LIMIT, RateStatement(rate=50.0)])
+def test_a_late_answer_of_a_former_process_says_nothing_of_the_next_ones_limit(late):
+    limits = a_limits()
+    restarted = a_record(instance="i-1", born_ms=a_record().born_ms + 1)
+    limits.record_answer(restarted, RateStatement(rate=9.9))
+    limits.record_answer(a_record(instance="i-1"), late)
+    limits.keep_only({"i-1": restarted})
+    assert limits.rates() == {"i-1": 9.9}
+
+
 def test_a_new_process_of_the_same_name_has_no_limit():
     limits = a_limits()
     limits.record_answer(a_record(instance="i-1"), RateStatement(rate=9.9))
