Promise "not run" only in a refusal that says so

What callers saw: nothing; no refusal of this build is of such a kind and may have run. Cause: the kind of a refusal alone chose its status, so one of another kind whose request may have run would have been told 503, or 429.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,7 +15,7 @@
 
 from chicoryhold.callers.refusals import Refusal, RefusalKind, RunStatus
 from chicoryhold.errors import SettingsError
-from chicoryhold.gateway.outcomes import Outcome
+from chicoryhold.gateway.outcomes import NOT_RUN_STATUSES, Outcome
 from chicoryhold.gateway.request import RelayCall, RelayTerms, TargetCall
 from chicoryhold.gateway.service import ServeResult
 from chicoryhold.http.channel import ARRIVED_AT, CANCELLATION
@@ -216,6 +216,13 @@
 
 def headers_sent(outcome: Outcome, *, relayed: str) -> list[tuple[str, str]]:
     """Return the headers of the response to a request with this outcome."""
+    return head_sent(outcome, relayed=relayed)[1]
+
+
+def head_sent(
+    outcome: Outcome, *, relayed: str = ""
+) -> tuple[int, list[tuple[str, str]]]:
+    """Return status and headers of the response to a request with this outcome."""
     gateway = SimpleNamespace(serve=lambda request: ServeResult(outcome=outcome))
     gateway.service = gateway
     environ = {
@@ -227,8 +234,9 @@
         CANCELLATION: Cancellation(),
     }
     sent = []
-    ClientApp(gateway)(environ, lambda status, headers: sent.extend(headers))
-    return sent
+    ClientApp(gateway)(environ, lambda *head: sent.append(head))
+    ((status, headers),) = sent
+    return int(status[:3]), headers
 
 
 @pytest.mark.parametrize("relayed", ["12,1", ""])
@@ -299,6 +307,15 @@
     assert "Chicoryhold-Refused" not in dict(passed_on)
 
 
+@pytest.mark.parametrize("ran", RunStatus)
+@pytest.mark.parametrize("kind", RefusalKind)
+def test_no_refusal_promises_that_a_request_did_not_run_unless_that_is_known(kind, ran):
+    """Guards against REFUSED by a refusal whose kind alone chose the status."""
+    refusal = Refusal(kind=kind, ran=ran, message="why")
+    status, _ = head_sent(Err(refusal))
+    assert ran is RunStatus.NOT_RUN or status not in NOT_RUN_STATUSES
+
+
 class _RecordingGateway:
     """Records the request that it is given, then raises ``InterruptedError``."""
 
